--- /dev/null
+++ b/chervilspindle/cli.py
@@ -0,0 +1,278 @@
+"""Command line: one binary with a sub-command for each job."""
+
+import json
+import os
+import sys
+import time
+import uuid
+
+import defopt
+from twisted.internet import defer
+
+from chervilspindle.config import jsonc
+from chervilspindle.config import lists as lists_module
+from chervilspindle.config import options
+from chervilspindle.config import settings as settings_module
+from chervilspindle.config import tokens
+from chervilspindle.core import logs
+
+EXIT_FAILED = 1
+EXIT_MISTAKE = 2
+TOKEN_VARIABLE = "CHERVILSPINDLE_TOKEN"
+DEFAULT_SERVER = "http://127.0.0.1:8080"
+FORCE_TIMEOUT_S = 10.0
+
+
+def serve(*, settings: str):
+    """Run the roles that a settings file names, until SIGTERM.
+
+    :param settings: path of the settings file
+    """
+    from twisted.internet import reactor
+
+    from chervilspindle import serve as serve_module
+
+    loaded = _load_settings(settings)
+    logs.configure_logging(loaded.vm_id, loaded.log_level)
+    sys.exit(serve_module.run_server(reactor, loaded))
+
+
+def init(*, settings: str):
+    """Create a new control group, once, on one of its VMs.
+
+    The other control VMs start with empty disks and join by themselves.
+
+    :param settings: path of that VM's settings file
+    """
+    from chervilspindle import serve as serve_module
+    from chervilspindle.control import storage
+
+    loaded = _load_settings(settings)
+    logs.configure_logging(loaded.vm_id, loaded.log_level)
+    try:
+        identity = serve_module.bootstrap(loaded)
+    except (storage.StorageError, OSError) as error:
+        _exit(EXIT_FAILED, str(error))
+    print(json.dumps(identity._asdict()))
+
+
+def check(file: str):
+    """Check a settings file, or a file with the two lists.
+
+    :param file: path of the file
+    """
+    document, mistakes = jsonc.load_file(file)
+    if not mistakes:
+        is_lists = isinstance(document, dict) and (
+            "customers" in document or "plans" in document
+        )
+        build = settings_module.build_settings
+        if is_lists:
+            build = lists_module.build_lists
+        _, mistakes = build(document, file)
+    if mistakes:
+        _exit(EXIT_MISTAKE, "\n".join(jsonc.format_error(m) for m in mistakes))
+    print(f"{file}: correct")
+
+
+def apply(
+    file: str,
+    *,
+    if_revision: int,
+    change_id: str = "",
+    server: str = DEFAULT_SERVER,
+    wait: bool = True,
+):
+    """Replace the two lists by those of a file.
+
+    :param file: path of the file with both lists
+    :param if_revision: revision that the change is based on
+    :param change_id: id to resend the same change under; new if empty
+    :param server: URL of any entry
+    :param wait: wait until the change is in force on every VM
+    """
+    _, mistakes = lists_module.load_lists(file)
+    if mistakes:
+        _exit(EXIT_MISTAKE, "\n".join(jsonc.format_error(m) for m in mistakes))
+    with open(file, "rb") as handle:
+        data = handle.read()
+    change_id = change_id or uuid.uuid4().hex
+    headers = {"If-Match": f'"{if_revision}"', "Change-Id": change_id}
+
+    @defer.inlineCallbacks
+    def run():
+        body = yield _request("PUT", f"{server}/v1/config", headers, data)
+        if wait:
+            body["in_force_ms"] = yield _await_revision(
+                server, body["revision"]
+            )
+        print(json.dumps({"change_id": change_id, **body}))
+
+    _run(run)
+
+
+def show(*, server: str = DEFAULT_SERVER):
+    """Print the two lists that are in force, with their revision.
+
+    :param server: URL of any entry
+    """
+    _print_body("GET", f"{server}/v1/config")
+
+
+def status(*, server: str = DEFAULT_SERVER):
+    """Print how the system stands.
+
+    :param server: URL of any entry
+    """
+    _print_body("GET", f"{server}/v1/status")
+
+
+def explain(request_id: str, *, server: str = DEFAULT_SERVER):
+    """Print what was decided for a request, and why.
+
+    :param request_id: id from the answer
+    :param server: URL of any entry
+    """
+    _print_body("GET", f"{server}/v1/explain/{request_id}")
+
+
+def token(name: str):
+    """Create a token; print it with the digest for the lists.
+
+    :param name: customer or operator that the token is for
+    """
+    print(json.dumps(tokens.create_token(name)._asdict(), indent=2))
+
+
+def settings_reference():
+    """Print the settings reference as a Markdown table."""
+    print(options.render_reference())
+
+
+def endpoint(
+    file: str,
+    *,
+    entries: str,
+    run_log: str = "",
+    seed: int = 0,
+):
+    """Run stand-in endpoints.
+
+    :param file: JSON file with a list of endpoints
+    :param entries: IP:PORT of entries to announce to, with commas
+    :param run_log: file to which each command that ran is written
+    :param seed: seed of service times
+    """
+    from twisted.internet import reactor
+
+    from chervilspindle.tools import endpoint as endpoint_module
+
+    logs.configure_logging("stand-in")
+    run_log_ = endpoint_module.RunLog(run_log)
+    stand_ins = [
+        endpoint_module.StandIn(
+            reactor, config, entries.split(","), run_log_, seed
+        )
+        for config in endpoint_module.load_configs(file)
+    ]
+    for stand_in in stand_ins:
+        reactor.callWhenRunning(stand_in.start)
+    reactor.run()
+
+
+def main(arguments=None):
+    """Run the command line."""
+    defopt.run(
+        [
+            serve,
+            init,
+            check,
+            apply,
+            show,
+            status,
+            explain,
+            token,
+            settings_reference,
+            endpoint,
+        ],
+        argv=arguments,
+        cli_options="kwonly",
+        version=False,
+    )
+
+
+def _load_settings(path):
+    loaded, mistakes = settings_module.load_settings(path)
+    if mistakes:
+        _exit(EXIT_MISTAKE, "\n".join(jsonc.format_error(m) for m in mistakes))
+    return loaded
+
+
+def _exit(code, text):
+    print(text, file=sys.stderr)
+    sys.exit(code)
+
+
+@defer.inlineCallbacks
+def _request(method, url, headers=None, data=None):
+    import treq
+
+    response = yield treq.request(
+        method,
+        url,
+        headers={
+            "Authorization": f"Bearer {os.environ.get(TOKEN_VARIABLE, '')}",
+            **(headers or {}),
+        },
+        data=data,
+        persistent=False,
+        timeout=FORCE_TIMEOUT_S,
+    )
+    body = yield treq.content(response)
+    if response.code != 200:
+        raise RuntimeError(body.decode())
+    return json.loads(body)
+
+
+@defer.inlineCallbacks
+def _await_revision(server, revision):
+    """Wait until every VM has confirmed a revision; return the time in ms."""
+    from twisted.internet import reactor
+    from twisted.internet import task
+
+    started = time.monotonic()
+    while time.monotonic() < started + FORCE_TIMEOUT_S:
+        body = yield _request("GET", f"{server}/v1/status")
+        if all((vm["revision"] or 0) >= revision for vm in body["vms"]):
+            return round((time.monotonic() - started) * 1000)
+        yield task.deferLater(reactor, 0.1)
+    raise RuntimeError(f"revision {revision} is accepted, but not everywhere")
+
+
+def _print_body(method, url):
+    @defer.inlineCallbacks
+    def run():
+        body = yield _request(method, url)
+        print(json.dumps(body, indent=2))
+
+    _run(run)
+
+
+def _run(function):
+    """Run an asynchronous function and exit with its success."""
+    from twisted.internet import reactor
+
+    failures = []
+
+    def stop(_):
+        reactor.stop()
+
+    def start():
+        deferred = function()
+        deferred.addErrback(failures.append)
+        deferred.addBoth(stop)
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    if failures:
+        _exit(EXIT_FAILED, failures[0].getErrorMessage())
--- /dev/null
+++ b/chervilspindle/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process and the operators' two lists, with validation."""
--- /dev/null
+++ b/chervilspindle/config/tokens.py
@@ -0,0 +1,50 @@
+"""Bearer tokens: made here, kept only as salted digests.
+
+A token is ``NAME.SECRET`` with a random secret of 192 bits, so that a fast
+salted hash is enough and one table look-up finds the row to compare with.
+"""
+
+import hashlib
+import hmac
+import secrets
+from typing import NamedTuple
+
+SECRET_BYTES = 24
+SALT_BYTES = 12
+_DUMMY_SALT = "00" * SALT_BYTES
+_DUMMY_DIGEST = "0" * 64
+
+
+class NewToken(NamedTuple):
+    """A token for its holder, and what goes into the list."""
+
+    token: str
+    token_salt: str
+    token_digest: str
+
+
+def create_token(name: str) -> NewToken:
+    """Create a random token for a customer or an operator."""
+    token = f"{name}.{secrets.token_urlsafe(SECRET_BYTES)}"
+    salt = secrets.token_hex(SALT_BYTES)
+    return NewToken(token, salt, compute_digest(token, salt))
+
+
+def compute_digest(token: str, salt: str) -> str:
+    """Return the salted digest of a token in hexadecimal."""
+    data = f"{salt}:{token}".encode()
+    return hashlib.blake2b(data, digest_size=32).hexdigest()
+
+
+def verify_token(token: str, row_by_name):
+    """Return the row that the token belongs to, None if there is none.
+
+    Takes the same time whether the name or the secret is wrong.
+    """
+    name = token.partition(".")[0]
+    row = row_by_name.get(name)
+    salt = row.token_salt if row else _DUMMY_SALT
+    expected = row.token_digest if row else _DUMMY_DIGEST
+    digest = compute_digest(token, salt)
+    matches = hmac.compare_digest(digest.encode(), expected.encode())
+    return row if matches and row else None
--- /dev/null
+++ b/chervilspindle/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated control state: log, election, leases, claims, placement."""
--- /dev/null
+++ b/chervilspindle/control/changes.py
@@ -0,0 +1,97 @@
+"""Deltas of the replicated tables for entries.
+
+Each member remembers which rows the latest versions touched, so that a
+heartbeat is answered with just those rows; one that is further behind gets
+all tables. Entries that know the same version share one encoded delta.
+"""
+
+import collections
+
+from chervilspindle.wire import messages
+
+VERSIONS_KEPT = 4096
+
+
+class ChangeFeed:
+    """Touched rows by version, and a cache of built deltas."""
+
+    def __init__(self):
+        self.changes_by_version = collections.OrderedDict()
+        self.oldest_version = 0
+        self.delta_by_known = {}
+
+    def reset(self, version: int):
+        """Forget all, after the tables were replaced by a snapshot."""
+        self.changes_by_version.clear()
+        self.oldest_version = version
+        self.delta_by_known.clear()
+
+    def record(self, version: int, changes):
+        """Note the rows that a version touched."""
+        self.delta_by_known.clear()
+        if changes:
+            self.changes_by_version[version] = tuple(changes)
+        while len(self.changes_by_version) > VERSIONS_KEPT:
+            oldest, _ = self.changes_by_version.popitem(last=False)
+            self.oldest_version = oldest
+
+    def get_delta(self, state, known_version: int) -> messages.Delta:
+        """Return what changed since `known_version`."""
+        delta = self.delta_by_known.get(known_version)
+        if delta is None:
+            delta = self._build(state, known_version)
+            self.delta_by_known[known_version] = delta
+        return delta
+
+    def _build(self, state, known_version: int) -> messages.Delta:
+        if not self.oldest_version <= known_version <= state.version:
+            return build_full(state)
+        keys_by_kind = {
+            "lists": set(),
+            "vm": set(),
+            "endpoint": set(),
+            "ownership": set(),
+        }
+        for version in reversed(self.changes_by_version):
+            if version <= known_version:
+                break
+            for change in self.changes_by_version[version]:
+                keys_by_kind[change.kind].add(change.key)
+        return build_partial(state, keys_by_kind)
+
+
+def build_full(state) -> messages.Delta:
+    """Build a delta that replaces all that an entry holds."""
+    return messages.Delta(
+        version=state.version,
+        full=True,
+        lists=state.lists,
+        vms=tuple(state.vm_by_session.values()),
+        endpoints=tuple(state.endpoint_by_id.values()),
+        ownerships=tuple(state.ownership_by_id.values()),
+        gone_vms=(),
+        gone_endpoints=(),
+    )
+
+
+def build_partial(state, keys_by_kind) -> messages.Delta:
+    """Build a delta of the named rows; a missing row counts as gone."""
+    vms, gone_vms = _split(state.vm_by_session, keys_by_kind["vm"])
+    rows, gone_rows = _split(state.endpoint_by_id, keys_by_kind["endpoint"])
+    ownerships, _ = _split(state.ownership_by_id, keys_by_kind["ownership"])
+    return messages.Delta(
+        version=state.version,
+        full=False,
+        lists=state.lists if keys_by_kind["lists"] else None,
+        vms=vms,
+        endpoints=rows,
+        ownerships=ownerships,
+        gone_vms=gone_vms,
+        gone_endpoints=gone_rows,
+    )
+
+
+def _split(table, keys):
+    present = tuple(table[key] for key in sorted(keys) if key in table)
+    gone = tuple(key for key in sorted(keys) if key not in table)
+    return present, gone
--- /dev/null
+++ b/chervilspindle/control/node.py
@@ -0,0 +1,466 @@
+"""One control member: drives the pure log with a disk, sockets and timers.
+
+Events of one turn of the loop are stepped together, made durable with one
+fsync, and only then are messages sent and committed commands applied.
+"""
+
+import logging
+import random
+from typing import NamedTuple
+
+from twisted.internet import defer
+
+from chervilspindle.control import changes
+from chervilspindle.control import membership
+from chervilspindle.control import raft
+from chervilspindle.control import raft_messages
+from chervilspindle.control import state as state_module
+from chervilspindle.control import storage as storage_module
+from chervilspindle.core import errors
+from chervilspindle.core import logs
+
+LOGGER = logging.getLogger(__name__)
+
+TICK_S = 0.02
+JOIN_PERIOD_MS = 1000.0
+SNAPSHOT_ENTRIES = 2000
+PROPOSAL_TIMEOUT_MS = 3000.0
+
+
+class Proposal(NamedTuple):
+    """A command that waits for its commit."""
+
+    command: NamedTuple
+    deferred: defer.Deferred
+
+
+class Waiting(NamedTuple):
+    """Proposals that went into one entry of the log."""
+
+    term: int
+    due_ms: float
+    proposals: tuple[Proposal, ...]
+
+
+class ControlNode:
+    """One member of the control group.
+
+    Parameters
+    ----------
+    identity : storage.Identity
+    address : str
+        Own replication address ``IP:PORT``.
+    address_by_vm : dict of str to str
+        Replication addresses of all control VMs, from the settings.
+    storage : storage.Storage
+    send : callable
+        ``send(address, data)``; may lose the message.
+    timers : TimerService
+    read_clock : callable
+        Monotonic milliseconds.
+    on_failure : callable
+        Called once when the disk fails; the process has to stop.
+    seed : int
+        Seed of election jitter.
+    """
+
+    def __init__(
+        self,
+        identity,
+        address,
+        address_by_vm,
+        storage,
+        send,
+        timers,
+        read_clock,
+        on_failure,
+        seed=None,
+    ):
+        self.identity = identity
+        self.address = address
+        self.address_by_vm = address_by_vm
+        self.storage = storage
+        self.send = send
+        self.timers = timers
+        self.read_clock = read_clock
+        self.on_failure = on_failure
+        self.random = random.Random(seed)
+        self.raft = None
+        self.persisted = None
+        self.tables = state_module.EMPTY_STATE
+        self.applied_index = 0
+        self.snapshot = storage_module.EMPTY_SNAPSHOT
+        self.feed = changes.ChangeFeed()
+        self.proposals = []
+        self.waiting_by_index = {}
+        self.inbox = []
+        self.flush_planned = False
+        self.failed = False
+        self.join_due_ms = 0.0
+        self.joins = {}
+        self.leader_listeners = []
+
+    def start(self):
+        """Recover from the disk and start the timers."""
+        self._recover()
+        self.timers.subscribe("control-tick", TICK_S, self.tick)
+
+    def _recover(self):
+        recovered = self.storage.recover()
+        now = self.read_clock()
+        self.raft = raft.build_state(
+            self.identity.member_id,
+            recovered.hard,
+            recovered.log,
+            recovered.snapshot.mark,
+            now,
+            self.random.random(),
+        )
+        self.persisted = self.raft
+        self._load_tables(recovered.snapshot)
+        self.feed.reset(self.tables.version)
+        LOGGER.info(
+            "control recovered",
+            extra={
+                "member": self.identity.member_id,
+                "revision": self.tables.lists.revision,
+                "log_entries": len(recovered.log),
+                "torn_bytes": recovered.torn_bytes,
+            },
+        )
+
+    def stop(self):
+        """Stop timers and close the disk."""
+        self.timers.cancel("control-tick")
+        self.storage.close()
+
+    def initialise(self):
+        """Write the log of a new group whose only voter is this member."""
+        self._recover()
+        member = (self.identity.member_id, self.address, True)
+        data = raft_messages.encode_members((member,))
+        entry = raft_messages.Entry(1, 1, raft.CONFIG, data)
+        self.raft = self.raft._replace(term=1, log=(entry,))
+        self.storage.persist(self.persisted, self.raft)
+
+    def receive(self, data: bytes):
+        """Take a message from the transport."""
+        try:
+            decoded = raft_messages.decode_envelope(data)
+        except (raft_messages.msgspec.MsgspecError, KeyError):
+            LOGGER.warning("replication message not understood")
+            return
+        group, sender, message = decoded
+        if group == self.identity.group:
+            self.inbox.append((sender, message))
+            self._plan_flush()
+
+    def propose(self, command) -> defer.Deferred:
+        """Commit a command through the log.
+
+        Returns
+        -------
+        Deferred
+            Fires with the result of applying the command. Fails with
+            NO_LEADER and not_run if it certainly is not in the log, and
+            with OUTCOME_UNKNOWN if it may be.
+        """
+        if not self.is_leader():
+            return defer.fail(self.build_no_leader())
+        deferred = defer.Deferred()
+        self.proposals.append(Proposal(command, deferred))
+        self._plan_flush()
+        return deferred
+
+    def is_leader(self) -> bool:
+        """Tell whether this member leads and no other can have replaced it."""
+        if self.failed or self.raft is None:
+            return False
+        return raft.has_authority(self.raft, self.read_clock())
+
+    def get_leader_vm(self) -> str:
+        """Return the VM of the leader that this member follows, or ''."""
+        return membership.get_vm_id(self.raft.leader_id)
+
+    def build_no_leader(self) -> errors.ProblemError:
+        """Build the error for calls that only the leader can answer."""
+        return errors.build_error(
+            errors.ErrorKind.NO_LEADER, "this control VM does not lead"
+        )
+
+    def tick(self):
+        """Advance timers of the log and look after membership."""
+        if self.failed:
+            return
+        now = self.read_clock()
+        was_leader = self.raft.role == "leader"
+        self._advance(raft.tick(self.raft, now, self.random.random()))
+        self._expire_waiting(now)
+        if self.failed:
+            return
+        if self.raft.role == "leader":
+            self._tend_members(now)
+        elif now >= self.join_due_ms:
+            self.join_due_ms = now + JOIN_PERIOD_MS
+            self._ask_to_join()
+        if was_leader != (self.raft.role == "leader"):
+            logs.log_decision(
+                "leadership",
+                role=self.raft.role,
+                term=self.raft.term,
+                leader=self.raft.leader_id,
+            )
+
+    def _plan_flush(self):
+        if not self.flush_planned:
+            self.flush_planned = True
+            self.timers.call_later(0, self._flush)
+
+    def _flush(self):
+        self.flush_planned = False
+        if self.failed:
+            return
+        inbox, self.inbox = self.inbox, []
+        outbox = []
+        for sender, message in inbox:
+            outbox.extend(self._step(sender, message))
+        outbox.extend(self._propose_batch())
+        self._advance(raft.Step(self.raft, tuple(outbox)))
+
+    def _step(self, sender, message):
+        if isinstance(message, raft_messages.Join):
+            self.joins[message.member_id] = message.address
+            return ()
+        if isinstance(message, raft_messages.Install):
+            return self._install(sender, message)
+        now = self.read_clock()
+        result = raft.step(
+            self.raft, sender, message, now, self.random.random()
+        )
+        self._note_role_change(result.state)
+        return result.outbox
+
+    def _note_role_change(self, new):
+        if new.role == "leader" and self.raft.role != "leader":
+            self._announce_leadership(new)
+        self.raft = new
+
+    def _announce_leadership(self, new):
+        logs.log_decision("leadership", role="leader", term=new.term)
+        for listener in self.leader_listeners:
+            listener()
+
+    def _propose_batch(self):
+        if not self.proposals:
+            return ()
+        proposals, self.proposals = self.proposals, []
+        now = self.read_clock()
+        data = state_module.encode_batch(p.command for p in proposals)
+        result, index = raft.propose(self.raft, data, now)
+        if index is None:
+            for proposal in proposals:
+                proposal.deferred.errback(self.build_no_leader())
+            return ()
+        self.raft = result.state
+        self.waiting_by_index[index] = Waiting(
+            self.raft.term, now + PROPOSAL_TIMEOUT_MS, tuple(proposals)
+        )
+        return result.outbox
+
+    def _advance(self, result: raft.Step):
+        """Make a step durable, then send its messages and apply commits."""
+        self._note_role_change(result.state)
+        try:
+            self.storage.persist(self.persisted, self.raft)
+        except storage_module.StorageError:
+            self._fail()
+            return
+        self.persisted = self.raft
+        for receiver, message in result.outbox:
+            self._send(receiver, message)
+        self._apply_committed()
+        self._maybe_snapshot()
+
+    def _fail(self):
+        if self.failed:
+            return
+        self.failed = True
+        LOGGER.exception("control storage failed")
+        for waiting in self.waiting_by_index.values():
+            _fail_unknown(waiting)
+        self.waiting_by_index.clear()
+        self.on_failure()
+
+    def _send(self, receiver, message):
+        address = self._find_address(receiver)
+        if address is None:
+            return
+        if isinstance(message, raft_messages.Install):
+            message = message._replace(
+                mark=self.snapshot.mark, data=self.snapshot.data
+            )
+        data = raft_messages.encode_envelope(
+            self.identity.group, self.identity.member_id, message
+        )
+        self.send(address, data)
+
+    def _find_address(self, member_id):
+        vm_id = membership.get_vm_id(member_id)
+        if vm_id in self.address_by_vm:
+            return self.address_by_vm[vm_id]
+        for member in self.raft.members:
+            if member.member_id == member_id:
+                return member.address
+        return None
+
+    def _load_tables(self, snapshot):
+        self.snapshot = snapshot
+        self.tables = state_module.decode_image(snapshot.data)
+        self.applied_index = snapshot.mark.index
+
+    def _install(self, sender, message):
+        now = self.read_clock()
+        result = raft.step(
+            self.raft, sender, message, now, self.random.random()
+        )
+        self._note_role_change(result.state)
+        if result.outbox:
+            return result.outbox
+        mark = message.mark
+        if mark.index > self.raft.commit_index:
+            state = raft.adopt_snapshot(
+                self.raft, mark, now, self.random.random()
+            )
+            snapshot = storage_module.SnapshotFile(mark, message.data)
+            try:
+                self.storage.save_snapshot(snapshot, state)
+            except storage_module.StorageError:
+                self._fail()
+                return ()
+            self.raft = self.persisted = state
+            self._load_tables(snapshot)
+            self.feed.reset(self.tables.version)
+        reply = raft.build_install_reply(self.raft, mark, message.sent_ms)
+        return ((sender, reply),)
+
+    def _apply_committed(self):
+        while self.applied_index < self.raft.commit_index:
+            index = self.applied_index + 1
+            entry = raft.get_entries(self.raft, index, index)[0]
+            self.applied_index = index
+            results = self._apply_entry(entry)
+            self._resolve_waiting(entry, results)
+
+    def _apply_entry(self, entry):
+        if entry.kind != raft.DATA:
+            return ()
+        self.tables = self.tables._replace(version=entry.index)
+        results = []
+        touched = []
+        for command in state_module.decode_batch(entry.data):
+            outcome = state_module.apply_command(command, self.tables)
+            self.tables = outcome.state
+            results.append(outcome.result)
+            touched.extend(outcome.changes)
+            _log_placement(command)
+        self.feed.record(entry.index, touched)
+        return results
+
+    def _resolve_waiting(self, entry, results):
+        waiting = self.waiting_by_index.pop(entry.index, None)
+        if waiting is None:
+            return
+        if waiting.term != entry.term:
+            for proposal in waiting.proposals:
+                proposal.deferred.errback(self.build_no_leader())
+            return
+        for proposal, result in zip(waiting.proposals, results):
+            proposal.deferred.callback(result)
+
+    def _expire_waiting(self, now):
+        for index, waiting in list(self.waiting_by_index.items()):
+            if now > waiting.due_ms:
+                del self.waiting_by_index[index]
+                _fail_unknown(waiting)
+
+    def _maybe_snapshot(self):
+        entries = self.applied_index - self.raft.snapshot_index
+        large = self.storage.log_bytes > storage_module.REWRITE_BYTES
+        if entries < SNAPSHOT_ENTRIES and not (large and entries > 0):
+            return
+        state = raft.compact(self.raft, self.applied_index)
+        mark = raft_messages.SnapshotMark(
+            state.snapshot_index,
+            state.snapshot_term,
+            tuple(tuple(m) for m in state.snapshot_members),
+        )
+        data = state_module.encode_image(self.tables)
+        snapshot = storage_module.SnapshotFile(mark, data)
+        try:
+            self.storage.save_snapshot(snapshot, state)
+        except storage_module.StorageError:
+            self._fail()
+            return
+        self.raft = self.persisted = state
+        self.snapshot = snapshot
+        LOGGER.info("control snapshot", extra={"index": mark.index})
+
+    def _ask_to_join(self):
+        known = {m.member_id for m in self.raft.members}
+        if self.identity.member_id in known:
+            return
+        join = raft_messages.Join(self.identity.member_id, self.address)
+        data = raft_messages.encode_envelope(
+            self.identity.group, self.identity.member_id, join
+        )
+        for address in self.address_by_vm.values():
+            if address != self.address:
+                self.send(address, data)
+
+    def _tend_members(self, now):
+        target = len(self.address_by_vm)
+        planned = membership.plan_promotion(self.raft, target)
+        if planned is None:
+            planned = self._plan_next_join()
+        if planned is None:
+            return
+        result, index = raft.propose_members(self.raft, planned, now)
+        if index is not None:
+            logs.log_decision(
+                "membership",
+                members=[m.member_id for m in planned],
+                voters=[m.member_id for m in planned if m.voter],
+            )
+            self._advance(result)
+
+    def _plan_next_join(self):
+        while self.joins:
+            member_id, address = next(iter(self.joins.items()))
+            planned = membership.plan_join(
+                self.raft.members, member_id, address
+            )
+            if planned is not None:
+                return planned
+            del self.joins[member_id]
+        return None
+
+
+def _fail_unknown(waiting: Waiting):
+    for proposal in waiting.proposals:
+        proposal.deferred.errback(
+            errors.build_error(
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                "the change may or may not be accepted",
+            )
+        )
+
+
+def _log_placement(command):
+    if isinstance(command, state_module.Assign):
+        for assignment in command.assignments:
+            logs.log_decision(
+                "placement",
+                endpoint=assignment.endpoint_id,
+                owner=assignment.session,
+                epoch=assignment.epoch + 1,
+            )
--- /dev/null
+++ b/chervilspindle/control/state.py
@@ -0,0 +1,424 @@
+"""The replicated state: a pure function from log entries to tables.
+
+Every member applies the same commands in the same order, so nothing here
+reads a clock, a file or a random number; times come with the commands.
+"""
+
+import functools
+from typing import NamedTuple
+
+import immutables
+import msgspec
+
+from chervilspindle.core import rows
+
+CHANGE_IDS_KEPT = 5000
+CLAIM_KEPT_MS = 24 * 3600 * 1000
+LOST_ENDPOINT_KEPT_MS = 3600 * 1000
+
+
+class ApplyLists(NamedTuple):
+    """Replaces the two lists if the revision is still `if_revision`.
+
+    An `if_revision` of -1 replaces whatever is there.
+    """
+
+    change_id: str
+    digest: str
+    if_revision: int
+    customers: tuple[rows.Customer, ...]
+    plans: tuple[rows.Plan, ...]
+
+
+class RegisterVm(NamedTuple):
+    """Adds or updates the session of an entry process."""
+
+    vm: rows.Vm
+
+
+class RemoveVm(NamedTuple):
+    """Ends a session whose lease ran out or that left."""
+
+    session: str
+
+
+class ReportEndpoints(NamedTuple):
+    """Adds or updates endpoints from their announcements."""
+
+    endpoints: tuple[rows.Endpoint, ...]
+    now_ms: int
+
+
+class Assignment(NamedTuple):
+    """Gives an endpoint to a session, or takes it if `session` is empty.
+
+    It takes effect only if the endpoint's epoch is still `epoch`.
+    """
+
+    endpoint_id: str
+    session: str
+    epoch: int
+
+
+class Assign(NamedTuple):
+    """Changes ownership of endpoints."""
+
+    assignments: tuple[Assignment, ...]
+
+
+class ClaimCommand(NamedTuple):
+    """Claims the right to run a non-idempotent request."""
+
+    claim: rows.Claim
+
+
+class ResolveClaim(NamedTuple):
+    """Records the outcome of an attempt, or frees its claim.
+
+    `outcome` is ``done``, ``failed`` or ``free``; the last only if the
+    request was never dispatched.
+    """
+
+    claim_id: str
+    attempt: str
+    outcome: str
+    value: bytes
+
+
+class Expire(NamedTuple):
+    """Drops claims and lost endpoints that are too old to matter."""
+
+    now_ms: int
+
+
+class Batch(NamedTuple):
+    """Several commands in one log entry."""
+
+    commands: tuple[tuple[str, msgspec.Raw], ...]
+
+
+class ChangeResult(NamedTuple):
+    """The first answer to a change, given again to each resend."""
+
+    digest: str
+    accepted: bool
+    revision: int
+    detail: str
+
+
+class ClaimResult(NamedTuple):
+    """Answer to a claim: granted, or what is known of the earlier one."""
+
+    granted: bool
+    claim: rows.Claim
+
+
+class Change(NamedTuple):
+    """Names a row that a command touched, for the deltas to entries."""
+
+    kind: str  # "lists", "vm", "endpoint" or "ownership"
+    key: str
+
+
+class ControlState(NamedTuple):
+    """All replicated tables."""
+
+    version: int
+    lists: rows.Lists
+    change_results: immutables.Map
+    change_order: tuple[str, ...]
+    vm_by_session: immutables.Map
+    endpoint_by_id: immutables.Map
+    lost_at_by_id: immutables.Map
+    ownership_by_id: immutables.Map
+    claim_by_id: immutables.Map
+
+
+class Outcome(NamedTuple):
+    """Result of applying one command."""
+
+    state: ControlState
+    result: tuple | None = None
+    changes: tuple[Change, ...] = ()
+
+
+class StateImage(NamedTuple):
+    """The tables as a snapshot stores them."""
+
+    version: int
+    lists: rows.Lists
+    change_results: tuple[tuple[str, ChangeResult], ...]
+    vms: tuple[rows.Vm, ...]
+    endpoints: tuple[rows.Endpoint, ...]
+    lost_at: tuple[tuple[str, int], ...]
+    ownerships: tuple[rows.Ownership, ...]
+    claims: tuple[rows.Claim, ...]
+
+
+EMPTY_STATE = ControlState(
+    version=0,
+    lists=rows.Lists(0, {}, {}),
+    change_results=immutables.Map(),
+    change_order=(),
+    vm_by_session=immutables.Map(),
+    endpoint_by_id=immutables.Map(),
+    lost_at_by_id=immutables.Map(),
+    ownership_by_id=immutables.Map(),
+    claim_by_id=immutables.Map(),
+)
+
+COMMAND_BY_NAME = {
+    cls.__name__: cls
+    for cls in (
+        ApplyLists,
+        RegisterVm,
+        RemoveVm,
+        ReportEndpoints,
+        Assign,
+        ClaimCommand,
+        ResolveClaim,
+        Expire,
+    )
+}
+
+_ENCODER = msgspec.msgpack.Encoder()
+_BATCH = msgspec.msgpack.Decoder(Batch)
+_DECODER_BY_NAME = {
+    name: msgspec.msgpack.Decoder(cls) for name, cls in COMMAND_BY_NAME.items()
+}
+
+
+def encode_batch(commands) -> bytes:
+    """Encode commands as the data of one log entry."""
+    packed = tuple(
+        (type(c).__name__, msgspec.Raw(_ENCODER.encode(c))) for c in commands
+    )
+    return _ENCODER.encode(Batch(packed))
+
+
+def decode_batch(data: bytes) -> tuple:
+    """Decode the commands of one log entry."""
+    batch = _BATCH.decode(data)
+    return tuple(
+        _DECODER_BY_NAME[name].decode(raw) for name, raw in batch.commands
+    )
+
+
+def encode_image(state: ControlState) -> bytes:
+    """Encode all tables for a snapshot."""
+    ordered = tuple(
+        (change_id, state.change_results[change_id])
+        for change_id in state.change_order
+    )
+    image = StateImage(
+        state.version,
+        state.lists,
+        ordered,
+        tuple(state.vm_by_session.values()),
+        tuple(state.endpoint_by_id.values()),
+        tuple(state.lost_at_by_id.items()),
+        tuple(state.ownership_by_id.values()),
+        tuple(state.claim_by_id.values()),
+    )
+    return _ENCODER.encode(image)
+
+
+def decode_image(data: bytes) -> ControlState:
+    """Rebuild the tables from a snapshot; empty bytes give empty tables."""
+    if not data:
+        return EMPTY_STATE
+    image = msgspec.msgpack.decode(data, type=StateImage)
+    return ControlState(
+        version=image.version,
+        lists=image.lists,
+        change_results=immutables.Map(image.change_results),
+        change_order=tuple(key for key, _ in image.change_results),
+        vm_by_session=immutables.Map((v.session, v) for v in image.vms),
+        endpoint_by_id=immutables.Map(
+            (e.endpoint_id, e) for e in image.endpoints
+        ),
+        lost_at_by_id=immutables.Map(image.lost_at),
+        ownership_by_id=immutables.Map(
+            (o.endpoint_id, o) for o in image.ownerships
+        ),
+        claim_by_id=immutables.Map((c.claim_id, c) for c in image.claims),
+    )
+
+
+@functools.singledispatch
+def apply_command(command, state: ControlState) -> Outcome:
+    """Apply one command; a command that no longer fits changes nothing."""
+    raise TypeError(f"not a command: {type(command).__name__}")
+
+
+@apply_command.register
+def _apply_lists(command: ApplyLists, state: ControlState) -> Outcome:
+    first = state.change_results.get(command.change_id)
+    if first is not None:
+        return Outcome(state, _repeat_result(first, command))
+    revision = state.lists.revision
+    if command.if_revision not in (-1, revision):
+        detail = f"revision is {revision}, not {command.if_revision}"
+        result = ChangeResult(command.digest, False, revision, detail)
+        return Outcome(_remember(state, command.change_id, result), result)
+    lists = rows.Lists(
+        revision + 1,
+        {c.name: c for c in command.customers},
+        {p.name: p for p in command.plans},
+    )
+    result = ChangeResult(command.digest, True, lists.revision, "")
+    state = _remember(state, command.change_id, result)
+    state = state._replace(lists=lists)
+    return Outcome(state, result, (Change("lists", ""),))
+
+
+@apply_command.register
+def _register_vm(command: RegisterVm, state: ControlState) -> Outcome:
+    vm = command.vm
+    for other in state.vm_by_session.values():
+        if other.vm_id == vm.vm_id and other.incarnation > vm.incarnation:
+            return Outcome(state)
+    if state.vm_by_session.get(vm.session) == vm:
+        return Outcome(state)
+    table = state.vm_by_session.set(vm.session, vm)
+    state = state._replace(vm_by_session=table)
+    return Outcome(state, None, (Change("vm", vm.session),))
+
+
+@apply_command.register
+def _remove_vm(command: RemoveVm, state: ControlState) -> Outcome:
+    if command.session not in state.vm_by_session:
+        return Outcome(state)
+    table = state.vm_by_session.delete(command.session)
+    changes = [Change("vm", command.session)]
+    ownership_by_id = state.ownership_by_id
+    for endpoint_id, ownership in state.ownership_by_id.items():
+        if ownership.session == command.session:
+            freed = ownership._replace(
+                session="", epoch=ownership.epoch + 1, previous=""
+            )
+        elif ownership.previous == command.session:
+            freed = ownership._replace(previous="")
+        else:
+            continue
+        ownership_by_id = ownership_by_id.set(endpoint_id, freed)
+        changes.append(Change("ownership", endpoint_id))
+    state = state._replace(
+        vm_by_session=table, ownership_by_id=ownership_by_id
+    )
+    return Outcome(state, None, tuple(changes))
+
+
+@apply_command.register
+def _report_endpoints(
+    command: ReportEndpoints, state: ControlState
+) -> Outcome:
+    table = state.endpoint_by_id
+    lost = state.lost_at_by_id
+    changes = []
+    for endpoint in command.endpoints:
+        known = table.get(endpoint.endpoint_id)
+        if known is not None and not rows.is_newer(endpoint, known):
+            continue
+        table = table.set(endpoint.endpoint_id, endpoint)
+        changes.append(Change("endpoint", endpoint.endpoint_id))
+        if endpoint.state == "lost":
+            lost = lost.set(endpoint.endpoint_id, command.now_ms)
+        elif endpoint.endpoint_id in lost:
+            lost = lost.delete(endpoint.endpoint_id)
+    state = state._replace(endpoint_by_id=table, lost_at_by_id=lost)
+    return Outcome(state, None, tuple(changes))
+
+
+@apply_command.register
+def _assign(command: Assign, state: ControlState) -> Outcome:
+    table = state.ownership_by_id
+    changes = []
+    for assignment in command.assignments:
+        endpoint_id = assignment.endpoint_id
+        known = table.get(endpoint_id) or rows.Ownership(endpoint_id, "", 0)
+        if known.epoch != assignment.epoch:
+            continue
+        if assignment.session not in ("", *state.vm_by_session):
+            continue
+        previous = "" if assignment.session else known.session
+        row = rows.Ownership(
+            endpoint_id,
+            assignment.session,
+            known.epoch + 1,
+            previous,
+            state.version if previous else 0,
+        )
+        table = table.set(endpoint_id, row)
+        changes.append(Change("ownership", endpoint_id))
+    state = state._replace(ownership_by_id=table)
+    return Outcome(state, None, tuple(changes))
+
+
+@apply_command.register
+def _claim_command(command: ClaimCommand, state: ControlState) -> Outcome:
+    known = state.claim_by_id.get(command.claim.claim_id)
+    if known is not None:
+        return Outcome(state, ClaimResult(False, known))
+    table = state.claim_by_id.set(command.claim.claim_id, command.claim)
+    state = state._replace(claim_by_id=table)
+    return Outcome(state, ClaimResult(True, command.claim))
+
+
+@apply_command.register
+def _resolve_claim(command: ResolveClaim, state: ControlState) -> Outcome:
+    known = state.claim_by_id.get(command.claim_id)
+    if known is None or known.attempt != command.attempt:
+        return Outcome(state)
+    if known.outcome != "claimed":
+        return Outcome(state)
+    if command.outcome == "free":
+        table = state.claim_by_id.delete(command.claim_id)
+    else:
+        resolved = known._replace(outcome=command.outcome, value=command.value)
+        table = state.claim_by_id.set(command.claim_id, resolved)
+    return Outcome(state._replace(claim_by_id=table))
+
+
+@apply_command.register
+def _expire(command: Expire, state: ControlState) -> Outcome:
+    claims = state.claim_by_id
+    for claim in state.claim_by_id.values():
+        if claim.created_ms + CLAIM_KEPT_MS < command.now_ms:
+            claims = claims.delete(claim.claim_id)
+    endpoints = state.endpoint_by_id
+    lost_at = state.lost_at_by_id
+    ownerships = state.ownership_by_id
+    changes = []
+    for endpoint_id, since in state.lost_at_by_id.items():
+        if since + LOST_ENDPOINT_KEPT_MS >= command.now_ms:
+            continue
+        endpoints = endpoints.delete(endpoint_id)
+        lost_at = lost_at.delete(endpoint_id)
+        changes.append(Change("endpoint", endpoint_id))
+        if endpoint_id in ownerships:
+            ownerships = ownerships.delete(endpoint_id)
+            changes.append(Change("ownership", endpoint_id))
+    state = state._replace(
+        claim_by_id=claims,
+        endpoint_by_id=endpoints,
+        lost_at_by_id=lost_at,
+        ownership_by_id=ownerships,
+    )
+    return Outcome(state, None, tuple(changes))
+
+
+def _remember(state, change_id, result):
+    results = state.change_results.set(change_id, result)
+    order = state.change_order + (change_id,)
+    if len(order) > CHANGE_IDS_KEPT:
+        results = results.delete(order[0])
+        order = order[1:]
+    return state._replace(change_results=results, change_order=order)
+
+
+def _repeat_result(first: ChangeResult, command: ApplyLists):
+    if first.digest == command.digest:
+        return first
+    detail = "change id was used for another change"
+    return ChangeResult(first.digest, False, first.revision, detail)
--- /dev/null
+++ b/chervilspindle/core/__init__.py
@@ -0,0 +1,1 @@
+"""Plain data types and small services that every other package uses."""
--- /dev/null
+++ b/chervilspindle/core/logs.py
@@ -0,0 +1,56 @@
+"""JSON-lines logging, with one line for each routing or placement decision."""
+
+import json
+import logging
+import sys
+import time
+
+DECISION_LOGGER = logging.getLogger("chervilspindle.decision")
+
+_STANDARD_FIELDS = frozenset(
+    vars(logging.LogRecord("", 0, "", 0, "", (), None))
+) | {"message", "asctime", "taskName"}
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record and its extra fields as one JSON object."""
+
+    def __init__(self, vm_id: str = ""):
+        super().__init__()
+        self.vm_id = vm_id
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line, without its newline."""
+        line = {
+            "time": round(record.created, 6),
+            "level": record.levelname.lower(),
+            "logger": record.name,
+            "vm": self.vm_id,
+            "message": record.getMessage(),
+        }
+        for name, value in vars(record).items():
+            if name not in _STANDARD_FIELDS:
+                line[name] = value
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+def configure_logging(vm_id: str, level: str = "INFO", stream=None):
+    """Send all records of the process to `stream` as JSON lines."""
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(JsonFormatter(vm_id))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+
+
+def log_decision(decision: str, **fields):
+    """Write the line of one routing or placement decision."""
+    if DECISION_LOGGER.isEnabledFor(logging.INFO):
+        DECISION_LOGGER.info(decision, extra=fields)
+
+
+def read_wall_ms() -> int:
+    """Return the wall-clock time in milliseconds since the epoch."""
+    return int(time.time() * 1000)
--- /dev/null
+++ b/chervilspindle/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: replica choice, fairness, limits, hedges, admission."""
--- /dev/null
+++ b/chervilspindle/policy/hedging.py
@@ -0,0 +1,71 @@
+"""When to hedge, and the budget for extra load on endpoints.
+
+A part that is late against a high quantile of its service's recent times is
+sent to another replica as well (Dean and Barroso, "The Tail at Scale",
+2013). Hedges and retries draw on one budget that first sends fill, so the
+extra load stays a fixed share even when every request is late.
+"""
+
+import statistics
+from typing import NamedTuple
+
+HEDGE_QUANTILE = 0.95
+WINDOW_SAMPLES = 200
+MIN_SAMPLES = 20
+MIN_DELAY_MS = 5.0
+DEFAULT_DELAY_MS = 50.0
+REFRESH_SAMPLES = 20
+BURST_TOKENS = 10.0
+
+
+class Budget(NamedTuple):
+    """Token bucket of extra sub-requests."""
+
+    share: float
+    tokens: float
+
+
+def build_budget(share: float) -> Budget:
+    """Build a full bucket that refills by `share` of a token a send."""
+    return Budget(share, BURST_TOKENS if share else 0.0)
+
+
+def earn(budget: Budget, sends: int) -> Budget:
+    """Add the tokens that first sends bring."""
+    tokens = budget.tokens + sends * budget.share
+    return budget._replace(tokens=min(BURST_TOKENS, tokens))
+
+
+def spend(budget: Budget):
+    """Take one token.
+
+    Returns
+    -------
+    budget, granted : Budget, bool
+    """
+    if budget.tokens < 1.0:
+        return budget, False
+    return budget._replace(tokens=budget.tokens - 1.0), True
+
+
+class Latencies(NamedTuple):
+    """Recent answer times of one service, and the delay they give."""
+
+    samples_ms: tuple[float, ...] = ()
+    delay_ms: float = DEFAULT_DELAY_MS
+    since_refresh: int = 0
+
+
+def note_latency(state: Latencies, latency_ms: float) -> Latencies:
+    """Add a sample and renew the delay every so many samples."""
+    samples = (state.samples_ms + (latency_ms,))[-WINDOW_SAMPLES:]
+    count = state.since_refresh + 1
+    if count < REFRESH_SAMPLES or len(samples) < MIN_SAMPLES:
+        return state._replace(samples_ms=samples, since_refresh=count)
+    return Latencies(samples, compute_delay_ms(samples), 0)
+
+
+def compute_delay_ms(samples_ms) -> float:
+    """Return the hedge quantile of the samples, in ms."""
+    cuts = statistics.quantiles(samples_ms, n=100, method="inclusive")
+    return max(MIN_DELAY_MS, cuts[int(HEDGE_QUANTILE * 100) - 1])
--- /dev/null
+++ b/chervilspindle/policy/replicas.py
@@ -0,0 +1,101 @@
+"""Chooses a replica by its expected finish time.
+
+Reports of endpoints may lag or mislead, so a gatherer trusts what it
+observed itself: the time its own requests took, its own requests that are
+still outstanding, and the owner's queue as of the last reply, whose weight
+decays with its age.
+"""
+
+import math
+from typing import NamedTuple
+
+BACKLOG_DECAY_MS = 500.0
+SERVICE_SMOOTHING = 0.1
+DEFAULT_SERVICE_MS = 10.0
+OTHER_ZONE_MS = 1.0
+FAILURE_PENALTY_MS = 500.0
+FAILURE_DECAY_MS = 2000.0
+JITTER_SHARE = 0.1
+
+
+class ReplicaStats(NamedTuple):
+    """What a gatherer knows of one endpoint.
+
+    Times are in milliseconds; `observed_ms` and `failed_ms` are readings of
+    the monotonic clock.
+    """
+
+    service_ms: float = DEFAULT_SERVICE_MS
+    backlog_ms: float = 0.0
+    observed_ms: float = 0.0
+    outstanding: int = 0
+    failed_ms: float = -math.inf
+
+
+class Candidate(NamedTuple):
+    """One replica that could run a part."""
+
+    endpoint_id: str
+    slots: int
+    same_zone: bool
+    stats: ReplicaStats
+
+
+def estimate_finish_ms(candidate: Candidate, now: float) -> float:
+    """Return the expected time until a new part would finish, in ms."""
+    stats = candidate.stats
+    age = max(0.0, now - stats.observed_ms)
+    backlog = stats.backlog_ms * math.exp(-age / BACKLOG_DECAY_MS)
+    own = stats.outstanding * stats.service_ms / max(1, candidate.slots)
+    failed_age = now - stats.failed_ms
+    penalty = FAILURE_PENALTY_MS * math.exp(-failed_age / FAILURE_DECAY_MS)
+    zone = 0.0 if candidate.same_zone else OTHER_ZONE_MS
+    return max(backlog, own) + stats.service_ms + penalty + zone
+
+
+def choose_replica(candidates, now: float, random_unit) -> Candidate:
+    """Return the candidate with the least expected finish time.
+
+    Parameters
+    ----------
+    candidates : sequence of Candidate
+        Not empty.
+    now : float
+        Monotonic milliseconds.
+    random_unit : callable
+        Returns a number in [0, 1); spreads choices that are nearly equal,
+        since all gatherers see the same stale backlog.
+    """
+
+    def rank(candidate):
+        jitter = 1.0 + JITTER_SHARE * random_unit()
+        return estimate_finish_ms(candidate, now) * jitter
+
+    return min(candidates, key=rank)
+
+
+def note_sent(stats: ReplicaStats) -> ReplicaStats:
+    """Count a part that was sent."""
+    return stats._replace(outstanding=stats.outstanding + 1)
+
+
+def note_reply(
+    stats: ReplicaStats, service_ms: float, backlog_ms: float, now: float
+) -> ReplicaStats:
+    """Take in a reply; a service time of 0 means that nothing ran."""
+    smoothed = stats.service_ms
+    if service_ms > 0:
+        smoothed += SERVICE_SMOOTHING * (service_ms - smoothed)
+    return stats._replace(
+        service_ms=smoothed,
+        backlog_ms=backlog_ms,
+        observed_ms=now,
+        outstanding=max(0, stats.outstanding - 1),
+    )
+
+
+def note_failure(stats: ReplicaStats, now: float) -> ReplicaStats:
+    """Take in a part that failed or got no reply."""
+    return stats._replace(
+        failed_ms=now, outstanding=max(0, stats.outstanding - 1)
+    )
--- /dev/null
+++ b/chervilspindle/query/__init__.py
@@ -0,0 +1,1 @@
+"""The request path of an entry VM: gather, own endpoints, run commands."""
--- /dev/null
+++ b/chervilspindle/query/commands.py
@@ -0,0 +1,313 @@
+"""Runs non-idempotent requests at most once.
+
+The claim of (customer, idempotency key) is committed in control before the
+first dispatch, bound to a digest of the request and to one attempt. Only the
+owner's word that it never dispatched frees a claim. Without a known outcome
+the caller is told so, and no entry runs the request again.
+"""
+
+import hashlib
+import logging
+from typing import NamedTuple
+
+import msgspec
+from twisted.internet import defer
+
+from chervilspindle.core import errors
+from chervilspindle.core import logs
+from chervilspindle.core import rows
+from chervilspindle.query import directory as directory_module
+from chervilspindle.wire import messages
+
+LOGGER = logging.getLogger(__name__)
+
+CLAIM_TIMEOUT_S = 2.0
+RESOLVE_TIMEOUT_S = 60.0
+LATE_REPLY_S = 5.0
+IN_PROGRESS_MS = 35000
+
+
+class CommandRequest(NamedTuple):
+    """An admitted caller's command."""
+
+    request_id: str
+    customer: str
+    weight: float
+    rank: int
+    idempotency_key: str
+    service: str
+    key: str
+    command: dict
+    deadline_ms: float
+
+
+class CommandRunner:
+    """All commands that this entry handles.
+
+    Parameters
+    ----------
+    directory : Directory
+    choose_endpoint : callable
+        Returns one usable endpoint of several, or None.
+    control : ControlClient
+    call_owner : callable
+        ``call_owner(vm, message, timeout_s)`` returns a Deferred.
+    timers : TimerService
+    explainer : Explainer
+    """
+
+    def __init__(
+        self,
+        directory,
+        choose_endpoint,
+        control,
+        call_owner,
+        timers,
+        explainer,
+    ):
+        self.directory = directory
+        self.choose_endpoint = choose_endpoint
+        self.control = control
+        self.call_owner = call_owner
+        self.timers = timers
+        self.explainer = explainer
+        self.background = 0
+
+    @defer.inlineCallbacks
+    def run(self, request: CommandRequest):
+        """Run a command, or give the recorded outcome of an earlier run.
+
+        Returns
+        -------
+        Deferred of bytes
+            JSON of the value. Fails with `ProblemError`.
+        """
+        due = self.timers.clock.seconds() + request.deadline_ms / 1000.0
+        endpoint_id = self._choose(request)
+        claim = build_claim(request)
+        granted = yield self._claim(request, claim)
+        if not granted.granted and granted.claim.attempt != claim.attempt:
+            return self._repeat(request, claim, granted.claim)
+        if granted.claim.outcome != "claimed":
+            return self._repeat(request, claim, granted.claim)
+        remaining_s = due - self.timers.clock.seconds()
+        owner = self.directory.get_owner(endpoint_id)
+        if remaining_s <= 0 or owner[1] is None:
+            self._resolve(request, "free", b"")
+            raise self._build_not_run(request, errors.ErrorKind.DEADLINE)
+        reply = yield self._dispatch(request, endpoint_id, owner, remaining_s)
+        return (yield self._conclude(request, reply))
+
+    def _choose(self, request):
+        slot = directory_module.hash_key(request.key)
+        plan = self.directory.plan_query((request.service,), slot)
+        ids = plan.shards[0].endpoint_ids if plan.shards else ()
+        endpoint_id = self.choose_endpoint(ids)
+        if endpoint_id is None:
+            raise self._build_not_run(request, errors.ErrorKind.NO_ENDPOINT)
+        return endpoint_id
+
+    @defer.inlineCallbacks
+    def _claim(self, request, claim):
+        try:
+            reply = yield self.control.call(
+                messages.ClaimCall(claim), CLAIM_TIMEOUT_S
+            )
+        except errors.ProblemError as error:
+            # Nothing was dispatched; a claim that may stand is freed.
+            self._resolve(request, "free", b"")
+            raise self._build_not_run(
+                request, errors.ErrorKind.NO_LEADER
+            ) from error
+        return reply
+
+    def _repeat(self, request, claim, known: rows.Claim):
+        """Answer a resend from what the first attempt left."""
+        self.explainer.note(
+            request.request_id,
+            "claim-refused",
+            customer=request.customer,
+            claim=claim.claim_id,
+            first_attempt=known.attempt,
+            outcome=known.outcome,
+        )
+        if known.digest != claim.digest:
+            raise errors.build_error(
+                errors.ErrorKind.KEY_REUSED,
+                "the idempotency key belongs to another request",
+                request_id=request.request_id,
+                source="header Idempotency-Key",
+            )
+        if known.outcome == "done":
+            return known.value
+        if known.outcome == "failed":
+            raise self._build_failed(request, known.value.decode())
+        age = logs.read_wall_ms() - known.created_ms
+        kind = errors.ErrorKind.OUTCOME_UNKNOWN
+        if age < IN_PROGRESS_MS:
+            kind = errors.ErrorKind.IN_PROGRESS
+        raise errors.build_error(
+            kind,
+            "an earlier attempt has no recorded outcome",
+            not_run=False,
+            request_id=request.request_id,
+        )
+
+    def _dispatch(self, request, endpoint_id, owner, remaining_s):
+        ownership, vm = owner
+        self.explainer.note(
+            request.request_id,
+            "command-route",
+            customer=request.customer,
+            owner=vm.session,
+            endpoint=endpoint_id,
+            reason="expected-finish",
+        )
+        message = messages.RunCommand(
+            request.request_id,
+            request.customer,
+            request.weight,
+            request.rank,
+            remaining_s * 1000.0,
+            endpoint_id,
+            ownership.epoch,
+            request.key,
+            msgspec.Raw(msgspec.json.encode(request.command)),
+        )
+        outer = defer.Deferred()
+        # The reply is awaited longer than the caller is, to be recorded.
+        inner = self.call_owner(vm, message, remaining_s + LATE_REPLY_S)
+        timeout = self.timers.call_later(
+            remaining_s, self._give_up, request, outer
+        )
+        self.background += 1
+        inner.addBoth(self._replied, request, outer, timeout)
+        return outer
+
+    def _give_up(self, request, outer):
+        kind = errors.ErrorKind.OUTCOME_UNKNOWN.value
+        outer.callback(
+            messages.CommandReply(kind, True, 0, messages.EMPTY_VALUE)
+        )
+
+    def _replied(self, result, request, outer, timeout):
+        self.background -= 1
+        if not isinstance(result, messages.CommandReply):
+            result = self._read_call_failure(result)
+        if timeout.active():
+            timeout.cancel()
+            outer.callback(result)
+            return
+        self._record(request, result)
+
+    def _read_call_failure(self, failure):
+        not_run = False
+        if failure.check(errors.ProblemError):
+            not_run = failure.value.problem.not_run
+        kind = errors.ErrorKind.OUTCOME_UNKNOWN
+        if not_run:
+            kind = errors.ErrorKind.NO_ENDPOINT
+        return messages.CommandReply(
+            kind.value, not not_run, 0, messages.EMPTY_VALUE
+        )
+
+    @defer.inlineCallbacks
+    def _conclude(self, request, reply):
+        self.explainer.note(
+            request.request_id,
+            "command-outcome",
+            customer=request.customer,
+            status=reply.status,
+            dispatched=reply.dispatched,
+        )
+        recorded = self._record(request, reply)
+        if reply.status == "ok":
+            yield recorded
+            return bytes(reply.value)
+        if not reply.dispatched:
+            yield recorded
+            raise self._build_not_run(
+                request, errors.ErrorKind(reply.status), reply.retry_after_ms
+            )
+        if reply.status == errors.ErrorKind.ENDPOINT_FAILED.value:
+            yield recorded
+            raise self._build_failed(request, bytes(reply.value).decode())
+        raise errors.build_error(
+            errors.ErrorKind.OUTCOME_UNKNOWN,
+            "the request was sent and its outcome is not known",
+            not_run=False,
+            request_id=request.request_id,
+        )
+
+    def _record(self, request, reply):
+        """Record what is known of an attempt; unknown stays claimed."""
+        if reply.status == "ok":
+            return self._resolve(request, "done", bytes(reply.value))
+        if not reply.dispatched:
+            return self._resolve(request, "free", b"")
+        if reply.status == errors.ErrorKind.ENDPOINT_FAILED.value:
+            return self._resolve(request, "failed", bytes(reply.value))
+        return defer.succeed(None)
+
+    def _resolve(self, request, outcome, value):
+        """Record an outcome; goes on in the background if control is away.
+
+        Returns
+        -------
+        Deferred
+            Fires after the record is committed, or after the claim's usual
+            time; it never fails.
+        """
+        message = messages.ResolveCall(
+            build_claim_id(request), request.request_id, outcome, value
+        )
+        done = defer.Deferred()
+        timeout = self.timers.call_later(CLAIM_TIMEOUT_S, done.callback, None)
+        self.background += 1
+
+        def finish(result):
+            self.background -= 1
+            if timeout.active():
+                timeout.cancel()
+                done.callback(None)
+
+        self.control.call(message, RESOLVE_TIMEOUT_S).addBoth(finish)
+        return done
+
+    def _build_not_run(self, request, kind, retry_after_ms=0):
+        return errors.build_error(
+            kind,
+            "the request was not run",
+            not_run=True,
+            retry_after_ms=retry_after_ms,
+            request_id=request.request_id,
+        )
+
+    def _build_failed(self, request, detail):
+        return errors.build_error(
+            errors.ErrorKind.ENDPOINT_FAILED,
+            f"the endpoint ran the request and failed: {detail}",
+            not_run=False,
+            request_id=request.request_id,
+        )
+
+
+def build_claim_id(request: CommandRequest) -> str:
+    """Return the key under which a request is claimed."""
+    return f"{request.customer}/{request.idempotency_key}"
+
+
+def build_claim(request: CommandRequest) -> rows.Claim:
+    """Build the claim of a request."""
+    content = msgspec.json.encode(
+        (request.service, request.key, request.command), order="sorted"
+    )
+    digest = hashlib.blake2b(content, digest_size=16).hexdigest()
+    return rows.Claim(
+        build_claim_id(request),
+        digest,
+        request.request_id,
+        "claimed",
+        b"",
+        logs.read_wall_ms(),
+    )
--- /dev/null
+++ b/chervilspindle/query/directory.py
@@ -0,0 +1,126 @@
+"""An entry's copy of the replicated tables, and what is derived from it."""
+
+import logging
+import zlib
+
+from chervilspindle.config import lists as lists_module
+from chervilspindle.core import rows
+from chervilspindle.query import coverage
+
+LOGGER = logging.getLogger(__name__)
+
+EMPTY_LISTS = rows.Lists(0, {}, {})
+PLANS_CACHED = 512
+
+
+def hash_key(key: str) -> int:
+    """Return the slot of a key, in [0, KEY_SPACE)."""
+    return zlib.crc32(key.encode()) % rows.KEY_SPACE
+
+
+class Directory:
+    """Tables of one entry, kept current by deltas from control."""
+
+    def __init__(self):
+        self.version = 0
+        self.lists = EMPTY_LISTS
+        self.vm_by_session = {}
+        self.endpoint_by_id = {}
+        self.ownership_by_id = {}
+        self.ids_by_service = {}
+        self.plan_by_query = {}
+        self.listeners = []
+
+    def apply_delta(self, delta) -> bool:
+        """Put a delta in force.
+
+        Versions and revisions only grow: an older delta, such as one that
+        arrives late or from a member that lags, is refused.
+        """
+        if delta.version < self.version:
+            return False
+        if delta.lists and delta.lists.revision < self.lists.revision:
+            LOGGER.error("refused an older revision of the lists")
+            return False
+        if delta.full:
+            self.vm_by_session = {}
+            self.endpoint_by_id = {}
+            self.ownership_by_id = {}
+        self.version = delta.version
+        if delta.lists is not None:
+            self.lists = delta.lists
+        self._merge(delta)
+        self._index_services()
+        self.plan_by_query.clear()
+        for listener in self.listeners:
+            listener()
+        return True
+
+    def list_services(self):
+        """Return all services that were ever announced or are in a plan."""
+        names = set(self.ids_by_service)
+        for plan in self.lists.plans_by_name.values():
+            names.update(s for s in plan.services if not _is_pattern(s))
+        return names
+
+    def match_services(self, patterns):
+        """Return the known services that match the patterns."""
+        return lists_module.match_services(patterns, self.list_services())
+
+    def get_owner(self, endpoint_id: str):
+        """Return the ownership row and the owner's VM row, or Nones."""
+        ownership = self.ownership_by_id.get(endpoint_id)
+        if ownership is None or not ownership.session:
+            return ownership, None
+        return ownership, self.vm_by_session.get(ownership.session)
+
+    def is_usable(self, endpoint) -> bool:
+        """Tell whether an endpoint takes work and has an owner."""
+        if endpoint.state != "ready":
+            return False
+        return self.get_owner(endpoint.endpoint_id)[1] is not None
+
+    def plan_query(self, services, key_slot=None, excluded=frozenset()):
+        """Plan the shards of a query; see `coverage.plan_query`."""
+        query = (services, key_slot, excluded)
+        plan = self.plan_by_query.get(query)
+        if plan is not None:
+            return plan
+        endpoints_by_service = {
+            service: [
+                self.endpoint_by_id[i]
+                for i in self.ids_by_service.get(service, ())
+            ]
+            for service in services
+        }
+        plan = coverage.plan_query(
+            endpoints_by_service, self.is_usable, key_slot, excluded
+        )
+        if len(self.plan_by_query) >= PLANS_CACHED:
+            self.plan_by_query.clear()
+        self.plan_by_query[query] = plan
+        return plan
+
+    def _merge(self, delta):
+        for vm in delta.vms:
+            self.vm_by_session[vm.session] = vm
+        for session in delta.gone_vms:
+            self.vm_by_session.pop(session, None)
+        for endpoint in delta.endpoints:
+            self.endpoint_by_id[endpoint.endpoint_id] = endpoint
+        for endpoint_id in delta.gone_endpoints:
+            self.endpoint_by_id.pop(endpoint_id, None)
+            self.ownership_by_id.pop(endpoint_id, None)
+        for ownership in delta.ownerships:
+            self.ownership_by_id[ownership.endpoint_id] = ownership
+
+    def _index_services(self):
+        ids_by_service = {}
+        for endpoint in self.endpoint_by_id.values():
+            ids = ids_by_service.setdefault(endpoint.service, [])
+            ids.append(endpoint.endpoint_id)
+        self.ids_by_service = ids_by_service
+
+
+def _is_pattern(text: str) -> bool:
+    return any(c in text for c in "*?[")
--- /dev/null
+++ b/chervilspindle/query/entry.py
@@ -0,0 +1,437 @@
+"""The entry role of a VM: session, directory, gatherer, owner, commands."""
+
+import functools
+import logging
+import random
+
+from twisted.internet import defer
+
+from chervilspindle.config import lists as lists_module
+from chervilspindle.core import errors
+from chervilspindle.core import lifecycle
+from chervilspindle.core import logs
+from chervilspindle.core import rows
+from chervilspindle.query import commands
+from chervilspindle.query import directory as directory_module
+from chervilspindle.query import explain
+from chervilspindle.query import gather
+from chervilspindle.query import owner as owner_module
+from chervilspindle.query import requests
+from chervilspindle.query import session as session_module
+from chervilspindle.wire import messages
+
+LOGGER = logging.getLogger(__name__)
+
+FORWARD_S = 0.1
+DRAIN_CHECK_S = 0.05
+READY_LINGER_S = 0.5
+EXPLAIN_TIMEOUT_S = 1.0
+STATUS_TIMEOUT_S = 2.0
+APPLY_TIMEOUT_S = 4.0
+
+
+class LocalTarget:
+    """Takes the owner's replies to this entry's own parts."""
+
+    def __init__(self, gatherer):
+        self.gatherer = gatherer
+
+    def send(self, message):
+        """Pass replies to the gatherer."""
+        self.gatherer.receive(message)
+
+
+class Entry:
+    """One entry process.
+
+    Parameters
+    ----------
+    settings : Settings
+    network : PeerNetwork
+        Its handler has to pass messages to `handle`.
+    build_client : callable
+        Builds endpoint clients.
+    timers : TimerService
+    read_clock : callable
+        Monotonic milliseconds.
+    metrics : Metrics
+    policy : gather.Policy
+    """
+
+    def __init__(
+        self,
+        settings,
+        network,
+        build_client,
+        timers,
+        read_clock,
+        metrics,
+        policy=gather.Policy(),
+    ):
+        self.settings = settings
+        self.network = network
+        self.timers = timers
+        self.read_clock = read_clock
+        self.metrics = metrics
+        incarnation = logs.read_wall_ms()
+        vm = rows.Vm(
+            f"{settings.vm_id}@{incarnation}",
+            settings.vm_id,
+            settings.zone,
+            settings.peer_address,
+            incarnation,
+            "ready",
+        )
+        self.directory = directory_module.Directory()
+        self.explainer = explain.Explainer()
+        self.lifecycle = lifecycle.build_lifecycle()
+        addresses = {v.vm_id: v.peer_address for v in settings.control_vms}
+        self.control = session_module.ControlClient(
+            network.call, addresses, timers
+        )
+        self.session = session_module.Session(
+            vm, self.directory, self.control, timers, read_clock
+        )
+        self.owner = owner_module.Owner(
+            self.session,
+            self.directory,
+            build_client,
+            timers,
+            read_clock,
+            metrics,
+        )
+        self.gatherer = gather.Gatherer(
+            vm,
+            self.directory,
+            self._send_to_owner,
+            timers,
+            read_clock,
+            self.explainer,
+            metrics,
+            settings.extra_load_share,
+            random.Random(),
+            policy,
+        )
+        self.commands = commands.CommandRunner(
+            self.directory,
+            self.gatherer.choose_endpoint,
+            self.control,
+            self._call_owner,
+            timers,
+            self.explainer,
+        )
+        self.local_target = LocalTarget(self.gatherer)
+        self.loads_by_session = {}
+        self.in_flight = 0
+        network.lost_listeners.append(self.gatherer.lose_owner)
+
+    def start(self):
+        """Start the session and the periodic work."""
+        self.session.start()
+        self.timers.subscribe("forward-loads", FORWARD_S, self._forward_loads)
+        self.timers.subscribe("entry-state", 0.1, self._watch_state)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send callers here."""
+        return (
+            self.lifecycle.get_state() == "ready" and self.session.is_valid()
+        )
+
+    @defer.inlineCallbacks
+    def run_query(self, header: str | None, data: bytes):
+        """Answer POST /v1/query.
+
+        Returns
+        -------
+        Deferred of gather.Answer
+            Fails with `ProblemError`.
+        """
+        request_id = gather.build_request_id(self.settings.vm_id)
+        grant = self._admit(header, request_id)
+        body = requests.decode_body(data, requests.QueryBody)
+        request = self._build_query(request_id, grant, body)
+        answer = yield self._track(
+            "query", grant, lambda: self.gatherer.submit(request)
+        )
+        return answer
+
+    @defer.inlineCallbacks
+    def run_command(self, header, idempotency_key, data: bytes):
+        """Answer POST /v1/command.
+
+        Returns
+        -------
+        Deferred of (str, bytes)
+            Request id and JSON of the value. Fails with `ProblemError`.
+        """
+        request_id = gather.build_request_id(self.settings.vm_id)
+        grant = self._admit(header, request_id)
+        body = requests.decode_body(data, requests.CommandBody)
+        request = self._build_command(request_id, grant, body, idempotency_key)
+        value = yield self._track(
+            "command", grant, lambda: self.commands.run(request)
+        )
+        return request_id, value
+
+    def take_announcement(self, endpoint: rows.Endpoint, in_use: int):
+        """Take in what an endpoint announced."""
+        known = self.directory.endpoint_by_id.get(endpoint.endpoint_id)
+        if known is not None and known.incarnation > endpoint.incarnation:
+            return
+        if known is None or rows.is_changed(endpoint, known):
+            if known is None or rows.is_newer(endpoint, known):
+                self.session.report(endpoint)
+        load = messages.Load(
+            endpoint.endpoint_id,
+            endpoint.incarnation,
+            endpoint.sequence,
+            endpoint.state,
+            in_use,
+        )
+        _, vm = self.directory.get_owner(endpoint.endpoint_id)
+        if vm is None:
+            return
+        if vm.session == self.session.vm.session:
+            self.owner.note_load(load)
+            return
+        self.loads_by_session.setdefault(vm.session, []).append(load)
+        if endpoint.state == "draining":
+            self._forward_loads()
+
+    @defer.inlineCallbacks
+    def apply_lists(self, parsed, if_revision, change_id):
+        """Ask control to replace the two lists.
+
+        Returns
+        -------
+        Deferred of ApplyListsReply
+        """
+        call = messages.ApplyListsCall(
+            change_id,
+            parsed.digest,
+            if_revision,
+            parsed.customers,
+            parsed.plans,
+        )
+        reply = yield self.control.call(call, APPLY_TIMEOUT_S)
+        logs.log_decision(
+            "apply",
+            change_id=change_id,
+            accepted=reply.accepted,
+            revision=reply.revision,
+            detail=reply.detail,
+        )
+        return reply
+
+    def get_status(self):
+        """Return a Deferred of StatusReply from the control leader."""
+        return self.control.call(messages.StatusCall(), STATUS_TIMEOUT_S)
+
+    @defer.inlineCallbacks
+    def explain_request(self, request_id: str):
+        """Find the decisions of a request, here or at its gatherer.
+
+        Returns
+        -------
+        Deferred of bytes
+            JSON, empty if the request is unknown.
+        """
+        body = self.explainer.describe(request_id)
+        if body:
+            return body
+        vm_id = request_id.partition("~")[0]
+        for vm in self.directory.vm_by_session.values():
+            if vm.vm_id == vm_id and vm_id != self.settings.vm_id:
+                reply = yield self.network.call(
+                    vm.peer_address,
+                    messages.ExplainCall(request_id),
+                    EXPLAIN_TIMEOUT_S,
+                )
+                if reply.body:
+                    return reply.body
+        return b""
+
+    def handle(self, link, message):
+        """Handle a message of a peer."""
+        return handle_peer(message, self, link)
+
+    @defer.inlineCallbacks
+    def drain(self):
+        """Stop admitting, hand over endpoints, end what is in flight."""
+        self.lifecycle.drain()
+        logs.log_decision("drain", session=self.session.vm.session)
+        self.session.set_state("draining")
+        due = self.timers.clock.seconds() + self.settings.drain_seconds
+        # The balancer sees the failing readiness check before the port goes.
+        yield self._pause(READY_LINGER_S)
+        while self.timers.clock.seconds() < due and self._is_busy():
+            yield self._pause(DRAIN_CHECK_S)
+        yield self.session.leave()
+        self.lifecycle.drained()
+        logs.log_decision("drained", session=self.session.vm.session)
+
+    def _is_busy(self):
+        owned = self.owner.owned_by_id if self.session.is_valid() else ()
+        return bool(
+            self.in_flight
+            or self.commands.background
+            or owned
+            or self.owner.count_work()
+        )
+
+    def _admit(self, header, request_id):
+        if self.lifecycle.get_state() == "draining":
+            raise errors.build_error(
+                errors.ErrorKind.DRAINING,
+                "this VM is shutting down",
+                request_id=request_id,
+            )
+        if not self.session.is_valid():
+            raise errors.build_error(
+                errors.ErrorKind.NO_LEASE,
+                "this VM has no lease from control",
+                request_id=request_id,
+            )
+        return requests.authenticate(header, self.directory.lists)
+
+    def _build_query(self, request_id, grant, body):
+        requests.check_deadline(body.deadline_ms)
+        rank = requests.check_priority(body.priority, grant.plan)
+        services = requests.match_plan_services(
+            body.services, grant.plan, self.directory.list_services()
+        )
+        return gather.QueryRequest(
+            request_id,
+            grant.customer,
+            grant.plan.share,
+            rank,
+            services,
+            body.query,
+            requests.msgspec.Raw(requests.msgspec.json.encode(body.query)),
+            float(body.deadline_ms),
+            body.partial,
+        )
+
+    def _build_command(self, request_id, grant, body, idempotency_key):
+        requests.check_deadline(body.deadline_ms)
+        rank = requests.check_priority(body.priority, grant.plan)
+        requests.match_plan_services(
+            [body.service], grant.plan, self.directory.list_services()
+        )
+        length = len(idempotency_key or "")
+        if not 0 < length <= requests.MAX_KEY_CHARACTERS:
+            raise errors.build_error(
+                errors.ErrorKind.MALFORMED,
+                "an Idempotency-Key of 1 to 200 characters is needed",
+                source="header Idempotency-Key",
+            )
+        return commands.CommandRequest(
+            request_id,
+            grant.customer,
+            grant.plan.share,
+            rank,
+            idempotency_key,
+            body.service,
+            body.key,
+            body.command,
+            float(body.deadline_ms),
+        )
+
+    @defer.inlineCallbacks
+    def _track(self, kind, grant, start):
+        started = self.read_clock()
+        self.in_flight += 1
+        answer = "ok"
+        try:
+            return (yield start())
+        except errors.ProblemError as error:
+            answer = error.problem.kind.value
+            raise
+        finally:
+            self.in_flight -= 1
+            elapsed_s = (self.read_clock() - started) / 1000.0
+            self.metrics.count_request(grant.customer, kind, answer, elapsed_s)
+
+    def _send_to_owner(self, vm, message):
+        if vm.session == self.session.vm.session:
+            # The reply comes in a later turn, as it would from a peer.
+            self.timers.call_later(
+                0, handle_peer, message, self, self.local_target
+            )
+        else:
+            self.network.send(vm.peer_address, message)
+
+    def _call_owner(self, vm, message, timeout_s):
+        if vm.session != self.session.vm.session:
+            return self.network.call(vm.peer_address, message, timeout_s)
+        return handle_peer(message, self, self.local_target)
+
+    def _forward_loads(self):
+        loads_by_session, self.loads_by_session = self.loads_by_session, {}
+        for session, loads in loads_by_session.items():
+            vm = self.directory.vm_by_session.get(session)
+            if vm is not None:
+                report = messages.LoadReport(tuple(loads))
+                self.network.send(vm.peer_address, report)
+
+    def _watch_state(self):
+        if self.session.is_valid():
+            self.lifecycle.lease_gained()
+        self.metrics.set_state("lease_ms", self.session.get_lease_ms())
+        self.metrics.set_state("version", self.directory.version)
+        self.metrics.set_state("revision", self.directory.lists.revision)
+        self.metrics.set_state("owned", len(self.owner.owned_by_id))
+        self.metrics.set_state("work", self.owner.count_work())
+
+    def _pause(self, delay_s):
+        deferred = defer.Deferred()
+        self.timers.call_later(delay_s, deferred.callback, None)
+        return deferred
+
+
+@functools.singledispatch
+def handle_peer(message, entry: Entry, link):
+    """Handle one message of a peer; returns a reply, Deferred or None."""
+    raise TypeError(f"not a message for an entry: {type(message).__name__}")
+
+
+@handle_peer.register
+def _handle_sub_query(message: messages.SubQuery, entry: Entry, link):
+    entry.owner.submit(message, link)
+
+
+@handle_peer.register
+def _handle_sub_reply(message: messages.SubReply, entry: Entry, link):
+    entry.gatherer.receive(message)
+
+
+@handle_peer.register
+def _handle_cancel(message: messages.CancelParts, entry: Entry, link):
+    entry.owner.cancel(message)
+
+
+@handle_peer.register
+def _handle_command(message: messages.RunCommand, entry: Entry, link):
+    deferred = defer.Deferred()
+    entry.owner.run_command(message, deferred.callback)
+    return deferred
+
+
+@handle_peer.register
+def _handle_load_report(message: messages.LoadReport, entry: Entry, link):
+    for load in message.loads:
+        entry.owner.note_load(load)
+
+
+@handle_peer.register
+def _handle_explain(message: messages.ExplainCall, entry: Entry, link):
+    body = entry.explainer.describe(message.request_id)
+    return messages.ExplainReply(body)
+
+
+def describe_lists(lists: rows.Lists) -> dict:
+    """Return the lists with their revision, as operators read them."""
+    return {
+        "revision": lists.revision,
+        **lists_module.describe_lists(lists),
+    }
--- /dev/null
+++ b/chervilspindle/query/explain.py
@@ -0,0 +1,33 @@
+"""Remembers what was decided for recent requests."""
+
+import collections
+import json
+
+from chervilspindle.core import logs
+
+REQUESTS_KEPT = 5000
+
+
+class Explainer:
+    """Logs decisions and keeps those of the latest requests."""
+
+    def __init__(self):
+        self.decisions_by_id = collections.OrderedDict()
+
+    def note(self, request_id: str, decision: str, **fields):
+        """Log a decision and remember it."""
+        logs.log_decision(decision, request_id=request_id, **fields)
+        decisions = self.decisions_by_id.get(request_id)
+        if decisions is None:
+            decisions = self.decisions_by_id[request_id] = []
+            if len(self.decisions_by_id) > REQUESTS_KEPT:
+                self.decisions_by_id.popitem(last=False)
+        decisions.append({"decision": decision, **fields})
+
+    def describe(self, request_id: str) -> bytes:
+        """Return the decisions as JSON, empty if none are known."""
+        decisions = self.decisions_by_id.get(request_id)
+        if decisions is None:
+            return b""
+        body = {"request_id": request_id, "decisions": decisions}
+        return json.dumps(body, default=str).encode()
--- /dev/null
+++ b/chervilspindle/query/gather.py
@@ -0,0 +1,630 @@
+"""Gathers an answer: picks replicas, sends parts to owners, merges replies.
+
+A query reads one snapshot. Each shard is settled once, by the first good
+reply to one of its parts; a reply that belongs to another attempt, shard or
+snapshot is dropped. The answer goes out as soon as every shard is settled.
+"""
+
+import heapq
+import logging
+import math
+import uuid
+from typing import NamedTuple
+
+from twisted.internet import defer
+
+from chervilspindle.core import errors
+from chervilspindle.policy import admission
+from chervilspindle.policy import hedging
+from chervilspindle.policy import replicas
+from chervilspindle.query import coverage
+from chervilspindle.query import directory as directory_module
+from chervilspindle.wire import messages
+
+LOGGER = logging.getLogger(__name__)
+
+TICK_S = 0.005
+MAX_ATTEMPTS = 3
+MAX_SENDS = 4
+MAX_PARTS_IN_FLIGHT = 20000
+REPLY_GRACE_MS = 15.0
+
+
+class QueryRequest(NamedTuple):
+    """An admitted caller's query."""
+
+    request_id: str
+    customer: str
+    weight: float
+    rank: int
+    services: tuple[str, ...]
+    query: dict
+    encoded_query: object
+    deadline_ms: float
+    partial: bool
+
+
+class Answer(NamedTuple):
+    """A whole answer; `missing` tells what it does not cover."""
+
+    request_id: str
+    snapshot: int
+    results: tuple[tuple[str, str, object], ...]
+    missing: tuple[coverage.Missing, ...]
+
+
+class ShardState:
+    """One shard of a running query."""
+
+    __slots__ = (
+        "plan",
+        "index",
+        "outstanding",
+        "tried",
+        "value",
+        "settled",
+        "reason",
+        "may_have_run",
+        "retry_after_ms",
+        "sent_ms",
+    )
+
+    def __init__(self, plan: coverage.Shard, index: int):
+        self.plan = plan
+        self.index = index
+        self.outstanding = {}
+        self.tried = []
+        self.value = None
+        self.settled = False
+        self.reason = ""
+        self.may_have_run = False
+        self.retry_after_ms = 0
+        self.sent_ms = 0.0
+
+
+class RunningQuery:
+    """One query between its admission and its answer."""
+
+    __slots__ = (
+        "request",
+        "deferred",
+        "started_ms",
+        "due_ms",
+        "attempt",
+        "excluded",
+        "plan",
+        "shards",
+        "open_count",
+        "ran_before",
+        "hedges",
+        "retries",
+    )
+
+    def __init__(self, request, deferred, now):
+        self.request = request
+        self.deferred = deferred
+        self.started_ms = now
+        self.due_ms = now + request.deadline_ms - REPLY_GRACE_MS
+        self.attempt = 0
+        self.excluded = frozenset()
+        self.plan = None
+        self.shards = ()
+        self.open_count = 0
+        self.ran_before = False
+        self.hedges = 0
+        self.retries = 0
+
+
+class Policy(NamedTuple):
+    """Switches of the gatherer; baselines of experiments turn them off."""
+
+    hedge: bool = True
+    random_replica: bool = False
+
+
+class Gatherer:
+    """All queries that this entry gathers.
+
+    Parameters
+    ----------
+    vm : rows.Vm
+    directory : Directory
+    send : callable
+        ``send(vm, message)`` to an owner; may lose the message.
+    timers : TimerService
+    read_clock : callable
+        Monotonic milliseconds.
+    explainer : Explainer
+    metrics : Metrics
+    extra_load_share : float
+        Budget of hedges and retries.
+    random : random.Random
+    policy : Policy
+    """
+
+    def __init__(
+        self,
+        vm,
+        directory,
+        send,
+        timers,
+        read_clock,
+        explainer,
+        metrics,
+        extra_load_share,
+        random,
+        policy=Policy(),
+    ):
+        self.vm = vm
+        self.directory = directory
+        self.send = send
+        self.read_clock = read_clock
+        self.explainer = explainer
+        self.metrics = metrics
+        self.random = random
+        self.policy = policy
+        self.budget = hedging.build_budget(extra_load_share)
+        self.query_by_id = {}
+        self.stats_by_endpoint = {}
+        self.latencies_by_service = {}
+        self.parts_by_customer = {}
+        self.weight_by_customer = {}
+        self.parts_in_flight = 0
+        self.agenda = []
+        self.agenda_number = 0
+        timers.subscribe("gather", TICK_S, self.tick)
+
+    def submit(self, request: QueryRequest) -> defer.Deferred:
+        """Run a query.
+
+        Returns
+        -------
+        Deferred of Answer
+            Fails with `ProblemError`.
+        """
+        now = self.read_clock()
+        plan = self._plan(request, frozenset())
+        self._check_room(request, len(plan.shards))
+        query = RunningQuery(request, defer.Deferred(), now)
+        self.query_by_id[request.request_id] = query
+        self._schedule(query.due_ms, "deadline", query, None)
+        self._start_attempt(query, plan)
+        return query.deferred
+
+    def receive(self, message: messages.SubReply):
+        """Take replies of an owner."""
+        query = self.query_by_id.get(message.request_id)
+        if query is None or message.attempt != query.attempt:
+            return
+        for reply in message.parts:
+            if query.request.request_id not in self.query_by_id:
+                return
+            if query.attempt != message.attempt:
+                return
+            self._take_reply(query, reply)
+        self._finish_if_settled(query)
+
+    def lose_owner(self, address: str):
+        """Handle the loss of a link: what was sent on it may have run."""
+        for query in list(self.query_by_id.values()):
+            for shard in query.shards:
+                for endpoint_id, sent_to in list(shard.outstanding.items()):
+                    if sent_to == address:
+                        self._lose_part(query, shard, endpoint_id)
+            self._finish_if_settled(query)
+
+    def tick(self):
+        """Run what is due: hedges and deadlines."""
+        now = self.read_clock()
+        while self.agenda and self.agenda[0][0] <= now:
+            _, _, kind, query, item = heapq.heappop(self.agenda)
+            if query.request.request_id not in self.query_by_id:
+                continue
+            if kind == "deadline":
+                self._finish(query)
+            elif item[0] == query.attempt:
+                self._hedge(query, query.shards[item[1]])
+
+    def choose_endpoint(self, endpoint_ids):
+        """Return the replica with the least expected finish, or None."""
+        candidates = [
+            self._build_candidate(endpoint_id)
+            for endpoint_id in endpoint_ids
+            if self._is_usable(endpoint_id)
+        ]
+        if not candidates:
+            return None
+        if self.policy.random_replica:
+            return self.random.choice(candidates).endpoint_id
+        best = replicas.choose_replica(
+            candidates, self.read_clock(), self.random.random
+        )
+        return best.endpoint_id
+
+    def _plan(self, request, excluded):
+        key = request.query.get("key")
+        slot = None
+        if isinstance(key, str):
+            slot = directory_module.hash_key(key)
+        return self.directory.plan_query(request.services, slot, excluded)
+
+    def _check_room(self, request, parts):
+        own = self.parts_by_customer.get(request.customer, 0)
+        active = sum(
+            self.weight_by_customer[c]
+            for c in self.parts_by_customer
+            if c != request.customer
+        )
+        load = admission.EntryLoad(self.parts_in_flight, MAX_PARTS_IN_FLIGHT)
+        if not admission.may_admit(
+            load, own, parts, request.weight, active + request.weight
+        ):
+            raise errors.build_error(
+                errors.ErrorKind.OVER_PLAN,
+                "too many requests in flight for the customer's share",
+                request_id=request.request_id,
+            )
+
+    def _start_attempt(self, query, plan):
+        query.plan = plan
+        query.attempt += 1
+        query.shards = tuple(
+            ShardState(shard, index) for index, shard in enumerate(plan.shards)
+        )
+        query.open_count = len(query.shards)
+        self._count_parts(query.request, len(query.shards))
+        request = query.request
+        self.explainer.note(
+            request.request_id,
+            "plan",
+            customer=request.customer,
+            attempt=query.attempt,
+            snapshot=plan.snapshot,
+            shards=len(plan.shards),
+            missing=[tuple(m) for m in plan.missing],
+            reason="newest snapshot that covers most",
+        )
+        if plan.missing and not request.partial:
+            self._finish(query)
+            return
+        chosen = []
+        for shard in query.shards:
+            endpoint_id = self.choose_endpoint(shard.plan.endpoint_ids)
+            if endpoint_id is None:
+                self._settle_missing(
+                    query, shard, errors.ErrorKind.NO_ENDPOINT.value
+                )
+            else:
+                chosen.append((shard, endpoint_id))
+        self.budget = hedging.earn(self.budget, len(chosen))
+        self._send_parts(query, chosen, "expected-finish")
+        self._finish_if_settled(query)
+
+    def _send_parts(self, query, chosen, reason):
+        """Send parts, one message for each owner."""
+        now = self.read_clock()
+        parts_by_session = {}
+        for shard, endpoint_id in chosen:
+            ownership, vm = self.directory.get_owner(endpoint_id)
+            part = messages.Part(
+                shard.index,
+                endpoint_id,
+                ownership.epoch,
+                shard.plan.low,
+                shard.plan.high,
+            )
+            parts_by_session.setdefault(vm.session, []).append(part)
+            shard.outstanding[endpoint_id] = vm.peer_address
+            shard.tried.append(endpoint_id)
+            shard.sent_ms = now
+            self._update_stats(endpoint_id, replicas.note_sent)
+            self._schedule_hedge(query, shard, now)
+        request = query.request
+        for session, parts in parts_by_session.items():
+            self.explainer.note(
+                request.request_id,
+                "route",
+                customer=request.customer,
+                owner=session,
+                endpoints=[p.endpoint_id for p in parts],
+                reason=reason,
+            )
+            message = messages.SubQuery(
+                request.request_id,
+                query.attempt,
+                request.customer,
+                request.weight,
+                request.rank,
+                query.due_ms - now,
+                query.plan.snapshot,
+                request.encoded_query,
+                tuple(parts),
+            )
+            self.send(self.directory.vm_by_session[session], message)
+
+    def _schedule_hedge(self, query, shard, now):
+        if not self.policy.hedge or len(shard.plan.endpoint_ids) < 2:
+            return
+        latencies = self.latencies_by_service.get(shard.plan.service)
+        delay = hedging.DEFAULT_DELAY_MS
+        if latencies is not None:
+            delay = latencies.delay_ms
+        if now + delay < query.due_ms:
+            item = (query.attempt, shard.index)
+            self._schedule(now + delay, "hedge", query, item)
+
+    def _schedule(self, due_ms, kind, query, item):
+        self.agenda_number += 1
+        heapq.heappush(
+            self.agenda, (due_ms, self.agenda_number, kind, query, item)
+        )
+
+    def _hedge(self, query, shard):
+        if shard.settled or len(shard.tried) >= MAX_SENDS:
+            return
+        untried = [i for i in shard.plan.endpoint_ids if i not in shard.tried]
+        endpoint_id = self.choose_endpoint(untried)
+        if endpoint_id is None:
+            return
+        self.budget, granted = hedging.spend(self.budget)
+        if not granted:
+            self.explainer.note(
+                query.request.request_id,
+                "hedge-refused",
+                endpoint=endpoint_id,
+                reason="budget of extra load is spent",
+            )
+            return
+        query.hedges += 1
+        self.metrics.count_extra("hedge")
+        self._send_parts(query, [(shard, endpoint_id)], "hedge")
+
+    def _take_reply(self, query, reply):
+        if not 0 <= reply.shard < len(query.shards):
+            return
+        shard = query.shards[reply.shard]
+        if shard.outstanding.pop(reply.endpoint_id, None) is None:
+            return
+        now = self.read_clock()
+        self._update_stats(
+            reply.endpoint_id,
+            replicas.note_reply,
+            reply.service_ms,
+            reply.backlog_ms,
+            now,
+        )
+        shard.may_have_run = shard.may_have_run or reply.dispatched
+        if shard.settled:
+            return
+        if reply.status == "ok":
+            self._settle_value(query, shard, reply, now)
+            return
+        shard.retry_after_ms = max(shard.retry_after_ms, reply.retry_after_ms)
+        shard.reason = reply.status
+        if reply.status == errors.ErrorKind.SNAPSHOT_GONE.value:
+            self._restart(query, shard)
+            return
+        self._retry_or_miss(query, shard, reply.dispatched)
+
+    def _settle_value(self, query, shard, reply, now):
+        shard.value = reply.value
+        shard.settled = True
+        query.open_count -= 1
+        service = shard.plan.service
+        latencies = self.latencies_by_service.get(service)
+        self.latencies_by_service[service] = hedging.note_latency(
+            latencies or hedging.Latencies(), now - shard.sent_ms
+        )
+        self._cancel_parts(query, (shard,))
+
+    def _settle_missing(self, query, shard, reason):
+        shard.reason = reason
+        shard.settled = True
+        query.open_count -= 1
+
+    def _lose_part(self, query, shard, endpoint_id):
+        if shard.outstanding.pop(endpoint_id, None) is None:
+            return
+        self._update_stats(
+            endpoint_id, replicas.note_failure, self.read_clock()
+        )
+        shard.may_have_run = True
+        if not shard.settled:
+            shard.reason = errors.ErrorKind.CONNECTION_LOST.value
+            self._retry_or_miss(query, shard, True)
+
+    def _retry_or_miss(self, query, shard, dispatched):
+        """Retry a failed part once more if there is reason to hope."""
+        if shard.outstanding:
+            return
+        now = self.read_clock()
+        endpoint_id = None
+        if len(shard.tried) < MAX_SENDS and now < query.due_ms:
+            endpoint_id = self._choose_retry(shard)
+        if endpoint_id is not None and dispatched:
+            self.budget, granted = hedging.spend(self.budget)
+            if not granted:
+                endpoint_id = None
+        if endpoint_id is None:
+            self._settle_missing(query, shard, shard.reason)
+            return
+        query.retries += 1
+        if dispatched:
+            self.metrics.count_extra("retry")
+        self._send_parts(
+            query, [(shard, endpoint_id)], f"retry after {shard.reason}"
+        )
+
+    def _choose_retry(self, shard):
+        untried = [i for i in shard.plan.endpoint_ids if i not in shard.tried]
+        endpoint_id = self.choose_endpoint(untried)
+        if endpoint_id is not None or untried:
+            return endpoint_id
+        if shard.reason != errors.ErrorKind.CONNECTION_LOST.value:
+            return None
+        return self.choose_endpoint(shard.plan.endpoint_ids)
+
+    def _restart(self, query, shard):
+        """Start again on another snapshot; parts of the old one are void."""
+        now = self.read_clock()
+        excluded = query.excluded | {query.plan.snapshot}
+        plan = self._plan(query.request, excluded)
+        if query.attempt >= MAX_ATTEMPTS or not plan.shards:
+            self._settle_missing(query, shard, shard.reason)
+            return
+        if now >= query.due_ms:
+            self._settle_missing(query, shard, shard.reason)
+            return
+        query.excluded = excluded
+        query.ran_before = query.ran_before or any(
+            s.may_have_run or s.outstanding for s in query.shards
+        )
+        self._cancel_parts(query, query.shards)
+        self._count_parts(query.request, -len(query.shards))
+        self._start_attempt(query, plan)
+
+    def _cancel_parts(self, query, shards):
+        ids_by_address = {}
+        for shard in shards:
+            for endpoint_id, address in shard.outstanding.items():
+                ids = ids_by_address.setdefault(address, [])
+                ids.append(endpoint_id)
+                self._update_stats(endpoint_id, _note_cancelled)
+            shard.may_have_run = shard.may_have_run or bool(shard.outstanding)
+            shard.outstanding = {}
+        for address, ids in ids_by_address.items():
+            message = messages.CancelParts(
+                query.request.request_id, query.attempt, tuple(ids)
+            )
+            vm = self._find_vm(address)
+            if vm is not None:
+                self.send(vm, message)
+
+    def _find_vm(self, address):
+        for vm in self.directory.vm_by_session.values():
+            if vm.peer_address == address:
+                return vm
+        return None
+
+    def _finish_if_settled(self, query):
+        if query.request.request_id not in self.query_by_id:
+            return
+        if query.open_count == 0:
+            self._finish(query)
+        elif not query.request.partial and any(
+            s.settled and s.value is None for s in query.shards
+        ):
+            self._finish(query)
+
+    def _finish(self, query):
+        """Give the final answer, whole or with what is missing."""
+        request = query.request
+        del self.query_by_id[request.request_id]
+        self._count_parts(request, -len(query.shards))
+        deadline = errors.ErrorKind.DEADLINE.value
+        for shard in query.shards:
+            if not shard.settled:
+                shard.reason = deadline
+        self._cancel_parts(query, query.shards)
+        missing = query.plan.missing + tuple(
+            coverage.Missing(s.plan.service, s.plan.low, s.plan.high, s.reason)
+            for s in query.shards
+            if s.value is None
+        )
+        results = tuple(
+            (
+                s.plan.service,
+                coverage.name_shard(s.plan.low, s.plan.high),
+                s.value,
+            )
+            for s in query.shards
+            if s.value is not None
+        )
+        self._note_answer(query, results, missing)
+        if missing and (not results or not request.partial):
+            error = self._build_failure(query, missing)
+            query.deferred.errback(error)
+            return
+        answer = Answer(
+            request.request_id, query.plan.snapshot, results, missing
+        )
+        query.deferred.callback(answer)
+
+    def _note_answer(self, query, results, missing):
+        self.metrics.count_shards("ok", len(results))
+        for row in missing:
+            self.metrics.count_shards(row.reason, 1)
+        self.explainer.note(
+            query.request.request_id,
+            "answer",
+            customer=query.request.customer,
+            snapshot=query.plan.snapshot,
+            answered=len(results),
+            missing=[tuple(m) for m in missing],
+            hedges=query.hedges,
+            retries=query.retries,
+            elapsed_ms=round(self.read_clock() - query.started_ms, 2),
+        )
+
+    def _build_failure(self, query, missing):
+        ran = query.ran_before or any(
+            s.may_have_run or s.value is not None for s in query.shards
+        )
+        retry_after = max((s.retry_after_ms for s in query.shards), default=0)
+        reasons = {row.reason for row in missing}
+        kind = errors.ErrorKind.INCOMPLETE
+        if len(reasons) == 1:
+            kind = errors.ErrorKind(next(iter(reasons)))
+        return errors.build_error(
+            kind,
+            f"{len(missing)} shards are missing: "
+            + ", ".join(sorted(reasons)),
+            not_run=not ran,
+            retry_after_ms=retry_after,
+            request_id=query.request.request_id,
+        )
+
+    def _count_parts(self, request, count):
+        self.parts_in_flight += count
+        left = self.parts_by_customer.get(request.customer, 0) + count
+        if left > 0:
+            self.parts_by_customer[request.customer] = left
+            self.weight_by_customer[request.customer] = request.weight
+        else:
+            self.parts_by_customer.pop(request.customer, None)
+            self.weight_by_customer.pop(request.customer, None)
+
+    def _is_usable(self, endpoint_id):
+        endpoint = self.directory.endpoint_by_id.get(endpoint_id)
+        return endpoint is not None and self.directory.is_usable(endpoint)
+
+    def _build_candidate(self, endpoint_id):
+        endpoint = self.directory.endpoint_by_id[endpoint_id]
+        stats = self.stats_by_endpoint.get(endpoint_id)
+        return replicas.Candidate(
+            endpoint_id,
+            endpoint.slots,
+            endpoint.zone == self.vm.zone,
+            stats or replicas.ReplicaStats(),
+        )
+
+    def _update_stats(self, endpoint_id, update, *values):
+        stats = self.stats_by_endpoint.get(endpoint_id)
+        self.stats_by_endpoint[endpoint_id] = update(
+            stats or replicas.ReplicaStats(), *values
+        )
+
+
+def build_request_id(vm_id: str) -> str:
+    """Return a unique request id that names the gathering VM."""
+    return f"{vm_id}~{uuid.uuid4().hex}"
+
+
+def count_key_space(missing) -> float:
+    """Return the share of one service's key space that rows cover."""
+    total = sum(row.high - row.low for row in missing)
+    return total / math.pow(2, 16)
+
+
+def _note_cancelled(stats):
+    return stats._replace(outstanding=max(0, stats.outstanding - 1))
--- /dev/null
+++ b/chervilspindle/query/owner.py
@@ -0,0 +1,618 @@
+"""Owned endpoints of this VM: their queues, slots, health and dispatch.
+
+Only the owner of an endpoint sends it work, so its slots, the shares of
+customers and the priorities are enforced here exactly. Before each dispatch
+the owner checks its lease on its own clock; an owner that was frozen or cut
+off dispatches nothing when it wakes.
+"""
+
+import itertools
+import logging
+from typing import NamedTuple
+
+from chervilspindle.core import errors
+from chervilspindle.core import logs
+from chervilspindle.policy import admission
+from chervilspindle.policy import fairness
+from chervilspindle.policy import limits
+from chervilspindle.wire import messages
+
+LOGGER = logging.getLogger(__name__)
+
+TICK_S = 0.02
+LOST_AFTER_MS = 3500.0
+MAX_QUEUED = 5000
+MAX_DEADLINE_MS = 30000.0
+CANCEL_GRACE_MS = 250.0
+SUSPECT_RATIO = 4.0
+SUSPECT_MIN_MS = 60.0
+PROBE_BACKOFF = 3.0
+COMMANDS_REMEMBERED = 10000
+
+QUEUED = "queued"
+RUNNING = "running"
+ENDED = "ended"
+
+
+class Job(NamedTuple):
+    """What is to run: a part of a query, or a command."""
+
+    request_id: str
+    attempt: int
+    customer: str
+    weight: float
+    rank: int
+    snapshot: int
+    body: object
+    part: messages.Part
+    key: str | None
+
+
+class Work:
+    """One job at one endpoint, from admission to its end.
+
+    `answered` tells that the gatherer has its reply; the slot stays taken
+    until the endpoint is known to be done with the job.
+    """
+
+    __slots__ = (
+        "job",
+        "answer",
+        "due_ms",
+        "queued_ms",
+        "started_ms",
+        "state",
+        "answered",
+        "run_id",
+        "call",
+        "probe_ms",
+        "probing",
+        "cancelled_ms",
+    )
+
+    def __init__(self, job: Job, answer, due_ms: float, now: float):
+        self.job = job
+        self.answer = answer
+        self.due_ms = due_ms
+        self.queued_ms = now
+        self.started_ms = 0.0
+        self.state = QUEUED
+        self.answered = False
+        self.run_id = ""
+        self.call = None
+        self.probe_ms = 0.0
+        self.probing = False
+        self.cancelled_ms = 0.0
+
+
+def is_queued(work: Work) -> bool:
+    """Tell whether work still waits for a slot."""
+    return work.state == QUEUED
+
+
+class OwnedEndpoint:
+    """State of one endpoint while this VM owns it."""
+
+    def __init__(self, row, epoch: int, client, now: float):
+        self.row = row
+        self.epoch = epoch
+        self.client = client
+        self.limit = limits.build_limit(row.slots, epoch == 1)
+        self.queue = fairness.FairQueue(is_queued)
+        self.running = {}
+        self.last_heard_ms = now
+        # Work of an earlier owner may still run; until the endpoint says
+        # how much, all its slots count as taken.
+        self.foreign = 0 if epoch == 1 else row.slots
+        self.foreign_until_ms = 0.0 if epoch == 1 else now + MAX_DEADLINE_MS
+        self.reported_lost = False
+        self.released = False
+
+    def count_free(self, now: float) -> int:
+        """Return the slots that may be used now."""
+        foreign = self.foreign if now < self.foreign_until_ms else 0
+        allowed = min(limits.get_limit(self.limit), self.row.slots - foreign)
+        return allowed - len(self.running)
+
+
+class Owner:
+    """All endpoints that this VM owns.
+
+    Parameters
+    ----------
+    session : Session
+    directory : Directory
+    build_client : callable
+        ``build_client(address, connections)`` returns an endpoint client.
+    timers : TimerService
+    read_clock : callable
+        Monotonic milliseconds.
+    metrics : Metrics
+    """
+
+    def __init__(
+        self, session, directory, build_client, timers, read_clock, metrics
+    ):
+        self.session = session
+        self.directory = directory
+        self.build_client = build_client
+        self.timers = timers
+        self.read_clock = read_clock
+        self.metrics = metrics
+        self.owned_by_id = {}
+        self.closing = []
+        self.work_by_key = {}
+        self.run_numbers = itertools.count()
+        self.replies_by_target = {}
+        self.flush_planned = False
+        self.commands_seen = {}
+        directory.listeners.append(self.update_owned)
+        timers.subscribe("owner", TICK_S, self.tick)
+
+    def update_owned(self):
+        """Take up and give up endpoints as the directory now says."""
+        own = self.session.vm.session
+        for endpoint_id, owned in list(self.owned_by_id.items()):
+            row = self.directory.ownership_by_id.get(endpoint_id)
+            if row is None or (row.session, row.epoch) != (own, owned.epoch):
+                self._give_up(endpoint_id)
+        for endpoint_id, row in self.directory.ownership_by_id.items():
+            endpoint = self.directory.endpoint_by_id.get(endpoint_id)
+            if row.session != own or endpoint is None:
+                continue
+            owned = self.owned_by_id.get(endpoint_id)
+            if owned is None:
+                self._take_up(endpoint, row.epoch)
+            elif owned.row != endpoint:
+                self._update_row(owned, endpoint)
+
+    def submit(self, message: messages.SubQuery, target):
+        """Queue the parts of a sub-query.
+
+        Parameters
+        ----------
+        message : SubQuery
+        target : object
+            Its ``send(message)`` takes the replies.
+        """
+        now = self.read_clock()
+        due = now + min(message.deadline_ms, MAX_DEADLINE_MS)
+        for part in message.parts:
+            job = Job(
+                message.request_id,
+                message.attempt,
+                message.customer,
+                message.weight,
+                message.rank,
+                message.snapshot,
+                message.query,
+                part,
+                None,
+            )
+            work = Work(job, self._build_answer(target), due, now)
+            self._admit(work, now)
+
+    def run_command(self, message: messages.RunCommand, answer):
+        """Queue a claimed command; `answer` takes the one CommandReply.
+
+        A copy of a message that was seen before is answered as unknown,
+        since the first copy may run.
+        """
+        now = self.read_clock()
+        if message.request_id in self.commands_seen:
+            kind = errors.ErrorKind.OUTCOME_UNKNOWN.value
+            answer(messages.CommandReply(kind, True, 0, messages.EMPTY_VALUE))
+            return
+        self._remember_command(message.request_id)
+        part = messages.Part(0, message.endpoint_id, message.epoch, 0, 0)
+        job = Job(
+            message.request_id,
+            0,
+            message.customer,
+            message.weight,
+            message.rank,
+            0,
+            message.command,
+            part,
+            message.key,
+        )
+        due = now + min(message.deadline_ms, MAX_DEADLINE_MS)
+
+        def convert(job_, reply):
+            answer(
+                messages.CommandReply(
+                    reply.status,
+                    reply.dispatched,
+                    reply.retry_after_ms,
+                    reply.value,
+                )
+            )
+
+        self._admit(Work(job, convert, due, now), now)
+
+    def cancel(self, message: messages.CancelParts):
+        """End parts whose answer is no longer wanted."""
+        now = self.read_clock()
+        for endpoint_id in message.endpoint_ids:
+            key = (message.request_id, message.attempt, endpoint_id)
+            for work in list(self.work_by_key.get(key, ())):
+                self._cancel_work(work, now)
+
+    def note_load(self, load: messages.Load):
+        """Take in what an endpoint said of itself."""
+        owned = self.owned_by_id.get(load.endpoint_id)
+        if owned is None or load.incarnation < owned.row.incarnation:
+            return
+        now = self.read_clock()
+        owned.last_heard_ms = now
+        owned.reported_lost = False
+        if load.state != owned.row.state and load.state == "draining":
+            owned.row = owned.row._replace(state="draining")
+            self._refuse_queue(owned, errors.ErrorKind.DRAINING)
+        if now < owned.foreign_until_ms:
+            foreign = load.in_use - len(owned.running)
+            owned.foreign = max(0, min(owned.row.slots, foreign))
+            if not owned.foreign:
+                owned.foreign_until_ms = 0.0
+            self._dispatch(owned, now)
+
+    def tick(self):
+        """Run over all endpoints: dispatch, expire, probe, report losses."""
+        now = self.read_clock()
+        for owned in list(self.owned_by_id.values()):
+            self._expire_queue(owned, now)
+            self._check_running(owned, now)
+            self._check_heard(owned, now)
+            self._dispatch(owned, now)
+            owned.queue.forget_idle()
+        for owned in list(self.closing):
+            self._check_running(owned, now)
+            if not owned.running:
+                self.closing.remove(owned)
+                owned.client.close()
+
+    def count_work(self) -> int:
+        """Return how many jobs are queued or running."""
+        queued = sum(o.queue.size for o in self.owned_by_id.values())
+        running = sum(len(o.running) for o in self.owned_by_id.values())
+        return queued + running + sum(len(o.running) for o in self.closing)
+
+    def _take_up(self, endpoint, epoch):
+        client = self.build_client(
+            endpoint.address, min(endpoint.connections, endpoint.slots + 1)
+        )
+        now = self.read_clock()
+        self.owned_by_id[endpoint.endpoint_id] = OwnedEndpoint(
+            endpoint, epoch, client, now
+        )
+        logs.log_decision(
+            "owner-gained", endpoint=endpoint.endpoint_id, epoch=epoch
+        )
+
+    def _give_up(self, endpoint_id):
+        owned = self.owned_by_id.pop(endpoint_id)
+        owned.released = True
+        self._refuse_queue(owned, errors.ErrorKind.NOT_OWNER)
+        self.closing.append(owned)
+        logs.log_decision(
+            "owner-lost", endpoint=endpoint_id, epoch=owned.epoch
+        )
+
+    def _update_row(self, owned, endpoint):
+        if endpoint.address != owned.row.address:
+            owned.client.close()
+            owned.client = self.build_client(
+                endpoint.address, endpoint.slots + 1
+            )
+        if endpoint.incarnation != owned.row.incarnation:
+            owned.limit = limits.build_limit(endpoint.slots, True)
+            owned.last_heard_ms = self.read_clock()
+        elif endpoint.slots != owned.row.slots:
+            owned.limit = owned.limit._replace(slots=endpoint.slots)
+        owned.row = endpoint
+        if endpoint.state == "draining":
+            self._refuse_queue(owned, errors.ErrorKind.DRAINING)
+
+    def _admit(self, work: Work, now: float):
+        part = work.job.part
+        owned = self.owned_by_id.get(part.endpoint_id)
+        if owned is None or owned.epoch != part.epoch:
+            self._refuse(work, errors.ErrorKind.NOT_OWNER)
+            return
+        if owned.row.state != "ready":
+            self._refuse(work, errors.ErrorKind.NO_ENDPOINT)
+            return
+        estimate = self._estimate(owned, work.job)
+        remaining = work.due_ms - now
+        if (
+            admission.is_hopeless(estimate, remaining)
+            or owned.queue.size >= MAX_QUEUED
+        ):
+            retry_after = admission.compute_retry_after_ms(estimate, remaining)
+            self._refuse(work, errors.ErrorKind.OVERLOADED, retry_after)
+            return
+        key = (work.job.request_id, work.job.attempt, part.endpoint_id)
+        self.work_by_key.setdefault(key, []).append(work)
+        owned.queue.push(
+            work.job.customer, work.job.weight, work.job.rank, work
+        )
+        self._dispatch(owned, now)
+
+    def _estimate(self, owned, job):
+        return admission.estimate_queue(
+            owned.queue.count_ahead(job.customer, job.rank),
+            len(owned.running),
+            limits.get_limit(owned.limit),
+            owned.limit.service_ms,
+            owned.queue.get_share(job.customer, job.weight),
+        )
+
+    def _dispatch(self, owned: OwnedEndpoint, now: float):
+        while owned.queue.size and owned.count_free(now) > 0:
+            if not self.session.is_valid():
+                self._refuse_queue(owned, errors.ErrorKind.NO_LEASE)
+                return
+            if owned.row.state != "ready":
+                return
+            cost = owned.limit.service_ms
+            customer, work = owned.queue.pop(cost)
+            if work is None:
+                return
+            if work.due_ms - now < admission.DEADLINE_MARGIN * cost:
+                owned.queue.charge(customer, -cost)
+                self._refuse(work, errors.ErrorKind.DEADLINE)
+                continue
+            self._start(owned, work, now)
+
+    def _start(self, owned, work, now):
+        job = work.job
+        work.state = RUNNING
+        work.started_ms = now
+        work.probe_ms = now + self._get_suspect_ms(owned)
+        work.run_id = (
+            f"{job.request_id}.{job.attempt}.{next(self.run_numbers)}"
+        )
+        owned.running[work.run_id] = work
+        remaining = work.due_ms - now
+        self.metrics.count_dispatch(job)
+        if job.key is None:
+            part = job.part
+            work.call = owned.client.run_query(
+                work.run_id,
+                job.body,
+                job.snapshot,
+                part.low,
+                part.high,
+                remaining,
+            )
+        else:
+            work.call = owned.client.run_command(
+                work.run_id, job.key, job.body, remaining
+            )
+        work.call.addCallback(self._finish, owned, work)
+        work.call.addErrback(_log_failure)
+
+    def _finish(self, result, owned, work):
+        """Take the endpoint's answer and free the slot."""
+        now = self.read_clock()
+        if owned.running.pop(work.run_id, None) is None:
+            return
+        self._forget(work)
+        work.state = ENDED
+        service_ms = now - work.started_ms
+        self._learn(owned, work, result, service_ms, now)
+        status = result.status
+        if status == "ok" and work.job.key is None:
+            if result.snapshot != work.job.snapshot:
+                status = errors.ErrorKind.SNAPSHOT_GONE.value
+        if status == errors.ErrorKind.CANCELLED.value and not work.answered:
+            status = errors.ErrorKind.ENDPOINT_FAILED.value
+        self._answer(
+            owned,
+            work,
+            status,
+            result.dispatched,
+            result.retry_after_ms,
+            service_ms,
+            result.value,
+        )
+        if work.answered and work.cancelled_ms and result.dispatched:
+            self.metrics.count_wasted()
+        if not owned.released:
+            self._dispatch(owned, now)
+
+    def _learn(self, owned, work, result, service_ms, now):
+        owned.queue.charge(
+            work.job.customer, service_ms - owned.limit.service_ms
+        )
+        if result.status == "ok":
+            owned.limit = limits.note_success(owned.limit, service_ms, now)
+        elif result.status == errors.ErrorKind.OVERLOADED.value:
+            owned.limit = limits.note_shed(owned.limit, now)
+            self.metrics.count_shed()
+
+    def _answer(
+        self, owned, work, status, dispatched, retry_after, service_ms, value
+    ):
+        if work.answered:
+            return
+        work.answered = True
+        wait = (work.started_ms or self.read_clock()) - work.queued_ms
+        backlog = 0.0
+        if owned is not None:
+            backlog = (
+                owned.queue.size
+                * owned.limit.service_ms
+                / limits.get_limit(owned.limit)
+            )
+        work.answer(
+            work.job,
+            messages.PartReply(
+                work.job.part.shard,
+                work.job.part.endpoint_id,
+                status,
+                dispatched,
+                int(retry_after),
+                wait,
+                service_ms if dispatched else 0.0,
+                backlog,
+                value,
+            ),
+        )
+
+    def _refuse(self, work, kind, retry_after=0):
+        """Answer work that was never dispatched."""
+        owned = self.owned_by_id.get(work.job.part.endpoint_id)
+        self._forget(work)
+        work.state = ENDED
+        self._answer(
+            owned,
+            work,
+            kind.value,
+            False,
+            retry_after,
+            0.0,
+            messages.EMPTY_VALUE,
+        )
+
+    def _refuse_queue(self, owned, kind):
+        for customer, work in owned.queue.list_lowest():
+            owned.queue.drop(customer)
+            self._refuse(work, kind)
+
+    def _expire_queue(self, owned, now):
+        if not owned.queue.size:
+            return
+        needed = admission.DEADLINE_MARGIN * owned.limit.service_ms
+        for customer, work in owned.queue.list_lowest():
+            if work.due_ms - now < needed:
+                owned.queue.drop(customer)
+                self._refuse(work, errors.ErrorKind.DEADLINE)
+
+    def _check_running(self, owned, now):
+        for work in list(owned.running.values()):
+            if now > work.due_ms and not work.cancelled_ms:
+                self._give_up_running(owned, work, now)
+            if work.cancelled_ms:
+                limit = max(work.due_ms, work.cancelled_ms)
+                if now > limit + CANCEL_GRACE_MS:
+                    # The endpoint stops at the deadline by itself.
+                    work.call.cancel()
+            elif now > work.probe_ms and not work.probing:
+                self._probe(owned, work)
+
+    def _give_up_running(self, owned, work, now):
+        kind = errors.ErrorKind.DEADLINE
+        if work.job.key is not None:
+            kind = errors.ErrorKind.OUTCOME_UNKNOWN
+        self._answer(
+            owned, work, kind.value, True, 0, 0.0, messages.EMPTY_VALUE
+        )
+        if work.job.key is None:
+            self._cancel_running(owned, work, now)
+        else:
+            work.cancelled_ms = now
+
+    def _cancel_work(self, work, now):
+        owned = self.owned_by_id.get(work.job.part.endpoint_id)
+        work.answered = True
+        if work.state == QUEUED and owned is not None:
+            owned.queue.drop(work.job.customer)
+            self._forget(work)
+            work.state = ENDED
+        elif work.state == RUNNING:
+            for candidate in (owned, *self.closing):
+                if candidate and work.run_id in candidate.running:
+                    self._cancel_running(candidate, work, now)
+
+    def _cancel_running(self, owned, work, now):
+        work.cancelled_ms = now
+        owned.client.cancel(work.run_id)
+
+    def _get_suspect_ms(self, owned) -> float:
+        return max(SUSPECT_MIN_MS, SUSPECT_RATIO * owned.limit.service_ms)
+
+    def _probe(self, owned, work):
+        """Ask on a fresh connection whether a late request is running."""
+        work.probing = True
+        self.metrics.count_probe()
+        deferred = owned.client.probe(work.run_id)
+        deferred.addCallback(self._probed, owned, work)
+        deferred.addErrback(_log_failure)
+
+    def _probed(self, state, owned, work):
+        work.probing = False
+        now = self.read_clock()
+        if work.state != RUNNING:
+            return
+        late = now - work.started_ms
+        work.probe_ms = now + PROBE_BACKOFF * late
+        if state is None or state.state == "running":
+            return
+        logs.log_decision(
+            "connection-silent",
+            request_id=work.job.request_id,
+            endpoint=owned.row.endpoint_id,
+            run_state=state.state,
+        )
+        self.metrics.count_silent()
+        if state.state == "finished" and state.result is not None:
+            self._answer(
+                owned,
+                work,
+                "ok" if not state.result.kind else state.result.kind,
+                True,
+                0,
+                late,
+                state.result.value,
+            )
+        work.call.cancel()
+
+    def _check_heard(self, owned, now):
+        if owned.reported_lost or now < owned.last_heard_ms + LOST_AFTER_MS:
+            return
+        owned.reported_lost = True
+        row = owned.row._replace(state="lost", sequence=owned.row.sequence + 1)
+        logs.log_decision("endpoint-lost", endpoint=row.endpoint_id)
+        owned.row = row
+        self._refuse_queue(owned, errors.ErrorKind.NO_ENDPOINT)
+        self.session.report(row)
+
+    def _build_answer(self, target):
+        def answer(job, reply):
+            key = (id(target), job.request_id, job.attempt)
+            entry = self.replies_by_target.get(key)
+            if entry is None:
+                entry = self.replies_by_target[key] = (target, job, [])
+            entry[2].append(reply)
+            if not self.flush_planned:
+                self.flush_planned = True
+                self.timers.call_later(0, self._flush_replies)
+
+        return answer
+
+    def _flush_replies(self):
+        self.flush_planned = False
+        batches, self.replies_by_target = self.replies_by_target, {}
+        for target, job, replies in batches.values():
+            target.send(
+                messages.SubReply(job.request_id, job.attempt, tuple(replies))
+            )
+
+    def _forget(self, work):
+        job = work.job
+        key = (job.request_id, job.attempt, job.part.endpoint_id)
+        works = self.work_by_key.get(key)
+        if works and work in works:
+            works.remove(work)
+            if not works:
+                del self.work_by_key[key]
+
+    def _remember_command(self, request_id):
+        self.commands_seen[request_id] = True
+        if len(self.commands_seen) > COMMANDS_REMEMBERED:
+            del self.commands_seen[next(iter(self.commands_seen))]
+
+
+def _log_failure(failure):
+    LOGGER.error("owner failed: %s", failure.getTraceback())
--- /dev/null
+++ b/chervilspindle/query/requests.py
@@ -0,0 +1,143 @@
+"""Typed requests of callers, decoded and checked against the plan."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from chervilspindle.config import lists as lists_module
+from chervilspindle.config import tokens
+from chervilspindle.core import errors
+from chervilspindle.core import rows
+
+DEFAULT_DEADLINE_MS = 1000
+MAX_DEADLINE_MS = 30000
+MAX_PATTERNS = 1000
+MAX_KEY_CHARACTERS = 200
+
+
+class QueryBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of POST /v1/query."""
+
+    services: list[str]
+    query: dict
+    priority: str = ""
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+    partial: bool = True
+
+
+class CommandBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of POST /v1/command."""
+
+    service: str
+    key: str
+    command: dict
+    priority: str = ""
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+
+
+class Grant(NamedTuple):
+    """A customer and its plan at one revision of the lists."""
+
+    customer: str
+    plan: rows.Plan
+    revision: int
+
+
+def authenticate(header: str | None, lists: rows.Lists) -> Grant:
+    """Find the customer of an Authorization header.
+
+    Raises
+    ------
+    ProblemError
+        UNAUTHENTICATED.
+    """
+    token = read_bearer(header)
+    customer = tokens.verify_token(token, lists.customers_by_name)
+    if customer is None:
+        raise errors.build_error(
+            errors.ErrorKind.UNAUTHENTICATED,
+            "the bearer token is not known",
+            source="header Authorization",
+        )
+    plan = lists.plans_by_name[customer.plan]
+    return Grant(customer.name, plan, lists.revision)
+
+
+def read_bearer(header: str | None) -> str:
+    """Return the token of an Authorization header, '' if there is none."""
+    scheme, _, token = (header or "").partition(" ")
+    return token.strip() if scheme.lower() == "bearer" else ""
+
+
+def decode_body(data: bytes, kind):
+    """Decode a body.
+
+    Raises
+    ------
+    ProblemError
+        MALFORMED, with the place of the mistake.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.ValidationError as error:
+        detail, _, place = str(error).partition(" - at ")
+        raise _build_malformed(detail, place.strip("`") or "$") from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise _build_malformed(f"body is not JSON: {error}", "$") from error
+
+
+def check_deadline(deadline_ms: int):
+    """Refuse a deadline out of range."""
+    if not 0 < deadline_ms <= MAX_DEADLINE_MS:
+        raise _build_malformed(
+            f"must be in 1..{MAX_DEADLINE_MS}", "$.deadline_ms"
+        )
+
+
+def check_priority(priority: str, plan: rows.Plan) -> int:
+    """Return the rank of a priority, the plan's least urgent if none."""
+    if not priority:
+        return len(plan.priorities) - 1
+    if priority not in plan.priorities:
+        raise errors.build_error(
+            errors.ErrorKind.FORBIDDEN,
+            f"priority {priority!r} is not in plan {plan.name!r}",
+            source="$.priority",
+        )
+    return plan.priorities.index(priority)
+
+
+def match_plan_services(patterns, plan: rows.Plan, known):
+    """Return the services that the patterns name and the plan allows.
+
+    Raises
+    ------
+    ProblemError
+        FORBIDDEN for a pattern outside of the plan, UNKNOWN_SERVICE for
+        one that names no service.
+    """
+    if not patterns or len(patterns) > MAX_PATTERNS:
+        raise _build_malformed("names no or too many services", "$.services")
+    allowed = set(lists_module.match_services(plan.services, known))
+    chosen = set()
+    for index, pattern in enumerate(patterns):
+        matched = set(lists_module.match_services((pattern,), known))
+        place = f"$.services[{index}]"
+        if not matched:
+            raise errors.build_error(
+                errors.ErrorKind.UNKNOWN_SERVICE,
+                f"no service matches {pattern!r}",
+                source=place,
+            )
+        if not matched & allowed:
+            raise errors.build_error(
+                errors.ErrorKind.FORBIDDEN,
+                f"{pattern!r} is not in plan {plan.name!r}",
+                source=place,
+            )
+        chosen |= matched & allowed
+    return tuple(sorted(chosen))
+
+
+def _build_malformed(detail, place):
+    return errors.build_error(errors.ErrorKind.MALFORMED, detail, source=place)
--- /dev/null
+++ b/chervilspindle/query/session.py
@@ -0,0 +1,217 @@
+"""An entry's session with control: lease, heartbeats and leader calls.
+
+The lease runs from the moment at which the heartbeat was sent, on this
+VM's own clock. Without a lease the entry admits nothing and dispatches
+nothing: it could not know whether its lists are still in force or whether
+its endpoints have another owner.
+"""
+
+import logging
+
+from twisted.internet import defer
+
+from chervilspindle.core import errors
+from chervilspindle.core import logs
+from chervilspindle.core import rows
+from chervilspindle.wire import messages
+
+LOGGER = logging.getLogger(__name__)
+
+HEARTBEAT_MS = 1000.0
+EAGER_MS = 50.0
+CALL_TIMEOUT_S = 0.8
+RETRY_PAUSE_S = 0.1
+TICK_S = 0.025
+MAX_REPORTS = 2000
+
+
+class ControlClient:
+    """Finds the control leader and calls it.
+
+    Parameters
+    ----------
+    call : callable
+        ``call(address, message, timeout_s)`` returns a Deferred.
+    address_by_vm : dict of str to str
+        Peer addresses of the control VMs.
+    timers : TimerService
+    """
+
+    def __init__(self, call, address_by_vm, timers):
+        self.call_peer = call
+        self.address_by_vm = address_by_vm
+        self.vm_ids = sorted(address_by_vm)
+        self.leader_vm = self.vm_ids[0]
+        self.timers = timers
+
+    @defer.inlineCallbacks
+    def call(self, message, timeout_s: float):
+        """Call the leader, looking for it until the time is out.
+
+        Raises
+        ------
+        ProblemError
+            NO_LEADER, not run unless an attempt's reply was lost.
+        """
+        due = self.timers.clock.seconds() + timeout_s
+        may_have_run = False
+        while True:
+            remaining = due - self.timers.clock.seconds()
+            if remaining <= 0:
+                raise errors.build_error(
+                    errors.ErrorKind.NO_LEADER,
+                    "no control leader could be reached",
+                    not_run=not may_have_run,
+                )
+            address = self.address_by_vm[self.leader_vm]
+            try:
+                reply = yield self.call_peer(
+                    address, message, min(CALL_TIMEOUT_S, remaining)
+                )
+            except errors.ProblemError as error:
+                if not _is_retryable(error.problem):
+                    raise
+                may_have_run = may_have_run or not error.problem.not_run
+                self._try_next("")
+            else:
+                if not isinstance(reply, messages.NotLeader):
+                    return reply
+                self._try_next(reply.leader_vm)
+            yield self._pause(RETRY_PAUSE_S)
+
+    def _try_next(self, hint: str):
+        if hint in self.address_by_vm and hint != self.leader_vm:
+            self.leader_vm = hint
+            return
+        position = self.vm_ids.index(self.leader_vm)
+        self.leader_vm = self.vm_ids[(position + 1) % len(self.vm_ids)]
+
+    def _pause(self, delay_s):
+        deferred = defer.Deferred()
+        self.timers.call_later(delay_s, deferred.callback, None)
+        return deferred
+
+
+class Session:
+    """Keeps the lease of one entry process.
+
+    Parameters
+    ----------
+    vm : rows.Vm
+    directory : Directory
+    control : ControlClient
+    timers : TimerService
+    read_clock : callable
+        Monotonic milliseconds.
+    """
+
+    def __init__(self, vm, directory, control, timers, read_clock):
+        self.vm = vm
+        self.directory = directory
+        self.control = control
+        self.timers = timers
+        self.read_clock = read_clock
+        self.lease_until_ms = 0.0
+        self.reports_by_id = {}
+        self.due_ms = 0.0
+        self.last_sent_ms = 0.0
+        self.busy = False
+        self.stopped = False
+
+    def start(self):
+        """Start sending heartbeats."""
+        self.timers.subscribe("session", TICK_S, self._tick)
+
+    def is_valid(self) -> bool:
+        """Tell whether the lease holds now."""
+        return self.read_clock() < self.lease_until_ms
+
+    def get_lease_ms(self) -> float:
+        """Return what is left of the lease, in ms."""
+        return max(0.0, self.lease_until_ms - self.read_clock())
+
+    def report(self, endpoint: rows.Endpoint):
+        """Report a changed endpoint with the next heartbeat, which is soon."""
+        known = self.reports_by_id.get(endpoint.endpoint_id)
+        if known is not None and not rows.is_newer(endpoint, known):
+            return
+        if len(self.reports_by_id) < MAX_REPORTS:
+            self.reports_by_id[endpoint.endpoint_id] = endpoint
+            self.hurry()
+
+    def hurry(self):
+        """Send the next heartbeat soon."""
+        self.due_ms = min(self.due_ms, self.last_sent_ms + EAGER_MS)
+
+    def set_state(self, state: str):
+        """Announce a new state of this VM."""
+        self.vm = self.vm._replace(state=state)
+        self.hurry()
+
+    @defer.inlineCallbacks
+    def leave(self):
+        """End the session; nothing may be admitted or dispatched any more."""
+        self.stopped = True
+        self.lease_until_ms = 0.0
+        try:
+            yield self.control.call(messages.Leave(self.vm.session), 2.0)
+        except errors.ProblemError:
+            LOGGER.warning("left without telling control")
+
+    def _tick(self):
+        now = self.read_clock()
+        if self.busy or self.stopped or now < self.due_ms:
+            return
+        self.busy = True
+        self.last_sent_ms = now
+        self.due_ms = now + HEARTBEAT_MS
+        reports, self.reports_by_id = self.reports_by_id, {}
+        heartbeat = messages.Heartbeat(
+            self.vm,
+            self.directory.version,
+            self.directory.lists.revision,
+            tuple(reports.values()),
+        )
+        deferred = self.control.call(heartbeat, CALL_TIMEOUT_S * 1.5)
+        deferred.addCallbacks(self._renewed, self._failed, (now,))
+        deferred.addErrback(_log_failure)
+        deferred.addBoth(self._finished, reports)
+
+    def _renewed(self, reply, sent_ms):
+        before = self.directory.version
+        self.directory.apply_delta(reply.delta)
+        if reply.lease_ms and not self.stopped:
+            if not self.is_valid():
+                logs.log_decision("lease-gained", session=self.vm.session)
+            until = sent_ms + reply.lease_ms
+            self.lease_until_ms = max(self.lease_until_ms, until)
+        elif not self.stopped:
+            self.hurry()
+        if self.directory.version != before:
+            # Confirms releases early, so that others get the endpoints.
+            self.hurry()
+        return True
+
+    def _failed(self, failure):
+        failure.trap(errors.ProblemError)
+        self.hurry()
+        return False
+
+    def _finished(self, succeeded, reports):
+        self.busy = False
+        if not succeeded:
+            for endpoint in reports.values():
+                self.report(endpoint)
+
+
+def _is_retryable(problem: errors.Problem) -> bool:
+    return problem.kind in (
+        errors.ErrorKind.CONNECTION_LOST,
+        errors.ErrorKind.NO_LEADER,
+        errors.ErrorKind.OUTCOME_UNKNOWN,
+    )
+
+
+def _log_failure(failure):
+    LOGGER.error("heartbeat failed: %s", failure.getTraceback())
+    return False
--- /dev/null
+++ b/chervilspindle/serve.py
@@ -0,0 +1,257 @@
+"""Builds the roles of one process from its settings and runs them."""
+
+import logging
+import os
+import signal
+from typing import NamedTuple
+
+from twisted.internet import defer
+from twisted.internet import endpoints
+
+from chervilspindle.control import leader as leader_module
+from chervilspindle.control import node as node_module
+from chervilspindle.control import storage as storage_module
+from chervilspindle.core import errors
+from chervilspindle.core import metrics as metrics_module
+from chervilspindle.core import timers as timers_module
+from chervilspindle.query import entry as entry_module
+from chervilspindle.query import gather
+from chervilspindle.wire import endpoint_client
+from chervilspindle.wire import http_api
+from chervilspindle.wire import messages
+from chervilspindle.wire import nng
+from chervilspindle.wire import peer
+
+LOGGER = logging.getLogger(__name__)
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EXIT_STORAGE = 3
+
+CONTROL_CALLS = (
+    messages.Heartbeat,
+    messages.Leave,
+    messages.ApplyListsCall,
+    messages.ClaimCall,
+    messages.ResolveCall,
+    messages.StatusCall,
+)
+
+
+class Roles(NamedTuple):
+    """The roles that a process runs; None for those it does not."""
+
+    entry: entry_module.Entry | None
+    node: node_module.ControlNode | None
+    leader: leader_module.Leader | None
+
+
+class Server:
+    """One process of the system.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP, IReactorTime and IReactorFDSet
+    settings : Settings
+    on_failure : callable
+        Called with an exit code when the process can't go on.
+    policy : gather.Policy
+    """
+
+    def __init__(self, reactor, settings, on_failure, policy=gather.Policy()):
+        self.reactor = reactor
+        self.settings = settings
+        self.on_failure = on_failure
+        self.timers = timers_module.TimerService(reactor)
+        self.metrics = metrics_module.Metrics()
+        self.network = peer.PeerNetwork(
+            reactor, self.timers, settings.shared_key.encode(), self._handle
+        )
+        self.ports = []
+        self.transport = None
+        self.roles = Roles(None, None, None)
+        self.policy = policy
+
+    @defer.inlineCallbacks
+    def start(self):
+        """Start all roles of the settings.
+
+        Raises
+        ------
+        StorageError
+            If the data folder is damaged or can't be written.
+        """
+        node = leader = entry = None
+        if "control" in self.settings.roles:
+            node = self._build_control()
+            leader = leader_module.Leader(
+                node, self.timers, timers_module.read_monotonic_ms
+            )
+        if "entry" in self.settings.roles:
+            entry = self._build_entry()
+        self.roles = Roles(entry, node, leader)
+        port = yield self.network.listen(self.settings.peer_address)
+        self.ports.append(port)
+        if entry is not None:
+            entry.start()
+            port = yield self._listen_http(entry)
+            self.ports.append(port)
+        self.timers.subscribe("control-state", 0.25, self._watch_control)
+        LOGGER.info("serving", extra={"roles": list(self.settings.roles)})
+
+    @defer.inlineCallbacks
+    def stop(self):
+        """Drain the entry, then close everything."""
+        if self.roles.entry is not None:
+            yield self.roles.entry.drain()
+        for port in self.ports:
+            yield defer.maybeDeferred(port.stopListening)
+        if self.roles.node is not None:
+            self.roles.node.stop()
+        if self.transport is not None:
+            self.transport.close()
+        self.network.close()
+        self.timers.cancel_all()
+
+    def _build_control(self):
+        settings = self.settings
+        identity = storage_module.load_identity(settings.data_folder)
+        if identity is None:
+            identity = storage_module.create_identity(
+                settings.data_folder, settings.group, settings.vm_id
+            )
+            LOGGER.info("new disk joins", extra={"member": identity.member_id})
+        self.transport = nng.NngTransport(
+            self.reactor, settings.shared_key.encode(), self._receive_raft
+        )
+        node = node_module.ControlNode(
+            identity,
+            settings.raft_address,
+            {v.vm_id: v.raft_address for v in settings.control_vms},
+            storage_module.Storage(settings.data_folder),
+            self.transport.send,
+            self.timers,
+            timers_module.read_monotonic_ms,
+            lambda: self.on_failure(EXIT_STORAGE),
+        )
+        node.start()
+        self.transport.listen(settings.raft_address)
+        return node
+
+    def _build_entry(self):
+        def build_client(address, connections):
+            return endpoint_client.EndpointClient(
+                self.reactor, address, connections
+            )
+
+        return entry_module.Entry(
+            self.settings,
+            self.network,
+            build_client,
+            self.timers,
+            timers_module.read_monotonic_ms,
+            self.metrics,
+            self.policy,
+        )
+
+    def _listen_http(self, entry):
+        host, port = self.settings.http_address.rsplit(":", 1)
+        server = endpoints.TCP4ServerEndpoint(
+            self.reactor, int(port), interface=host, backlog=512
+        )
+        return server.listen(http_api.HttpApi(entry).build_site())
+
+    def _receive_raft(self, data):
+        self.roles.node.receive(data)
+
+    def _handle(self, link, message):
+        if isinstance(message, CONTROL_CALLS):
+            if self.roles.leader is None:
+                raise errors.build_error(
+                    errors.ErrorKind.NO_LEADER, "this VM is not control"
+                )
+            return self.roles.leader.handle(message)
+        if self.roles.entry is None:
+            raise errors.build_error(
+                errors.ErrorKind.NOT_OWNER, "this VM is not an entry"
+            )
+        return self.roles.entry.handle(link, message)
+
+    def _watch_control(self):
+        node = self.roles.node
+        if node is None:
+            return
+        self.metrics.set_state("term", node.raft.term)
+        self.metrics.set_state("leader", int(node.is_leader()))
+        self.metrics.set_state("commit_index", node.raft.commit_index)
+
+
+def run_server(reactor, settings) -> int:
+    """Run a process until SIGTERM or SIGINT.
+
+    Returns
+    -------
+    int
+        Exit code: 0 after a clean shutdown, 3 if the disk failed.
+    """
+    codes = [EXIT_OK]
+
+    def fail(code):
+        codes[0] = code
+        if reactor.running:
+            reactor.callLater(0, reactor.stop)
+
+    server = Server(reactor, settings, fail)
+
+    def start():
+        server.start().addErrback(report)
+
+    def report(failure):
+        LOGGER.error("start failed: %s", failure.getErrorMessage())
+        storage = failure.check(storage_module.StorageError)
+        fail(EXIT_STORAGE if storage else EXIT_SETTINGS)
+
+    def shut_down(*_):
+        reactor.callFromThread(stop_server)
+
+    def stop_server():
+        stopping = server.stop()
+        stopping.addErrback(lambda failure: LOGGER.error("%s", failure))
+        stopping.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(start)
+    signal.signal(signal.SIGTERM, shut_down)
+    signal.signal(signal.SIGINT, shut_down)
+    reactor.run(installSignalHandlers=False)
+    return codes[0]
+
+
+def bootstrap(settings):
+    """Create the first member of a new group in an empty data folder.
+
+    Raises
+    ------
+    StorageError
+        If the folder is in use already.
+    """
+    folder = settings.data_folder
+    if storage_module.load_identity(folder) is not None:
+        raise storage_module.StorageError(f"{folder} is in use already")
+    os.makedirs(folder, mode=0o700, exist_ok=True)
+    identity = storage_module.create_identity(
+        folder, settings.group, settings.vm_id
+    )
+    storage = storage_module.Storage(folder)
+    node = node_module.ControlNode(
+        identity,
+        settings.raft_address,
+        {},
+        storage,
+        lambda address, data: None,
+        timers_module.TimerService(None),
+        timers_module.read_monotonic_ms,
+        lambda: None,
+    )
+    node.initialise()
+    storage.close()
+    return identity
--- /dev/null
+++ b/chervilspindle/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in endpoint, load generator and embedded demonstration."""
--- /dev/null
+++ b/chervilspindle/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and transports towards peers, callers and endpoints."""
--- /dev/null
+++ b/chervilspindle/wire/endpoint_client.py
@@ -0,0 +1,222 @@
+"""HTTP client of one endpoint, over kept-alive connections.
+
+Requests are never repeated by the HTTP library: whether a request may run
+again is decided by the callers of this module alone.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+import treq.client
+from twisted.internet import defer
+from twisted.internet import error as internet_error
+from twisted.web import client as web_client
+from twisted.web import http_headers
+
+from chervilspindle.core import errors
+from chervilspindle.wire import messages
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTION_S = 20.0
+PROBE_TIMEOUT_S = 0.5
+
+_NOT_CONNECTED = (
+    internet_error.ConnectError,
+    internet_error.ConnectingCancelledError,
+)
+
+
+class RunResult(NamedTuple):
+    """How an endpoint answered.
+
+    Parameters
+    ----------
+    status : str
+        ``ok`` or the value of an `ErrorKind`.
+    dispatched : bool
+        False only if the request certainly did not run.
+    retry_after_ms : int
+    snapshot : int
+    value : Raw
+    """
+
+    status: str
+    dispatched: bool
+    retry_after_ms: int
+    snapshot: int
+    value: msgspec.Raw
+
+
+class RunBody(msgspec.Struct):
+    """Body of an endpoint's answer."""
+
+    request_id: str = ""
+    snapshot: int = 0
+    value: msgspec.Raw = messages.EMPTY_VALUE
+    kind: str = ""
+    not_run: bool = False
+    retry_after_ms: int = 0
+
+
+class RunState(msgspec.Struct):
+    """What an endpoint says of an earlier request."""
+
+    state: str
+    result: RunBody | None = None
+
+
+_BODY = msgspec.json.Decoder(RunBody)
+_STATE = msgspec.json.Decoder(RunState)
+_ENCODER = msgspec.json.Encoder()
+
+
+class EndpointClient:
+    """Connections to one endpoint.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+    address : str
+        ``IP:PORT``.
+    connections : int
+        Most connections to keep.
+    """
+
+    def __init__(self, reactor, address: str, connections: int):
+        self.reactor = reactor
+        self.base = f"http://{address}"
+        self.pool = web_client.HTTPConnectionPool(reactor, persistent=True)
+        self.pool.maxPersistentPerHost = connections
+        self.pool.retryAutomatically = False
+        self.pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        self.kept = self._build_client(self.pool)
+        # Probes need a connection that no silent middlebox has a hold on.
+        self.fresh = self._build_client(
+            web_client.HTTPConnectionPool(reactor, persistent=False)
+        )
+
+    def run_query(self, run_id, query, snapshot, low, high, deadline_ms):
+        """Run one part.
+
+        Returns
+        -------
+        Deferred of RunResult
+            Cancelling it closes the connection.
+        """
+        body = {
+            "request_id": run_id,
+            "snapshot": snapshot,
+            "low": low,
+            "high": high,
+            "query": query,
+        }
+        return self._run("/run", run_id, body, deadline_ms)
+
+    def run_command(self, run_id, key, command, deadline_ms):
+        """Run one non-idempotent request, sent once."""
+        body = {"request_id": run_id, "key": key, "command": command}
+        return self._run("/command", run_id, body, deadline_ms)
+
+    @defer.inlineCallbacks
+    def cancel(self, run_id: str):
+        """Ask the endpoint to end a request; failures are ignored."""
+        try:
+            response = yield self.kept.delete(f"{self.base}/run/{run_id}")
+            yield treq.content(response)
+        except Exception:
+            return
+
+    @defer.inlineCallbacks
+    def probe(self, run_id: str):
+        """Ask on a fresh connection what became of a request.
+
+        Returns
+        -------
+        Deferred of RunState or None
+            None if the endpoint can't be reached.
+        """
+        request = self.fresh.get(f"{self.base}/run/{run_id}")
+        request.addTimeout(PROBE_TIMEOUT_S, self.reactor)
+        try:
+            response = yield request
+            data = yield treq.content(response)
+            return _STATE.decode(data)
+        except Exception:
+            return None
+
+    def close(self):
+        """Close the connections that no request uses."""
+        self.pool.closeCachedConnections()
+
+    def _build_client(self, pool):
+        agent = web_client.Agent(
+            self.reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool
+        )
+        return treq.client.HTTPClient(agent)
+
+    @defer.inlineCallbacks
+    def _run(self, path, run_id, body, deadline_ms):
+        headers = http_headers.Headers(
+            {
+                "Content-Type": ["application/json"],
+                "X-Request-Id": [run_id],
+                "X-Deadline-Ms": [str(max(1, int(deadline_ms)))],
+            }
+        )
+        try:
+            response = yield self.kept.request(
+                "POST",
+                self.base + path,
+                headers=headers,
+                data=_ENCODER.encode(body),
+            )
+            data = yield treq.content(response)
+        except Exception as error:
+            return _read_failure(error)
+        return read_answer(response.code, data, run_id)
+
+
+def read_answer(code: int, data: bytes, run_id: str) -> RunResult:
+    """Turn an HTTP answer into a result.
+
+    An answer that names another request is a failure, never a result.
+    """
+    try:
+        body = _BODY.decode(data)
+    except msgspec.MsgspecError:
+        return _build_failure(errors.ErrorKind.CONNECTION_LOST, True)
+    if body.request_id != run_id:
+        return _build_failure(errors.ErrorKind.CONNECTION_LOST, True)
+    if code == 200:
+        return RunResult("ok", True, 0, body.snapshot, body.value)
+    kind = _KIND_BY_ENDPOINT_KIND.get(
+        body.kind, errors.ErrorKind.CONNECTION_LOST
+    )
+    return RunResult(
+        kind.value,
+        not body.not_run,
+        body.retry_after_ms,
+        body.snapshot,
+        body.value,
+    )
+
+
+_KIND_BY_ENDPOINT_KIND = {
+    "shed": errors.ErrorKind.OVERLOADED,
+    "draining": errors.ErrorKind.DRAINING,
+    "warming": errors.ErrorKind.NO_ENDPOINT,
+    "snapshot_gone": errors.ErrorKind.SNAPSHOT_GONE,
+    "deadline": errors.ErrorKind.DEADLINE,
+    "cancelled": errors.ErrorKind.CANCELLED,
+    "failed": errors.ErrorKind.ENDPOINT_FAILED,
+}
+
+
+def _read_failure(error) -> RunResult:
+    if isinstance(error, _NOT_CONNECTED):
+        return _build_failure(errors.ErrorKind.NO_ENDPOINT, False)
+    return _build_failure(errors.ErrorKind.CONNECTION_LOST, True)
+
+
+def _build_failure(kind, dispatched) -> RunResult:
+    return RunResult(kind.value, dispatched, 0, 0, messages.EMPTY_VALUE)
--- /dev/null
+++ b/chervilspindle/wire/http_api.py
@@ -0,0 +1,390 @@
+"""HTTP interface of an entry: callers, endpoints, operators, platform."""
+
+import json
+import logging
+
+import klein
+import msgspec
+from twisted.internet import defer
+from twisted.web import http
+from twisted.web import server
+from werkzeug import exceptions as werkzeug_exceptions
+
+from chervilspindle.config import jsonc
+from chervilspindle.config import lists as lists_module
+from chervilspindle.config import tokens
+from chervilspindle.core import errors
+from chervilspindle.core import rows
+from chervilspindle.query import coverage
+from chervilspindle.query import entry as entry_module
+from chervilspindle.query import requests
+
+LOGGER = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+IDLE_TIMEOUT_S = 120
+MAX_HOLDINGS = 1000
+MAX_NAME_CHARACTERS = 200
+
+
+class Announcement(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of POST /v1/announce."""
+
+    endpoint: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    connections: int
+    state: str
+    holdings: list[rows.Holding]
+    incarnation: int
+    sequence: int
+    in_use: int = 0
+
+
+class LimitedRequest(server.Request):
+    """Refuses a body over the limit before it is read."""
+
+    refused = False
+
+    def gotLength(self, length):
+        """Check the announced length."""
+        if length is not None and length > MAX_BODY_BYTES:
+            self._refuse()
+        else:
+            super().gotLength(length)
+
+    def handleContentChunk(self, data):
+        """Check the length that has arrived."""
+        if self.refused:
+            return
+        if self.content.tell() + len(data) > MAX_BODY_BYTES:
+            self._refuse()
+        else:
+            super().handleContentChunk(data)
+
+    def _refuse(self):
+        self.refused = True
+        problem = errors.build_problem(
+            errors.ErrorKind.TOO_LARGE,
+            f"the body is larger than {MAX_BODY_BYTES} bytes",
+            source="body",
+        )
+        body = json.dumps(errors.describe_problem(problem)).encode()
+        head = (
+            "HTTP/1.1 413 Request Entity Too Large\r\n"
+            "Content-Type: application/problem+json\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        self.channel.transport.write(head.encode() + body)
+        self.channel.loseConnection()
+
+
+class HttpApi:
+    """Routes of one entry.
+
+    Parameters
+    ----------
+    entry : Entry
+    """
+
+    app = klein.Klein()
+
+    def __init__(self, entry):
+        self.entry = entry
+        self.operator_by_name = {
+            row.name: row for row in entry.settings.operators
+        }
+        self.announcer_by_name = {
+            row.name: row for row in entry.settings.endpoint_tokens
+        }
+
+    def build_site(self) -> server.Site:
+        """Return the site to listen with."""
+        site = server.Site(
+            self.app.resource(),
+            requestFactory=LimitedRequest,
+            timeout=IDLE_TIMEOUT_S,
+        )
+        site.displayTracebacks = False
+        return site
+
+    @app.route("/v1/query", methods=["POST"])
+    @defer.inlineCallbacks
+    def run_query(self, request):
+        """Answer a query."""
+        answer = yield self.entry.run_query(
+            request.getHeader("authorization"), request.content.read()
+        )
+        return _write_bytes(request, 200, encode_answer(answer))
+
+    @app.route("/v1/command", methods=["POST"])
+    @defer.inlineCallbacks
+    def run_command(self, request):
+        """Run a non-idempotent request."""
+        request_id, value = yield self.entry.run_command(
+            request.getHeader("authorization"),
+            request.getHeader("idempotency-key"),
+            request.content.read(),
+        )
+        body = {
+            "request_id": request_id,
+            "outcome": "done",
+            "value": msgspec.Raw(value),
+        }
+        return _write_bytes(request, 200, msgspec.json.encode(body))
+
+    @app.route("/v1/announce", methods=["POST"])
+    def take_announcement(self, request):
+        """Take in an endpoint's announcement."""
+        if self.announcer_by_name:
+            self._check_token(request, self.announcer_by_name)
+        body = requests.decode_body(request.content.read(), Announcement)
+        endpoint = build_endpoint(body)
+        self.entry.take_announcement(endpoint, body.in_use)
+        return _write_json(request, 200, {"accepted": True})
+
+    @app.route("/v1/config", methods=["GET"])
+    def show_config(self, request):
+        """Return the two lists that are in force here."""
+        self._check_token(request, self.operator_by_name)
+        if not self.entry.session.is_valid():
+            raise errors.build_error(
+                errors.ErrorKind.NO_LEASE, "this VM has no lease"
+            )
+        lists = self.entry.directory.lists
+        request.setHeader("ETag", f'"{lists.revision}"')
+        return _write_json(request, 200, entry_module.describe_lists(lists))
+
+    @app.route("/v1/config", methods=["PUT"])
+    @defer.inlineCallbacks
+    def apply_config(self, request):
+        """Replace the two lists."""
+        self._check_token(request, self.operator_by_name)
+        if_revision = read_revision(request.getHeader("if-match"))
+        change_id = read_change_id(request.getHeader("change-id"))
+        parsed = parse_lists(request.content.read())
+        reply = yield self.entry.apply_lists(parsed, if_revision, change_id)
+        if not reply.accepted:
+            raise errors.build_error(
+                errors.ErrorKind.CONFLICT, reply.detail, source="If-Match"
+            )
+        request.setHeader("ETag", f'"{reply.revision}"')
+        body = {"accepted": True, "revision": reply.revision}
+        return _write_json(request, 200, body)
+
+    @app.route("/v1/status", methods=["GET"])
+    @defer.inlineCallbacks
+    def show_status(self, request):
+        """Return how the system stands."""
+        self._check_token(request, self.operator_by_name)
+        reply = yield self.entry.get_status()
+        return _write_bytes(request, 200, reply.body)
+
+    @app.route("/v1/explain/<request_id>", methods=["GET"])
+    @defer.inlineCallbacks
+    def explain(self, request, request_id):
+        """Return what was decided for a request."""
+        self._check_token(request, self.operator_by_name)
+        body = yield self.entry.explain_request(request_id)
+        if not body:
+            raise errors.build_error(
+                errors.ErrorKind.UNKNOWN_REQUEST, "no such request is known"
+            )
+        return _write_bytes(request, 200, body)
+
+    @app.route("/healthz", methods=["GET"])
+    def show_health(self, request):
+        """Tell that the process is alive."""
+        return _write_json(request, 200, {"alive": True})
+
+    @app.route("/readyz", methods=["GET"])
+    def show_readiness(self, request):
+        """Tell the balancer whether to send callers here."""
+        ready = self.entry.is_ready()
+        return _write_json(request, 200 if ready else 503, {"ready": ready})
+
+    @app.route("/metrics", methods=["GET"])
+    def show_metrics(self, request):
+        """Return all metrics."""
+        body, headers = self.entry.metrics.render(["text/plain"])
+        for name, value in headers.items():
+            request.setHeader(name, value)
+        return body
+
+    @app.handle_errors(Exception)
+    def answer_error(self, request, failure):
+        """Turn any failure into problem JSON."""
+        problem = read_failure(failure)
+        answer = errors.ANSWER_BY_KIND[problem.kind]
+        if problem.retry_after_ms:
+            seconds = -(-problem.retry_after_ms // 1000)
+            request.setHeader("Retry-After", str(seconds))
+        return _write_json(
+            request,
+            answer.status,
+            errors.describe_problem(problem),
+            "application/problem+json",
+        )
+
+    def _check_token(self, request, row_by_name):
+        token = requests.read_bearer(request.getHeader("authorization"))
+        if tokens.verify_token(token, row_by_name) is None:
+            raise errors.build_error(
+                errors.ErrorKind.UNAUTHENTICATED,
+                "the bearer token is not known here",
+                source="header Authorization",
+            )
+
+
+def read_failure(failure) -> errors.Problem:
+    """Return the problem of a failure, without its inner details."""
+    if failure.check(errors.ProblemError):
+        return failure.value.problem
+    if failure.check(werkzeug_exceptions.HTTPException):
+        return errors.build_problem(
+            errors.ErrorKind.UNKNOWN_PATH,
+            "no such path or method",
+            source="request line",
+        )
+    LOGGER.error("request failed: %s", failure.getTraceback())
+    return errors.build_problem(errors.ErrorKind.INTERNAL, "internal error")
+
+
+def encode_answer(answer) -> bytes:
+    """Encode the body of a query's answer."""
+    total = len(answer.results) + len(answer.missing)
+    body = {
+        "request_id": answer.request_id,
+        "snapshot": answer.snapshot,
+        "coverage": {
+            "complete": not answer.missing,
+            "answered": len(answer.results),
+            "total": total,
+            "missing": [
+                {
+                    "service": row.service,
+                    "shard": coverage.name_shard(row.low, row.high),
+                    "reason": row.reason,
+                }
+                for row in answer.missing
+            ],
+        },
+        "results": [
+            {"service": service, "shard": shard, "value": value}
+            for service, shard, value in answer.results
+        ],
+    }
+    return msgspec.json.encode(body)
+
+
+def build_endpoint(body: Announcement) -> rows.Endpoint:
+    """Check an announcement and build its row.
+
+    Raises
+    ------
+    ProblemError
+        MALFORMED, with the place.
+    """
+    for place, mistake in list_mistakes(body):
+        raise errors.build_error(
+            errors.ErrorKind.MALFORMED, mistake, source=f"$.{place}"
+        )
+    return rows.Endpoint(
+        body.endpoint,
+        body.service,
+        body.address,
+        body.zone,
+        body.slots,
+        body.connections,
+        body.state,
+        tuple(body.holdings),
+        body.incarnation,
+        body.sequence,
+    )
+
+
+def list_mistakes(body: Announcement):
+    """Yield (place, mistake) for each mistake of an announcement."""
+    for name in ("endpoint", "service", "zone"):
+        if not 0 < len(getattr(body, name)) <= MAX_NAME_CHARACTERS:
+            yield name, "is empty or too long"
+    if not body.address.rpartition(":")[2].isdigit():
+        yield "address", "must be IP:PORT"
+    if body.slots < 1:
+        yield "slots", "must be at least 1"
+    if body.connections < 1:
+        yield "connections", "must be at least 1"
+    if body.state not in ("warming", "ready", "draining"):
+        yield "state", "must be warming, ready or draining"
+    if len(body.holdings) > MAX_HOLDINGS:
+        yield "holdings", "has too many rows"
+    for index, row in enumerate(body.holdings):
+        if not 0 <= row.low < row.high <= rows.KEY_SPACE:
+            yield f"holdings[{index}]", "is not a range of the key space"
+
+
+def read_revision(header: str | None) -> int:
+    """Return the revision of an If-Match header, -1 for ``*``."""
+    text = (header or "").strip().strip('"')
+    if text == "*":
+        return -1
+    if not text.isdigit():
+        raise errors.build_error(
+            errors.ErrorKind.MALFORMED,
+            'must be "REVISION" or *',
+            source="header If-Match",
+        )
+    return int(text)
+
+
+def read_change_id(header: str | None) -> str:
+    """Return a Change-Id header."""
+    text = (header or "").strip()
+    if not 0 < len(text) <= MAX_NAME_CHARACTERS:
+        raise errors.build_error(
+            errors.ErrorKind.MALFORMED,
+            "must have 1 to 200 characters",
+            source="header Change-Id",
+        )
+    return text
+
+
+def parse_lists(data: bytes) -> lists_module.ParsedLists:
+    """Parse and validate both lists.
+
+    Raises
+    ------
+    ProblemError
+        MALFORMED, naming the place of each mistake.
+    """
+    try:
+        text = data.decode()
+    except UnicodeDecodeError as error:
+        raise errors.build_error(
+            errors.ErrorKind.MALFORMED, "body is not UTF-8", source="body"
+        ) from error
+    document, mistakes = jsonc.parse_text(text, "body")
+    parsed = None
+    if not mistakes:
+        parsed, mistakes = lists_module.build_lists(document, "body")
+    if mistakes:
+        raise errors.build_error(
+            errors.ErrorKind.MALFORMED,
+            "; ".join(jsonc.format_error(m) for m in mistakes),
+            source=mistakes[0].place,
+        )
+    return parsed
+
+
+def _write_json(request, status, body, content_type="application/json"):
+    return _write_bytes(
+        request, status, json.dumps(body).encode(), content_type
+    )
+
+
+def _write_bytes(request, status, data, content_type="application/json"):
+    request.setResponseCode(status, http.RESPONSES.get(status))
+    request.setHeader("Content-Type", content_type)
+    return data
--- /dev/null
+++ b/chervilspindle/wire/messages.py
@@ -0,0 +1,339 @@
+"""Messages between the system's own processes, and their codec."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from chervilspindle.core import errors
+from chervilspindle.core import rows
+
+
+class Delta(NamedTuple):
+    """Rows that changed since the version that an entry knows.
+
+    Parameters
+    ----------
+    version : int
+        Version of the tables after this delta.
+    full : bool
+        Whether it replaces all that the entry holds.
+    lists : rows.Lists or None
+    vms, endpoints, ownerships : tuple
+    gone_vms, gone_endpoints : tuple of str
+    """
+
+    version: int
+    full: bool
+    lists: rows.Lists | None
+    vms: tuple[rows.Vm, ...]
+    endpoints: tuple[rows.Endpoint, ...]
+    ownerships: tuple[rows.Ownership, ...]
+    gone_vms: tuple[str, ...]
+    gone_endpoints: tuple[str, ...]
+
+
+class Heartbeat(NamedTuple):
+    """Renews a session and reports endpoints that changed.
+
+    `known_version` also confirms that the session has put that version in
+    force, releases of its endpoints included.
+    """
+
+    vm: rows.Vm
+    known_version: int
+    known_revision: int
+    reports: tuple[rows.Endpoint, ...]
+
+
+class HeartbeatReply(NamedTuple):
+    """Grants a lease from the time at which the heartbeat was sent."""
+
+    lease_ms: int
+    delta: Delta
+
+
+class Leave(NamedTuple):
+    """Ends a session that holds nothing any more."""
+
+    session: str
+
+
+class Done(NamedTuple):
+    """Acknowledges a call that has no other result."""
+
+
+class NotLeader(NamedTuple):
+    """Names the VM of the control leader, if one is known."""
+
+    leader_vm: str
+
+
+class ApplyListsCall(NamedTuple):
+    """Asks the leader to replace the two lists."""
+
+    change_id: str
+    digest: str
+    if_revision: int
+    customers: tuple[rows.Customer, ...]
+    plans: tuple[rows.Plan, ...]
+
+
+class ApplyListsReply(NamedTuple):
+    """Tells whether a change was accepted, and the revision."""
+
+    accepted: bool
+    revision: int
+    detail: str
+
+
+class ClaimCall(NamedTuple):
+    """Asks for the right to run a non-idempotent request."""
+
+    claim: rows.Claim
+
+
+class ClaimReply(NamedTuple):
+    """The new claim, or the earlier one under the same key."""
+
+    granted: bool
+    claim: rows.Claim
+
+
+class ResolveCall(NamedTuple):
+    """Records the outcome of an attempt (``done``, ``failed``, ``free``)."""
+
+    claim_id: str
+    attempt: str
+    outcome: str
+    value: bytes
+
+
+class StatusCall(NamedTuple):
+    """Asks the leader how the system stands."""
+
+
+class StatusReply(NamedTuple):
+    """JSON of the status."""
+
+    body: bytes
+
+
+class Part(NamedTuple):
+    """One shard of a sub-query, at one endpoint under one epoch."""
+
+    shard: int
+    endpoint_id: str
+    epoch: int
+    low: int
+    high: int
+
+
+class SubQuery(NamedTuple):
+    """All parts of one query for the endpoints of one owner.
+
+    `deadline_ms` is the time left; clocks of VMs are never compared.
+    """
+
+    request_id: str
+    attempt: int
+    customer: str
+    weight: float
+    rank: int
+    deadline_ms: float
+    snapshot: int
+    query: msgspec.Raw
+    parts: tuple[Part, ...]
+
+
+class PartReply(NamedTuple):
+    """Result of one part.
+
+    Parameters
+    ----------
+    shard : int
+    endpoint_id : str
+    status : str
+        ``ok`` or the value of an `ErrorKind`.
+    dispatched : bool
+        False proves that the endpoint never got the part.
+    retry_after_ms : int
+    wait_ms, service_ms : float
+        Time in the owner's queue, and at the endpoint.
+    backlog_ms : float
+        Expected wait of the endpoint's queue when the reply was built.
+    value : Raw
+    """
+
+    shard: int
+    endpoint_id: str
+    status: str
+    dispatched: bool
+    retry_after_ms: int
+    wait_ms: float
+    service_ms: float
+    backlog_ms: float
+    value: msgspec.Raw
+
+
+class SubReply(NamedTuple):
+    """Results of parts that ended in the same turn of the loop."""
+
+    request_id: str
+    attempt: int
+    parts: tuple[PartReply, ...]
+
+
+class CancelParts(NamedTuple):
+    """Ends the named parts of a sub-query."""
+
+    request_id: str
+    attempt: int
+    endpoint_ids: tuple[str, ...]
+
+
+class RunCommand(NamedTuple):
+    """Asks an owner to dispatch a claimed request exactly once."""
+
+    request_id: str
+    customer: str
+    weight: float
+    rank: int
+    deadline_ms: float
+    endpoint_id: str
+    epoch: int
+    key: str
+    command: msgspec.Raw
+
+
+class CommandReply(NamedTuple):
+    """Outcome of a command; `dispatched` False proves that it never ran."""
+
+    status: str
+    dispatched: bool
+    retry_after_ms: int
+    value: msgspec.Raw
+
+
+class Load(NamedTuple):
+    """What an endpoint said of its load in one announcement."""
+
+    endpoint_id: str
+    incarnation: int
+    sequence: int
+    state: str
+    in_use: int
+
+
+class LoadReport(NamedTuple):
+    """Announcements that an entry passes on to the endpoints' owner."""
+
+    loads: tuple[Load, ...]
+
+
+class ExplainCall(NamedTuple):
+    """Asks the entry that gathered a request what it decided."""
+
+    request_id: str
+
+
+class ExplainReply(NamedTuple):
+    """JSON of the decisions, empty if the request is unknown."""
+
+    body: bytes
+
+
+class ProblemReply(NamedTuple):
+    """Answers a call that failed."""
+
+    kind: str
+    detail: str
+    not_run: bool
+    retry_after_ms: int
+
+
+class Frame(NamedTuple):
+    """One message on a link; `call_id` 0 expects no reply."""
+
+    kind: str
+    call_id: int
+    is_reply: bool
+    body: msgspec.Raw
+
+
+MESSAGE_BY_NAME = {
+    cls.__name__: cls
+    for cls in (
+        Heartbeat,
+        HeartbeatReply,
+        Leave,
+        Done,
+        NotLeader,
+        ApplyListsCall,
+        ApplyListsReply,
+        ClaimCall,
+        ClaimReply,
+        ResolveCall,
+        StatusCall,
+        StatusReply,
+        SubQuery,
+        SubReply,
+        CancelParts,
+        RunCommand,
+        CommandReply,
+        LoadReport,
+        ExplainCall,
+        ExplainReply,
+        ProblemReply,
+    )
+}
+
+EMPTY_VALUE = msgspec.Raw(b"null")
+
+_ENCODER = msgspec.msgpack.Encoder()
+_FRAME = msgspec.msgpack.Decoder(Frame)
+_DECODER_BY_NAME = {
+    name: msgspec.msgpack.Decoder(cls) for name, cls in MESSAGE_BY_NAME.items()
+}
+
+
+def encode_frame(message, call_id: int, is_reply: bool) -> bytes:
+    """Encode one message."""
+    body = msgspec.Raw(_ENCODER.encode(message))
+    name = type(message).__name__
+    return _ENCODER.encode(Frame(name, call_id, is_reply, body))
+
+
+def decode_frame(data: bytes):
+    """Decode one message.
+
+    Returns
+    -------
+    message, call_id, is_reply : NamedTuple, int, bool
+
+    Raises
+    ------
+    msgspec.DecodeError, KeyError
+    """
+    frame = _FRAME.decode(data)
+    message = _DECODER_BY_NAME[frame.kind].decode(frame.body)
+    return message, frame.call_id, frame.is_reply
+
+
+def build_problem_reply(problem: errors.Problem) -> ProblemReply:
+    """Turn a problem into its message."""
+    return ProblemReply(
+        problem.kind.value,
+        problem.detail,
+        problem.not_run,
+        problem.retry_after_ms,
+    )
+
+
+def read_problem(reply: ProblemReply) -> errors.Problem:
+    """Turn a message back into the problem."""
+    return errors.Problem(
+        errors.ErrorKind(reply.kind),
+        reply.detail,
+        reply.not_run,
+        reply.retry_after_ms,
+    )
--- /dev/null
+++ b/chervilspindle/wire/peer.py
@@ -0,0 +1,362 @@
+"""Authenticated message links between VMs, over framed TCP.
+
+Each link starts with a nonce from either side; every frame then carries a
+keyed BLAKE2b tag over a counter and the bytes, so that frames can't be
+forged, replayed, dropped or reordered within a link. Both ends send pings
+and close a link on which nothing arrives: TCP alone may take minutes to
+notice that something between the ends has lost track of the connection.
+"""
+
+import hashlib
+import hmac
+import itertools
+import logging
+import os
+from typing import NamedTuple
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error as internet_error
+from twisted.internet import protocol
+from twisted.protocols import basic
+
+from chervilspindle.core import errors
+from chervilspindle.wire import messages
+
+LOGGER = logging.getLogger(__name__)
+
+NONCE_BYTES = 16
+TAG_BYTES = 16
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+PING_PERIOD_S = 0.5
+SILENCE_LIMIT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+MAX_QUEUED = 10000
+
+
+class PendingCall(NamedTuple):
+    """A call that waits for its reply."""
+
+    deferred: defer.Deferred
+    timeout: object
+
+
+class PeerLink(basic.Int32StringReceiver):
+    """One connection; the same class serves both ends."""
+
+    MAX_LENGTH = MAX_FRAME_BYTES
+
+    def __init__(self, network, dialled_address: str = ""):
+        self.network = network
+        self.dialled_address = dialled_address
+        self.own_nonce = os.urandom(NONCE_BYTES)
+        self.send_key = None
+        self.receive_key = None
+        self.sent_count = 0
+        self.received_count = 0
+        self.last_heard = network.clock.seconds()
+        self.last_sent = self.last_heard
+        self.pending_by_id = {}
+        self.call_ids = itertools.count(1)
+
+    def connectionMade(self):
+        """Start the handshake."""
+        self.transport.setTcpNoDelay(True)
+        self.network.add_link(self)
+        self.sendString(self.own_nonce)
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        """Fail all calls and tell the network."""
+        pending = list(self.pending_by_id.values())
+        self.pending_by_id.clear()
+        self.network.remove_link(self)
+        for call in pending:
+            if call.timeout.active():
+                call.timeout.cancel()
+            call.deferred.errback(_build_lost("peer link lost"))
+
+    def stringReceived(self, string: bytes):
+        """Check a frame and pass its message on."""
+        self.last_heard = self.network.clock.seconds()
+        if self.receive_key is None:
+            self._finish_handshake(string)
+            return
+        body = self._verify(string)
+        if body is None:
+            LOGGER.warning("peer frame refused")
+            self.transport.abortConnection()
+            return
+        if not body:
+            return
+        try:
+            message, call_id, is_reply = messages.decode_frame(body)
+        except (msgspec.MsgspecError, KeyError):
+            LOGGER.warning("peer frame not understood")
+            self.transport.abortConnection()
+            return
+        if is_reply:
+            self._resolve(call_id, message)
+        else:
+            self.network.dispatch(self, call_id, message)
+
+    def lengthLimitExceeded(self, length: int):
+        """Drop a link whose frame is larger than any message."""
+        self.transport.abortConnection()
+
+    def is_ready(self) -> bool:
+        """Tell whether the handshake is done."""
+        return self.send_key is not None
+
+    def send(self, message, call_id: int = 0, is_reply: bool = False):
+        """Send a message."""
+        self._send_body(messages.encode_frame(message, call_id, is_reply))
+
+    def call(self, message, timeout_s: float) -> defer.Deferred:
+        """Send a message and wait for its reply."""
+        call_id = next(self.call_ids)
+        deferred = defer.Deferred()
+        timeout = self.network.clock.callLater(
+            timeout_s, self._time_out, call_id
+        )
+        self.pending_by_id[call_id] = PendingCall(deferred, timeout)
+        self.send(message, call_id)
+        return deferred
+
+    def send_ping(self):
+        """Send an empty frame."""
+        self._send_body(b"")
+
+    def _finish_handshake(self, nonce: bytes):
+        if len(nonce) != NONCE_BYTES or nonce == self.own_nonce:
+            self.transport.abortConnection()
+            return
+        dialled = bool(self.dialled_address)
+        first, second = self.own_nonce, nonce
+        if not dialled:
+            first, second = second, first
+        dialler_key = _derive_key(
+            self.network.shared_key, first + second, b"d"
+        )
+        listener_key = _derive_key(
+            self.network.shared_key, first + second, b"l"
+        )
+        self.send_key = dialler_key if dialled else listener_key
+        self.receive_key = listener_key if dialled else dialler_key
+        self.network.link_ready(self)
+
+    def _send_body(self, body: bytes):
+        tag = _compute_tag(self.send_key, self.sent_count, body)
+        self.sent_count += 1
+        self.last_sent = self.network.clock.seconds()
+        self.sendString(tag + body)
+
+    def _verify(self, data: bytes) -> bytes | None:
+        tag, body = data[:TAG_BYTES], data[TAG_BYTES:]
+        expected = _compute_tag(self.receive_key, self.received_count, body)
+        self.received_count += 1
+        return body if hmac.compare_digest(tag, expected) else None
+
+    def _resolve(self, call_id: int, message):
+        call = self.pending_by_id.pop(call_id, None)
+        if call is None:
+            return
+        if call.timeout.active():
+            call.timeout.cancel()
+        if isinstance(message, messages.ProblemReply):
+            problem = messages.read_problem(message)
+            call.deferred.errback(errors.ProblemError(problem))
+        else:
+            call.deferred.callback(message)
+
+    def _time_out(self, call_id: int):
+        call = self.pending_by_id.pop(call_id, None)
+        if call is not None:
+            call.deferred.errback(_build_lost("peer did not answer in time"))
+
+
+class PeerNetwork(protocol.Factory):
+    """All links of one process.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+    timers : TimerService
+    shared_key : bytes
+    handler : callable
+        ``handler(link, message)`` returns a reply, a Deferred, or None.
+    """
+
+    noisy = False
+
+    def __init__(self, reactor, timers, shared_key: bytes, handler):
+        self.clock = reactor
+        self.reactor = reactor
+        self.shared_key = shared_key
+        self.handler = handler
+        self.links = set()
+        self.link_by_address = {}
+        self.queue_by_address = {}
+        self.lost_listeners = []
+        timers.subscribe("peer-pings", PING_PERIOD_S, self._check_links)
+
+    def buildProtocol(self, addr):
+        """Build the protocol of an accepted connection."""
+        return PeerLink(self)
+
+    def listen(self, address: str) -> defer.Deferred:
+        """Accept links on ``IP:PORT``."""
+        host, port = address.rsplit(":", 1)
+        server = endpoints.TCP4ServerEndpoint(
+            self.reactor, int(port), interface=host
+        )
+        return server.listen(self)
+
+    def send(self, address: str, message):
+        """Send a message, over a new link if there is none yet.
+
+        Loss is told to `lost_listeners`, each ``listener(address)``.
+        """
+        link = self.link_by_address.get(address)
+        if link is not None and link.is_ready():
+            link.send(message)
+            return
+
+        def start(ready):
+            if ready is not None:
+                ready.send(message)
+
+        self._enqueue(address, start)
+
+    def call(self, address: str, message, timeout_s: float):
+        """Send a message and wait for its reply.
+
+        Returns
+        -------
+        Deferred
+            Fails with `ProblemError` of the peer, or CONNECTION_LOST.
+        """
+        link = self.link_by_address.get(address)
+        if link is not None and link.is_ready():
+            return link.call(message, timeout_s)
+        outer = defer.Deferred()
+
+        def start(ready):
+            if ready is None:
+                outer.errback(_build_lost("peer can't be reached", True))
+                return
+            ready.call(message, timeout_s).chainDeferred(outer)
+
+        self._enqueue(address, start)
+        return outer
+
+    def dispatch(self, link: PeerLink, call_id: int, message):
+        """Run the handler and send back its reply."""
+        deferred = defer.maybeDeferred(self.handler, link, message)
+        if call_id:
+            deferred.addErrback(_convert_failure)
+            deferred.addCallback(self._reply, link, call_id)
+        else:
+            deferred.addErrback(_log_failure)
+
+    def add_link(self, link: PeerLink):
+        """Note a link that was opened."""
+        self.links.add(link)
+
+    def link_ready(self, link: PeerLink):
+        """Send what waited for the handshake."""
+        address = link.dialled_address
+        if not address:
+            return
+        self.link_by_address[address] = link
+        for start in self.queue_by_address.pop(address, ()):
+            start(link)
+
+    def remove_link(self, link: PeerLink):
+        """Forget a closed link and tell those who sent on it."""
+        self.links.discard(link)
+        address = link.dialled_address
+        if not address:
+            return
+        if self.link_by_address.get(address) is link:
+            del self.link_by_address[address]
+        self._fail_queue(address)
+
+    def close(self):
+        """Close all links, after what was written."""
+        for link in list(self.links):
+            link.transport.loseConnection()
+
+    def _enqueue(self, address: str, start):
+        queue = self.queue_by_address.get(address)
+        if queue is None:
+            self.queue_by_address[address] = [start]
+            self._connect(address)
+        elif len(queue) < MAX_QUEUED:
+            queue.append(start)
+
+    def _connect(self, address: str):
+        host, port = address.rsplit(":", 1)
+        client = endpoints.TCP4ClientEndpoint(
+            self.reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        factory = protocol.Factory.forProtocol(
+            lambda: PeerLink(self, dialled_address=address)
+        )
+        factory.noisy = False
+        client.connect(factory).addErrback(
+            lambda failure: self._connect_failed(address, failure)
+        )
+
+    def _connect_failed(self, address: str, failure):
+        failure.trap(internet_error.ConnectError, OSError)
+        self._fail_queue(address)
+
+    def _fail_queue(self, address: str):
+        for start in self.queue_by_address.pop(address, ()):
+            start(None)
+        for listener in self.lost_listeners:
+            listener(address)
+
+    def _reply(self, reply, link: PeerLink, call_id: int):
+        if reply is not None and link in self.links:
+            link.send(reply, call_id, is_reply=True)
+
+    def _check_links(self):
+        now = self.clock.seconds()
+        for link in list(self.links):
+            if now - link.last_heard > SILENCE_LIMIT_S:
+                link.transport.abortConnection()
+            elif link.is_ready() and now - link.last_sent >= PING_PERIOD_S:
+                link.send_ping()
+
+
+def _derive_key(shared_key: bytes, nonces: bytes, label: bytes) -> bytes:
+    return hashlib.blake2b(nonces + label, key=shared_key).digest()
+
+
+def _compute_tag(key: bytes, count: int, body: bytes) -> bytes:
+    counter = count.to_bytes(8, "big")
+    digest = hashlib.blake2b(counter, key=key, digest_size=TAG_BYTES)
+    digest.update(body)
+    return digest.digest()
+
+
+def _build_lost(detail: str, not_run: bool = False):
+    return errors.build_error(
+        errors.ErrorKind.CONNECTION_LOST, detail, not_run=not_run
+    )
+
+
+def _convert_failure(failure):
+    if failure.check(errors.ProblemError):
+        return messages.build_problem_reply(failure.value.problem)
+    LOGGER.error("peer call failed: %s", failure.getTraceback())
+    problem = errors.build_problem(
+        errors.ErrorKind.INTERNAL, "internal error at the peer"
+    )
+    return messages.build_problem_reply(problem)
+
+
+def _log_failure(failure):
+    LOGGER.error("peer message failed: %s", failure.getTraceback())
