Run the demonstration in one process and build one binary

JSON values travelled inside msgpack as raw msgpack, so frames to other VMs were not understood and 3 of 10 shards were lost; they are bytes now.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+
+.PHONY: install demo test lint unit scenarios binary format clean bench
+
+install: $(STAMP)
+
+$(STAMP): requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.txt
+	$(BIN)/pip install -q --no-build-isolation --no-deps -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/chervilspindle demo
+
+test: lint unit
+
+lint: $(STAMP)
+	$(BIN)/black --check -q .
+	$(BIN)/flake8 chervilspindle features bench
+
+unit: $(STAMP)
+	$(BIN)/python -m pytest
+
+format: $(STAMP)
+	$(BIN)/black -q .
+
+binary: $(STAMP)
+	mkdir -p dist build/site
+	grep -v -i -E '^(black|hacking|flake8|pycodestyle|pyflakes|mccabe|hypothesis|pytest|pytest-bdd|gherkin|parse|parse_type|mako|matplotlib|numpy|contourpy|fonttools|kiwisolver|pillow|pyparsing|cycler|shiv|pluggy|iniconfig)[=-]' requirements.txt > build/runtime.txt
+	$(BIN)/shiv -q --no-deps -r build/runtime.txt . -c chervilspindle -o dist/chervilspindle
+
+bench: $(STAMP)
+	$(BIN)/python bench/slopes.py
+
+clean:
+	rm -rf build dist .pytest_cache .hypothesis
--- a/chervilspindle/cli.py
+++ b/chervilspindle/cli.py
@@ -44,8 +44,8 @@
 
     :param settings: path of that VM's settings file
     """
-    from chervilspindle import serve as serve_module
     from chervilspindle.control import storage
+    from chervilspindle import serve as serve_module
 
     loaded = _load_settings(settings)
     logs.configure_logging(loaded.vm_id, loaded.log_level)
@@ -180,6 +180,23 @@
     reactor.run()
 
 
+def demo(*, profile: str = "lagoon-paddle"):
+    """Run a small deployment in this process and show what it does.
+
+    :param profile: ben-salah or lagoon-paddle
+    """
+    from twisted.internet import reactor
+
+    from chervilspindle.tools import demo as demo_module
+    from chervilspindle.tools import deployment
+
+    if profile not in deployment.PROFILE_BY_NAME:
+        _exit(EXIT_MISTAKE, f"unknown profile {profile!r}")
+    logs.configure_logging("demo", "ERROR")
+    chosen = deployment.PROFILE_BY_NAME[profile]
+    _run(lambda: demo_module.show(reactor, chosen))
+
+
 def main(arguments=None):
     """Run the command line."""
     defopt.run(
@@ -194,6 +211,7 @@
             token,
             settings_reference,
             endpoint,
+            demo,
         ],
         argv=arguments,
         cli_options="kwonly",
--- a/chervilspindle/config/jsonc.py
+++ b/chervilspindle/config/jsonc.py
@@ -1,14 +1,14 @@
 """Loads JSON with comments and names the place of a syntax error."""
 
 import re
-from typing import NamedTuple
+import typing
 
 import json5
 
 _PLACE = re.compile(r"<[^>]*>:(\d+)\s*(.*)", re.DOTALL)
 
 
-class ConfigError(NamedTuple):
+class ConfigError(typing.NamedTuple):
     """One mistake: the file, the place in it, and what is wrong."""
 
     source: str
--- a/chervilspindle/config/lists.py
+++ b/chervilspindle/config/lists.py
@@ -3,7 +3,7 @@
 import fnmatch
 import hashlib
 import json
-from typing import NamedTuple
+import typing
 
 from chervilspindle.config import jsonc
 from chervilspindle.core import rows
@@ -12,7 +12,7 @@
 MAX_PLANS = 10000
 
 
-class ParsedLists(NamedTuple):
+class ParsedLists(typing.NamedTuple):
     """Rows of both lists and the digest of their content."""
 
     customers: tuple[rows.Customer, ...]
--- a/chervilspindle/config/options.py
+++ b/chervilspindle/config/options.py
@@ -4,10 +4,10 @@
 all read this table.
 """
 
-from typing import NamedTuple
+import typing
 
 
-class Option(NamedTuple):
+class Option(typing.NamedTuple):
     """Declaration of one setting.
 
     Parameters
--- a/chervilspindle/config/settings.py
+++ b/chervilspindle/config/settings.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 import logging
-from typing import NamedTuple
+import typing
 
 from chervilspindle.config import jsonc
 from chervilspindle.config import options
@@ -10,7 +10,7 @@
 SHARED_KEY_MIN_CHARACTERS = 16
 
 
-class ControlVm(NamedTuple):
+class ControlVm(typing.NamedTuple):
     """Addresses of one control VM."""
 
     vm_id: str
@@ -18,7 +18,7 @@
     raft_address: str
 
 
-class TokenRow(NamedTuple):
+class TokenRow(typing.NamedTuple):
     """Holder of a token, which is kept only as a salted digest."""
 
     name: str
@@ -26,7 +26,7 @@
     token_digest: str
 
 
-class Settings(NamedTuple):
+class Settings(typing.NamedTuple):
     """Settings of one process; see `options.OPTIONS` for meanings."""
 
     vm_id: str
--- a/chervilspindle/config/tokens.py
+++ b/chervilspindle/config/tokens.py
@@ -7,7 +7,7 @@
 import hashlib
 import hmac
 import secrets
-from typing import NamedTuple
+import typing
 
 SECRET_BYTES = 24
 SALT_BYTES = 12
@@ -15,7 +15,7 @@
 _DUMMY_DIGEST = "0" * 64
 
 
-class NewToken(NamedTuple):
+class NewToken(typing.NamedTuple):
     """A token for its holder, and what goes into the list."""
 
     token: str
--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -6,7 +6,7 @@
 
 import logging
 import random
-from typing import NamedTuple
+import typing
 
 from twisted.internet import defer
 
@@ -27,14 +27,14 @@
 PROPOSAL_TIMEOUT_MS = 3000.0
 
 
-class Proposal(NamedTuple):
+class Proposal(typing.NamedTuple):
     """A command that waits for its commit."""
 
-    command: NamedTuple
+    command: typing.NamedTuple
     deferred: defer.Deferred
 
 
-class Waiting(NamedTuple):
+class Waiting(typing.NamedTuple):
     """Proposals that went into one entry of the log."""
 
     term: int
--- a/chervilspindle/control/placement.py
+++ b/chervilspindle/control/placement.py
@@ -6,7 +6,7 @@
 """
 
 import heapq
-from typing import NamedTuple
+import typing
 
 from chervilspindle.control import state as state_module
 
@@ -15,7 +15,7 @@
 MOVES_PER_ROUND = 4
 
 
-class SessionLoad(NamedTuple):
+class SessionLoad(typing.NamedTuple):
     """How many endpoints a session owns."""
 
     count: int
--- a/chervilspindle/control/raft.py
+++ b/chervilspindle/control/raft.py
@@ -8,7 +8,7 @@
 caller makes the new state durable before it sends any of the messages.
 """
 
-from typing import NamedTuple
+import typing
 
 from chervilspindle.control import raft_messages as messages
 
@@ -24,7 +24,7 @@
 NOOP = 2
 
 
-class Member(NamedTuple):
+class Member(typing.NamedTuple):
     """One member of the group.
 
     Parameters
@@ -42,7 +42,7 @@
     voter: bool
 
 
-class Progress(NamedTuple):
+class Progress(typing.NamedTuple):
     """What the leader knows about one member."""
 
     next_index: int
@@ -51,7 +51,7 @@
     install_sent_ms: float = 0.0
 
 
-class RaftState(NamedTuple):
+class RaftState(typing.NamedTuple):
     """Whole state of one member; `log` starts after `snapshot_index`."""
 
     member_id: str
@@ -73,11 +73,11 @@
     elected_ms: float
 
 
-class Step(NamedTuple):
+class Step(typing.NamedTuple):
     """Result of a transition: new state and messages as (to, message)."""
 
     state: RaftState
-    outbox: tuple[tuple[str, NamedTuple], ...] = ()
+    outbox: tuple[tuple[str, typing.NamedTuple], ...] = ()
 
 
 def build_state(
--- a/chervilspindle/control/raft_messages.py
+++ b/chervilspindle/control/raft_messages.py
@@ -1,11 +1,11 @@
 """Messages and durable records of the replicated log."""
 
-from typing import NamedTuple
+import typing
 
 import msgspec
 
 
-class Entry(NamedTuple):
+class Entry(typing.NamedTuple):
     """One entry of the log; `kind` is DATA, CONFIG or NOOP of `raft`."""
 
     index: int
@@ -14,14 +14,14 @@
     data: bytes
 
 
-class HardState(NamedTuple):
+class HardState(typing.NamedTuple):
     """What a member has promised: its term and its vote in that term."""
 
     term: int
     voted_for: str
 
 
-class SnapshotMark(NamedTuple):
+class SnapshotMark(typing.NamedTuple):
     """Position of a snapshot, and the group's members at it."""
 
     index: int
@@ -29,7 +29,7 @@
     members: tuple[tuple[str, str, bool], ...]
 
 
-class PreVote(NamedTuple):
+class PreVote(typing.NamedTuple):
     """Asks whether an election at `term` could be won."""
 
     term: int
@@ -37,7 +37,7 @@
     last_term: int
 
 
-class PreVoteReply(NamedTuple):
+class PreVoteReply(typing.NamedTuple):
     """Answers a PreVote; `own_term` lets a late member catch up."""
 
     term: int
@@ -45,7 +45,7 @@
     own_term: int
 
 
-class RequestVote(NamedTuple):
+class RequestVote(typing.NamedTuple):
     """Asks for a vote."""
 
     term: int
@@ -53,14 +53,14 @@
     last_term: int
 
 
-class VoteReply(NamedTuple):
+class VoteReply(typing.NamedTuple):
     """Answers a RequestVote."""
 
     term: int
     granted: bool
 
 
-class Append(NamedTuple):
+class Append(typing.NamedTuple):
     """Replicates entries; without entries it is a heartbeat.
 
     `sent_ms` is the leader's own clock and comes back in the reply.
@@ -74,7 +74,7 @@
     sent_ms: float
 
 
-class AppendReply(NamedTuple):
+class AppendReply(typing.NamedTuple):
     """Answers an Append; `hint_index` is where to continue on refusal."""
 
     term: int
@@ -84,7 +84,7 @@
     sent_ms: float
 
 
-class Install(NamedTuple):
+class Install(typing.NamedTuple):
     """Carries a whole snapshot to a member that is too far behind."""
 
     term: int
@@ -93,14 +93,14 @@
     sent_ms: float
 
 
-class Join(NamedTuple):
+class Join(typing.NamedTuple):
     """Asks the leader to replicate to a member with a new disk."""
 
     member_id: str
     address: str
 
 
-class Envelope(NamedTuple):
+class Envelope(typing.NamedTuple):
     """One message between members of a group."""
 
     group: str
@@ -143,7 +143,7 @@
 
     Returns
     -------
-    group, sender, message : str, str, NamedTuple
+    group, sender, message : str, str, typing.NamedTuple
 
     Raises
     ------
--- a/chervilspindle/control/state.py
+++ b/chervilspindle/control/state.py
@@ -5,7 +5,7 @@
 """
 
 import functools
-from typing import NamedTuple
+import typing
 
 import immutables
 import msgspec
@@ -17,7 +17,7 @@
 LOST_ENDPOINT_KEPT_MS = 3600 * 1000
 
 
-class ApplyLists(NamedTuple):
+class ApplyLists(typing.NamedTuple):
     """Replaces the two lists if the revision is still `if_revision`.
 
     An `if_revision` of -1 replaces whatever is there.
@@ -30,26 +30,26 @@
     plans: tuple[rows.Plan, ...]
 
 
-class RegisterVm(NamedTuple):
+class RegisterVm(typing.NamedTuple):
     """Adds or updates the session of an entry process."""
 
     vm: rows.Vm
 
 
-class RemoveVm(NamedTuple):
+class RemoveVm(typing.NamedTuple):
     """Ends a session whose lease ran out or that left."""
 
     session: str
 
 
-class ReportEndpoints(NamedTuple):
+class ReportEndpoints(typing.NamedTuple):
     """Adds or updates endpoints from their announcements."""
 
     endpoints: tuple[rows.Endpoint, ...]
     now_ms: int
 
 
-class Assignment(NamedTuple):
+class Assignment(typing.NamedTuple):
     """Gives an endpoint to a session, or takes it if `session` is empty.
 
     It takes effect only if the endpoint's epoch is still `epoch`.
@@ -60,19 +60,19 @@
     epoch: int
 
 
-class Assign(NamedTuple):
+class Assign(typing.NamedTuple):
     """Changes ownership of endpoints."""
 
     assignments: tuple[Assignment, ...]
 
 
-class ClaimCommand(NamedTuple):
+class ClaimCommand(typing.NamedTuple):
     """Claims the right to run a non-idempotent request."""
 
     claim: rows.Claim
 
 
-class ResolveClaim(NamedTuple):
+class ResolveClaim(typing.NamedTuple):
     """Records the outcome of an attempt, or frees its claim.
 
     `outcome` is ``done``, ``failed`` or ``free``; the last only if the
@@ -85,19 +85,19 @@
     value: bytes
 
 
-class Expire(NamedTuple):
+class Expire(typing.NamedTuple):
     """Drops claims and lost endpoints that are too old to matter."""
 
     now_ms: int
 
 
-class Batch(NamedTuple):
+class Batch(typing.NamedTuple):
     """Several commands in one log entry."""
 
     commands: tuple[tuple[str, msgspec.Raw], ...]
 
 
-class ChangeResult(NamedTuple):
+class ChangeResult(typing.NamedTuple):
     """The first answer to a change, given again to each resend."""
 
     digest: str
@@ -106,21 +106,21 @@
     detail: str
 
 
-class ClaimResult(NamedTuple):
+class ClaimResult(typing.NamedTuple):
     """Answer to a claim: granted, or what is known of the earlier one."""
 
     granted: bool
     claim: rows.Claim
 
 
-class Change(NamedTuple):
+class Change(typing.NamedTuple):
     """Names a row that a command touched, for the deltas to entries."""
 
     kind: str  # "lists", "vm", "endpoint" or "ownership"
     key: str
 
 
-class ControlState(NamedTuple):
+class ControlState(typing.NamedTuple):
     """All replicated tables."""
 
     version: int
@@ -134,7 +134,7 @@
     claim_by_id: immutables.Map
 
 
-class Outcome(NamedTuple):
+class Outcome(typing.NamedTuple):
     """Result of applying one command."""
 
     state: ControlState
@@ -142,7 +142,7 @@
     changes: tuple[Change, ...] = ()
 
 
-class StateImage(NamedTuple):
+class StateImage(typing.NamedTuple):
     """The tables as a snapshot stores them."""
 
     version: int
--- a/chervilspindle/control/storage.py
+++ b/chervilspindle/control/storage.py
@@ -9,9 +9,9 @@
 
 import os
 import struct
+import typing
 import uuid
 import zlib
-from typing import NamedTuple
 
 import msgspec
 
@@ -28,34 +28,34 @@
     """The data folder is damaged, full or not writable."""
 
 
-class Identity(NamedTuple):
+class Identity(typing.NamedTuple):
     """Who this disk is: its group, its member id, and if it bootstraps."""
 
     group: str
     member_id: str
 
 
-class HardRecord(NamedTuple):
+class HardRecord(typing.NamedTuple):
     """Record of a promise."""
 
     term: int
     voted_for: str
 
 
-class AppendRecord(NamedTuple):
+class AppendRecord(typing.NamedTuple):
     """Record of entries that replace all from the first one's index on."""
 
     entries: tuple[messages.Entry, ...]
 
 
-class SnapshotFile(NamedTuple):
+class SnapshotFile(typing.NamedTuple):
     """Content of a snapshot file."""
 
     mark: messages.SnapshotMark
     data: bytes
 
 
-class Recovered(NamedTuple):
+class Recovered(typing.NamedTuple):
     """What recovery found on the disk."""
 
     hard: messages.HardState
--- a/chervilspindle/core/errors.py
+++ b/chervilspindle/core/errors.py
@@ -5,7 +5,7 @@
 """
 
 import enum
-from typing import NamedTuple
+import typing
 
 
 class ErrorKind(enum.Enum):
@@ -38,7 +38,7 @@
     INTERNAL = "internal"
 
 
-class Answer(NamedTuple):
+class Answer(typing.NamedTuple):
     """How an error kind is answered.
 
     Parameters
@@ -91,7 +91,7 @@
 DEFAULT_RETRY_AFTER_MS = 1000
 
 
-class Problem(NamedTuple):
+class Problem(typing.NamedTuple):
     """One error as data, in the shape of RFC 9457 problem details.
 
     Parameters
--- a/chervilspindle/core/lifecycle.py
+++ b/chervilspindle/core/lifecycle.py
@@ -4,12 +4,12 @@
 ``draining`` while requests in flight end, then ``stopped``.
 """
 
-from typing import Protocol
+import typing
 
 import automat
 
 
-class Lifecycle(Protocol):
+class Lifecycle(typing.Protocol):
     """Inputs of the machine."""
 
     def lease_gained(self) -> None:
--- a/chervilspindle/core/rows.py
+++ b/chervilspindle/core/rows.py
@@ -4,12 +4,12 @@
 the replicated state, a snapshot on disk and a reply on the wire.
 """
 
-from typing import NamedTuple
+import typing
 
 KEY_SPACE = 65536  # hash slots, shard ranges are [low, high) in it
 
 
-class Plan(NamedTuple):
+class Plan(typing.NamedTuple):
     """What a customer plan may use.
 
     Parameters
@@ -29,7 +29,7 @@
     priorities: tuple[str, ...]
 
 
-class Customer(NamedTuple):
+class Customer(typing.NamedTuple):
     """One customer; its bearer token is kept only as a salted digest."""
 
     name: str
@@ -38,7 +38,7 @@
     token_digest: str
 
 
-class Lists(NamedTuple):
+class Lists(typing.NamedTuple):
     """The operators' two lists at one revision."""
 
     revision: int
@@ -46,7 +46,7 @@
     plans_by_name: dict[str, Plan]
 
 
-class Holding(NamedTuple):
+class Holding(typing.NamedTuple):
     """A shard range [low, high) that an endpoint holds in one snapshot."""
 
     snapshot: int
@@ -54,7 +54,7 @@
     high: int
 
 
-class Endpoint(NamedTuple):
+class Endpoint(typing.NamedTuple):
     """One endpoint as it last announced itself.
 
     Parameters
@@ -86,7 +86,7 @@
     sequence: int
 
 
-class Vm(NamedTuple):
+class Vm(typing.NamedTuple):
     """One process of the entry role on a VM.
 
     `session` is ``VM_ID@INCARNATION``: leases are granted to it, so that a
@@ -101,7 +101,7 @@
     state: str  # "ready" or "draining"
 
 
-class Ownership(NamedTuple):
+class Ownership(typing.NamedTuple):
     """Which session alone may send work to an endpoint, and since which epoch.
 
     An empty `session` means that the endpoint was taken from `previous` and
@@ -115,7 +115,7 @@
     released_at: int = 0
 
 
-class Claim(NamedTuple):
+class Claim(typing.NamedTuple):
     """The right to run one non-idempotent request, by customer and key.
 
     Parameters
--- a/chervilspindle/core/timers.py
+++ b/chervilspindle/core/timers.py
@@ -4,20 +4,20 @@
 drive the whole system with a fake clock and shutdown stops every timer.
 """
 
+from collections import abc
 import logging
 import time
-from collections.abc import Callable
-from typing import NamedTuple
+import typing
 
 LOGGER = logging.getLogger(__name__)
 
 
-class Subscription(NamedTuple):
+class Subscription(typing.NamedTuple):
     """One subscriber: its name, period in seconds and callback."""
 
     name: str
     period_s: float
-    callback: Callable[[], None]
+    callback: abc.Callable[[], None]
 
 
 def read_monotonic_ms() -> float:
@@ -41,7 +41,7 @@
         self.delayed_by_name = {}
 
     def subscribe(
-        self, name: str, period_s: float, callback: Callable[[], None]
+        self, name: str, period_s: float, callback: abc.Callable[[], None]
     ):
         """Run `callback` every `period_s` seconds until cancelled."""
         if name in self.delayed_by_name:
@@ -59,7 +59,9 @@
         for name in list(self.delayed_by_name):
             self.cancel(name)
 
-    def call_later(self, delay_s: float, callback: Callable[..., None], *args):
+    def call_later(
+        self, delay_s: float, callback: abc.Callable[..., None], *args
+    ):
         """Run `callback` once, `delay_s` seconds from now."""
         return self.clock.callLater(max(0.0, delay_s), callback, *args)
 
--- a/chervilspindle/policy/admission.py
+++ b/chervilspindle/policy/admission.py
@@ -1,6 +1,6 @@
 """Decides at once what can't be answered in time, and when to come back."""
 
-from typing import NamedTuple
+import typing
 
 MAX_RETRY_AFTER_MS = 30000
 MIN_RETRY_AFTER_MS = 50
@@ -8,7 +8,7 @@
 DEADLINE_MARGIN = 0.5
 
 
-class QueueEstimate(NamedTuple):
+class QueueEstimate(typing.NamedTuple):
     """Expected wait and finish of a new request at an endpoint, in ms."""
 
     wait_ms: float
@@ -60,7 +60,7 @@
     return int(bounded)
 
 
-class EntryLoad(NamedTuple):
+class EntryLoad(typing.NamedTuple):
     """Parts in flight that an entry gathers."""
 
     total: int
--- a/chervilspindle/policy/fairness.py
+++ b/chervilspindle/policy/fairness.py
@@ -9,10 +9,10 @@
 
 import heapq
 import itertools
-from typing import NamedTuple
+import typing
 
 
-class Item(NamedTuple):
+class Item(typing.NamedTuple):
     """One queued request; the heap orders by rank, then by arrival."""
 
     rank: int
--- a/chervilspindle/policy/hedging.py
+++ b/chervilspindle/policy/hedging.py
@@ -7,7 +7,7 @@
 """
 
 import statistics
-from typing import NamedTuple
+import typing
 
 HEDGE_QUANTILE = 0.95
 WINDOW_SAMPLES = 200
@@ -18,7 +18,7 @@
 BURST_TOKENS = 10.0
 
 
-class Budget(NamedTuple):
+class Budget(typing.NamedTuple):
     """Token bucket of extra sub-requests."""
 
     share: float
@@ -48,7 +48,7 @@
     return budget._replace(tokens=budget.tokens - 1.0), True
 
 
-class Latencies(NamedTuple):
+class Latencies(typing.NamedTuple):
     """Recent answer times of one service, and the delay they give."""
 
     samples_ms: tuple[float, ...] = ()
--- a/chervilspindle/policy/limits.py
+++ b/chervilspindle/policy/limits.py
@@ -6,7 +6,7 @@
 started begins at one.
 """
 
-from typing import NamedTuple
+import typing
 
 SHED_FACTOR = 0.5
 SLOW_FACTOR = 0.8
@@ -18,7 +18,7 @@
 DEFAULT_SERVICE_MS = 10.0
 
 
-class LimitState(NamedTuple):
+class LimitState(typing.NamedTuple):
     """Limit and service times of one endpoint, in ms."""
 
     slots: int
--- a/chervilspindle/policy/replicas.py
+++ b/chervilspindle/policy/replicas.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from typing import NamedTuple
+import typing
 
 BACKLOG_DECAY_MS = 500.0
 SERVICE_SMOOTHING = 0.1
@@ -18,7 +18,7 @@
 JITTER_SHARE = 0.1
 
 
-class ReplicaStats(NamedTuple):
+class ReplicaStats(typing.NamedTuple):
     """What a gatherer knows of one endpoint.
 
     Times are in milliseconds; `observed_ms` and `failed_ms` are readings of
@@ -32,7 +32,7 @@
     failed_ms: float = -math.inf
 
 
-class Candidate(NamedTuple):
+class Candidate(typing.NamedTuple):
     """One replica that could run a part."""
 
     endpoint_id: str
--- a/chervilspindle/query/commands.py
+++ b/chervilspindle/query/commands.py
@@ -8,7 +8,7 @@
 
 import hashlib
 import logging
-from typing import NamedTuple
+import typing
 
 import msgspec
 from twisted.internet import defer
@@ -27,7 +27,7 @@
 IN_PROGRESS_MS = 35000
 
 
-class CommandRequest(NamedTuple):
+class CommandRequest(typing.NamedTuple):
     """An admitted caller's command."""
 
     request_id: str
@@ -172,7 +172,7 @@
             endpoint_id,
             ownership.epoch,
             request.key,
-            msgspec.Raw(msgspec.json.encode(request.command)),
+            msgspec.json.encode(request.command),
         )
         outer = defer.Deferred()
         # The reply is awaited longer than the caller is, to be recorded.
@@ -223,7 +223,7 @@
         recorded = self._record(request, reply)
         if reply.status == "ok":
             yield recorded
-            return bytes(reply.value)
+            return reply.value
         if not reply.dispatched:
             yield recorded
             raise self._build_not_run(
@@ -231,7 +231,7 @@
             )
         if reply.status == errors.ErrorKind.ENDPOINT_FAILED.value:
             yield recorded
-            raise self._build_failed(request, bytes(reply.value).decode())
+            raise self._build_failed(request, reply.value.decode())
         raise errors.build_error(
             errors.ErrorKind.OUTCOME_UNKNOWN,
             "the request was sent and its outcome is not known",
@@ -242,11 +242,11 @@
     def _record(self, request, reply):
         """Record what is known of an attempt; unknown stays claimed."""
         if reply.status == "ok":
-            return self._resolve(request, "done", bytes(reply.value))
+            return self._resolve(request, "done", reply.value)
         if not reply.dispatched:
             return self._resolve(request, "free", b"")
         if reply.status == errors.ErrorKind.ENDPOINT_FAILED.value:
-            return self._resolve(request, "failed", bytes(reply.value))
+            return self._resolve(request, "failed", reply.value)
         return defer.succeed(None)
 
     def _resolve(self, request, outcome, value):
--- a/chervilspindle/query/coverage.py
+++ b/chervilspindle/query/coverage.py
@@ -5,13 +5,13 @@
 is chosen for a whole query, so an answer never mixes partitions.
 """
 
-from typing import NamedTuple
+import typing
 
 from chervilspindle.core import errors
 from chervilspindle.core import rows
 
 
-class Shard(NamedTuple):
+class Shard(typing.NamedTuple):
     """One shard of a plan; `endpoint_ids` are replicas that can serve it."""
 
     service: str
@@ -20,7 +20,7 @@
     endpoint_ids: tuple[str, ...]
 
 
-class Missing(NamedTuple):
+class Missing(typing.NamedTuple):
     """A key range of a service that an answer lacks, and why."""
 
     service: str
@@ -29,7 +29,7 @@
     reason: str
 
 
-class SnapshotPlan(NamedTuple):
+class SnapshotPlan(typing.NamedTuple):
     """The shards of one snapshot that a query asks, and those it can't."""
 
     snapshot: int
--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -4,6 +4,7 @@
 import logging
 import random
 
+import msgspec
 from twisted.internet import defer
 
 from chervilspindle.config import lists as lists_module
@@ -307,7 +308,7 @@
             rank,
             services,
             body.query,
-            requests.msgspec.Raw(requests.msgspec.json.encode(body.query)),
+            msgspec.json.encode(body.query),
             float(body.deadline_ms),
             body.partial,
         )
--- a/chervilspindle/query/gather.py
+++ b/chervilspindle/query/gather.py
@@ -8,8 +8,8 @@
 import heapq
 import logging
 import math
+import typing
 import uuid
-from typing import NamedTuple
 
 from twisted.internet import defer
 
@@ -30,7 +30,7 @@
 REPLY_GRACE_MS = 15.0
 
 
-class QueryRequest(NamedTuple):
+class QueryRequest(typing.NamedTuple):
     """An admitted caller's query."""
 
     request_id: str
@@ -39,17 +39,17 @@
     rank: int
     services: tuple[str, ...]
     query: dict
-    encoded_query: object
+    encoded_query: bytes
     deadline_ms: float
     partial: bool
 
 
-class Answer(NamedTuple):
+class Answer(typing.NamedTuple):
     """A whole answer; `missing` tells what it does not cover."""
 
     request_id: str
     snapshot: int
-    results: tuple[tuple[str, str, object], ...]
+    results: tuple[tuple[str, str, bytes], ...]
     missing: tuple[coverage.Missing, ...]
 
 
@@ -115,7 +115,7 @@
         self.retries = 0
 
 
-class Policy(NamedTuple):
+class Policy(typing.NamedTuple):
     """Switches of the gatherer; baselines of experiments turn them off."""
 
     hedge: bool = True
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -8,7 +8,7 @@
 
 import itertools
 import logging
-from typing import NamedTuple
+import typing
 
 from chervilspindle.core import errors
 from chervilspindle.core import logs
@@ -34,7 +34,7 @@
 ENDED = "ended"
 
 
-class Job(NamedTuple):
+class Job(typing.NamedTuple):
     """What is to run: a part of a query, or a command."""
 
     request_id: str
@@ -564,7 +564,7 @@
                 True,
                 0,
                 late,
-                state.result.value,
+                bytes(state.result.value),
             )
         work.call.cancel()
 
--- a/chervilspindle/query/requests.py
+++ b/chervilspindle/query/requests.py
@@ -1,6 +1,6 @@
 """Typed requests of callers, decoded and checked against the plan."""
 
-from typing import NamedTuple
+import typing
 
 import msgspec
 
@@ -35,7 +35,7 @@
     deadline_ms: int = DEFAULT_DEADLINE_MS
 
 
-class Grant(NamedTuple):
+class Grant(typing.NamedTuple):
     """A customer and its plan at one revision of the lists."""
 
     customer: str
--- a/chervilspindle/serve.py
+++ b/chervilspindle/serve.py
@@ -3,7 +3,7 @@
 import logging
 import os
 import signal
-from typing import NamedTuple
+import typing
 
 from twisted.internet import defer
 from twisted.internet import endpoints
@@ -38,7 +38,7 @@
 )
 
 
-class Roles(NamedTuple):
+class Roles(typing.NamedTuple):
     """The roles that a process runs; None for those it does not."""
 
     entry: entry_module.Entry | None
--- a/chervilspindle/tools/deployment.py
+++ b/chervilspindle/tools/deployment.py
@@ -7,7 +7,7 @@
 import json
 import os
 import secrets
-from typing import NamedTuple
+import typing
 
 from chervilspindle.config import settings as settings_module
 from chervilspindle.config import tokens
@@ -17,7 +17,7 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 
 
-class ServiceGroup(NamedTuple):
+class ServiceGroup(typing.NamedTuple):
     """Services of one kind, each with the same endpoints.
 
     `service_ms` is the typical time of one request, `connect_ms` the cost
@@ -33,7 +33,7 @@
     connect_ms: float
 
 
-class PlanRow(NamedTuple):
+class PlanRow(typing.NamedTuple):
     """A plan and its customers."""
 
     name: str
@@ -43,7 +43,7 @@
     priorities: tuple[str, ...]
 
 
-class Profile(NamedTuple):
+class Profile(typing.NamedTuple):
     """One user's deployment."""
 
     name: str
@@ -120,7 +120,7 @@
 PROFILE_BY_NAME = {p.name: p for p in (BEN_SALAH, LAGOON_PADDLE)}
 
 
-class Deployment(NamedTuple):
+class Deployment(typing.NamedTuple):
     """Documents of one deployment on this machine.
 
     Parameters
--- a/chervilspindle/tools/endpoint.py
+++ b/chervilspindle/tools/endpoint.py
@@ -12,7 +12,7 @@
 import logging
 import random
 import time
-from typing import NamedTuple
+import typing
 
 import klein
 import msgspec
@@ -55,7 +55,7 @@
     straggler_ms: float = 200.0
 
 
-class Run(NamedTuple):
+class Run(typing.NamedTuple):
     """One request that is running."""
 
     run_id: str
--- a/chervilspindle/wire/endpoint_client.py
+++ b/chervilspindle/wire/endpoint_client.py
@@ -4,7 +4,7 @@
 again is decided by the callers of this module alone.
 """
 
-from typing import NamedTuple
+import typing
 
 import msgspec
 import treq.client
@@ -26,7 +26,7 @@
 )
 
 
-class RunResult(NamedTuple):
+class RunResult(typing.NamedTuple):
     """How an endpoint answered.
 
     Parameters
@@ -37,14 +37,15 @@
         False only if the request certainly did not run.
     retry_after_ms : int
     snapshot : int
-    value : Raw
+    value : bytes
+        JSON.
     """
 
     status: str
     dispatched: bool
     retry_after_ms: int
     snapshot: int
-    value: msgspec.Raw
+    value: bytes
 
 
 class RunBody(msgspec.Struct):
@@ -52,7 +53,7 @@
 
     request_id: str = ""
     snapshot: int = 0
-    value: msgspec.Raw = messages.EMPTY_VALUE
+    value: msgspec.Raw = msgspec.Raw(messages.EMPTY_VALUE)
     kind: str = ""
     not_run: bool = False
     retry_after_ms: int = 0
@@ -108,13 +109,17 @@
             "snapshot": snapshot,
             "low": low,
             "high": high,
-            "query": query,
+            "query": msgspec.Raw(query),
         }
         return self._run("/run", run_id, body, deadline_ms)
 
     def run_command(self, run_id, key, command, deadline_ms):
         """Run one non-idempotent request, sent once."""
-        body = {"request_id": run_id, "key": key, "command": command}
+        body = {
+            "request_id": run_id,
+            "key": key,
+            "command": msgspec.Raw(command),
+        }
         return self._run("/command", run_id, body, deadline_ms)
 
     @defer.inlineCallbacks
@@ -188,7 +193,7 @@
     if body.request_id != run_id:
         return _build_failure(errors.ErrorKind.CONNECTION_LOST, True)
     if code == 200:
-        return RunResult("ok", True, 0, body.snapshot, body.value)
+        return RunResult("ok", True, 0, body.snapshot, bytes(body.value))
     kind = _KIND_BY_ENDPOINT_KIND.get(
         body.kind, errors.ErrorKind.CONNECTION_LOST
     )
@@ -197,7 +202,7 @@
         not body.not_run,
         body.retry_after_ms,
         body.snapshot,
-        body.value,
+        bytes(body.value),
     )
 
 
--- a/chervilspindle/wire/http_api.py
+++ b/chervilspindle/wire/http_api.py
@@ -272,7 +272,11 @@
             ],
         },
         "results": [
-            {"service": service, "shard": shard, "value": value}
+            {
+                "service": service,
+                "shard": shard,
+                "value": msgspec.Raw(value),
+            }
             for service, shard, value in answer.results
         ],
     }
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -1,6 +1,6 @@
 """Messages between the system's own processes, and their codec."""
 
-from typing import NamedTuple
+import typing
 
 import msgspec
 
@@ -8,7 +8,7 @@
 from chervilspindle.core import rows
 
 
-class Delta(NamedTuple):
+class Delta(typing.NamedTuple):
     """Rows that changed since the version that an entry knows.
 
     Parameters
@@ -32,7 +32,7 @@
     gone_endpoints: tuple[str, ...]
 
 
-class Heartbeat(NamedTuple):
+class Heartbeat(typing.NamedTuple):
     """Renews a session and reports endpoints that changed.
 
     `known_version` also confirms that the session has put that version in
@@ -45,30 +45,30 @@
     reports: tuple[rows.Endpoint, ...]
 
 
-class HeartbeatReply(NamedTuple):
+class HeartbeatReply(typing.NamedTuple):
     """Grants a lease from the time at which the heartbeat was sent."""
 
     lease_ms: int
     delta: Delta
 
 
-class Leave(NamedTuple):
+class Leave(typing.NamedTuple):
     """Ends a session that holds nothing any more."""
 
     session: str
 
 
-class Done(NamedTuple):
+class Done(typing.NamedTuple):
     """Acknowledges a call that has no other result."""
 
 
-class NotLeader(NamedTuple):
+class NotLeader(typing.NamedTuple):
     """Names the VM of the control leader, if one is known."""
 
     leader_vm: str
 
 
-class ApplyListsCall(NamedTuple):
+class ApplyListsCall(typing.NamedTuple):
     """Asks the leader to replace the two lists."""
 
     change_id: str
@@ -78,7 +78,7 @@
     plans: tuple[rows.Plan, ...]
 
 
-class ApplyListsReply(NamedTuple):
+class ApplyListsReply(typing.NamedTuple):
     """Tells whether a change was accepted, and the revision."""
 
     accepted: bool
@@ -86,20 +86,20 @@
     detail: str
 
 
-class ClaimCall(NamedTuple):
+class ClaimCall(typing.NamedTuple):
     """Asks for the right to run a non-idempotent request."""
 
     claim: rows.Claim
 
 
-class ClaimReply(NamedTuple):
+class ClaimReply(typing.NamedTuple):
     """The new claim, or the earlier one under the same key."""
 
     granted: bool
     claim: rows.Claim
 
 
-class ResolveCall(NamedTuple):
+class ResolveCall(typing.NamedTuple):
     """Records the outcome of an attempt (``done``, ``failed``, ``free``)."""
 
     claim_id: str
@@ -108,17 +108,17 @@
     value: bytes
 
 
-class StatusCall(NamedTuple):
+class StatusCall(typing.NamedTuple):
     """Asks the leader how the system stands."""
 
 
-class StatusReply(NamedTuple):
+class StatusReply(typing.NamedTuple):
     """JSON of the status."""
 
     body: bytes
 
 
-class Part(NamedTuple):
+class Part(typing.NamedTuple):
     """One shard of a sub-query, at one endpoint under one epoch."""
 
     shard: int
@@ -128,10 +128,11 @@
     high: int
 
 
-class SubQuery(NamedTuple):
+class SubQuery(typing.NamedTuple):
     """All parts of one query for the endpoints of one owner.
 
     `deadline_ms` is the time left; clocks of VMs are never compared.
+    `query` is JSON.
     """
 
     request_id: str
@@ -141,11 +142,11 @@
     rank: int
     deadline_ms: float
     snapshot: int
-    query: msgspec.Raw
+    query: bytes
     parts: tuple[Part, ...]
 
 
-class PartReply(NamedTuple):
+class PartReply(typing.NamedTuple):
     """Result of one part.
 
     Parameters
@@ -161,7 +162,8 @@
         Time in the owner's queue, and at the endpoint.
     backlog_ms : float
         Expected wait of the endpoint's queue when the reply was built.
-    value : Raw
+    value : bytes
+        JSON.
     """
 
     shard: int
@@ -172,10 +174,10 @@
     wait_ms: float
     service_ms: float
     backlog_ms: float
-    value: msgspec.Raw
+    value: bytes
 
 
-class SubReply(NamedTuple):
+class SubReply(typing.NamedTuple):
     """Results of parts that ended in the same turn of the loop."""
 
     request_id: str
@@ -183,7 +185,7 @@
     parts: tuple[PartReply, ...]
 
 
-class CancelParts(NamedTuple):
+class CancelParts(typing.NamedTuple):
     """Ends the named parts of a sub-query."""
 
     request_id: str
@@ -191,7 +193,7 @@
     endpoint_ids: tuple[str, ...]
 
 
-class RunCommand(NamedTuple):
+class RunCommand(typing.NamedTuple):
     """Asks an owner to dispatch a claimed request exactly once."""
 
     request_id: str
@@ -202,19 +204,19 @@
     endpoint_id: str
     epoch: int
     key: str
-    command: msgspec.Raw
+    command: bytes
 
 
-class CommandReply(NamedTuple):
+class CommandReply(typing.NamedTuple):
     """Outcome of a command; `dispatched` False proves that it never ran."""
 
     status: str
     dispatched: bool
     retry_after_ms: int
-    value: msgspec.Raw
+    value: bytes
 
 
-class Load(NamedTuple):
+class Load(typing.NamedTuple):
     """What an endpoint said of its load in one announcement."""
 
     endpoint_id: str
@@ -224,25 +226,25 @@
     in_use: int
 
 
-class LoadReport(NamedTuple):
+class LoadReport(typing.NamedTuple):
     """Announcements that an entry passes on to the endpoints' owner."""
 
     loads: tuple[Load, ...]
 
 
-class ExplainCall(NamedTuple):
+class ExplainCall(typing.NamedTuple):
     """Asks the entry that gathered a request what it decided."""
 
     request_id: str
 
 
-class ExplainReply(NamedTuple):
+class ExplainReply(typing.NamedTuple):
     """JSON of the decisions, empty if the request is unknown."""
 
     body: bytes
 
 
-class ProblemReply(NamedTuple):
+class ProblemReply(typing.NamedTuple):
     """Answers a call that failed."""
 
     kind: str
@@ -251,7 +253,7 @@
     retry_after_ms: int
 
 
-class Frame(NamedTuple):
+class Frame(typing.NamedTuple):
     """One message on a link; `call_id` 0 expects no reply."""
 
     kind: str
@@ -287,7 +289,7 @@
     )
 }
 
-EMPTY_VALUE = msgspec.Raw(b"null")
+EMPTY_VALUE = b"null"
 
 _ENCODER = msgspec.msgpack.Encoder()
 _FRAME = msgspec.msgpack.Decoder(Frame)
@@ -308,7 +310,7 @@
 
     Returns
     -------
-    message, call_id, is_reply : NamedTuple, int, bool
+    message, call_id, is_reply : typing.NamedTuple, int, bool
 
     Raises
     ------
--- a/chervilspindle/wire/nng.py
+++ b/chervilspindle/wire/nng.py
@@ -13,7 +13,7 @@
 
 import pynng
 from twisted.internet import interfaces
-from zope.interface import implementer
+import zope.interface
 
 TAG_BYTES = 16
 SEND_QUEUE = 128  # messages
@@ -25,7 +25,7 @@
 LOGGER = logging.getLogger(__name__)
 
 
-@implementer(interfaces.IReadDescriptor)
+@zope.interface.implementer(interfaces.IReadDescriptor)
 class NngTransport:
     """Sends and receives authenticated datagrams.
 
--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -12,7 +12,7 @@
 import itertools
 import logging
 import os
-from typing import NamedTuple
+import typing
 
 import msgspec
 from twisted.internet import defer
@@ -35,7 +35,7 @@
 MAX_QUEUED = 10000
 
 
-class PendingCall(NamedTuple):
+class PendingCall(typing.NamedTuple):
     """A call that waits for its reply."""
 
     deferred: defer.Deferred
