Prove the path under a matrix of faults with fakes at the interfaces

Found by the matrix, each failing first: - Slots of cancelled requests were freed by a timer, so an endpoint that hung got more than its slots. Cause seen in the trace of Announce x freeze_sender; the slot is now kept until the endpoint, asked on a fresh connection, says that it is free, or starts anew. Ruled out: the owner's lease and epoch, which were valid throughout. - Cancelled work stayed in the fair queue and counted as waiting, so an idle endpoint refused everything as overloaded. Same cell, after the first.

Doubled delivery of an HTTP request within one TCP connection is left out; TCP excludes it and the client library's repeats are off.

--- a/Makefile
+++ b/Makefile
@@ -23,14 +23,14 @@
 	$(BIN)/flake8 chervilspindle features bench
 
 unit: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4
 
 format: $(STAMP)
 	$(BIN)/black -q .
 
 binary: $(STAMP)
 	mkdir -p dist build/site
-	grep -v -i -E '^(black|hacking|flake8|pycodestyle|pyflakes|mccabe|hypothesis|pytest|pytest-bdd|gherkin|parse|parse_type|mako|matplotlib|numpy|contourpy|fonttools|kiwisolver|pillow|pyparsing|cycler|shiv|pluggy|iniconfig)[=-]' requirements.txt > build/runtime.txt
+	grep -v -i -E '^(black|hacking|flake8|pycodestyle|pyflakes|mccabe|hypothesis|execnet|pytest|pytest-xdist|pytest-bdd|gherkin|parse|parse_type|mako|matplotlib|numpy|contourpy|fonttools|kiwisolver|pillow|pyparsing|cycler|shiv|pluggy|iniconfig)[=-]' requirements.txt > build/runtime.txt
 	$(BIN)/shiv -q --no-deps -r build/runtime.txt . -c chervilspindle -o dist/chervilspindle
 
 bench: $(STAMP)
--- a/chervilspindle/policy/fairness.py
+++ b/chervilspindle/policy/fairness.py
@@ -89,6 +89,8 @@
         queue = self.queue_by_customer[customer]
         queue.live -= 1
         self.size -= 1
+        if not queue.live:
+            queue.items.clear()
 
     def charge(self, customer: str, cost_ms: float):
         """Correct a customer's account once the true cost is known."""
@@ -107,7 +109,11 @@
         queue = self.queue_by_customer.get(customer)
         if queue is None:
             return 0
-        return sum(1 for item in queue.items if item.rank <= rank)
+        return sum(
+            1
+            for item in queue.items
+            if item.rank <= rank and self.is_live(item.payload)
+        )
 
     def get_share(self, customer: str, weight: float) -> float:
         """Return the part of the slot time that a customer can count on.
--- /dev/null
+++ b/chervilspindle/policy/fairness_test.py
@@ -0,0 +1,79 @@
+"""Tests of the fair order of work."""
+
+from chervilspindle.policy import fairness
+
+
+def build_queue(live):
+    return fairness.FairQueue(lambda payload: payload in live)
+
+
+def test_cancelled_work_does_not_count_as_ahead():
+    live = {"a", "b"}
+    queue = build_queue(live)
+    queue.push("c", 1.0, 0, "a")
+    queue.push("c", 1.0, 0, "b")
+    for payload in ("a", "b"):
+        live.discard(payload)
+        queue.drop("c")
+    assert queue.count_ahead("c", 5) == 0
+    assert queue.size == 0
+
+
+def serve(queue, count, cost_ms=10.0):
+    served = {}
+    for _ in range(count):
+        customer, _ = queue.pop(cost_ms)
+        served[customer] = served.get(customer, 0) + 1
+    return served
+
+
+def test_weights_share_slot_time():
+    live = set(range(1000))
+    queue = build_queue(live)
+    for number in range(0, 400, 2):
+        queue.push("large", 0.75, 0, number)
+        queue.push("small", 0.25, 0, number + 1)
+    served = serve(queue, 100)
+    assert 73 <= served["large"] <= 77
+
+
+def test_greedy_backlog_does_not_delay_a_newcomer():
+    live = set(range(1000))
+    queue = build_queue(live)
+    for number in range(500):
+        queue.push("greedy", 0.5, 0, number)
+    serve(queue, 50)
+    queue.push("newcomer", 0.5, 0, 600)
+    assert "newcomer" in serve(queue, 2)
+
+
+def test_idle_customer_saves_up_nothing():
+    live = set(range(1000))
+    queue = build_queue(live)
+    queue.push("idle", 0.5, 0, 0)
+    serve(queue, 1)
+    for number in range(1, 101):
+        queue.push("busy", 0.5, 0, number)
+    serve(queue, 60)
+    for number in range(200, 300):
+        queue.push("idle", 0.5, 0, number)
+    served = serve(queue, 20)
+    assert served["busy"] >= 9
+
+
+def test_unused_share_is_lent():
+    live = set(range(100))
+    queue = build_queue(live)
+    for number in range(50):
+        queue.push("only", 0.1, 0, number)
+    assert serve(queue, 50) == {"only": 50}
+
+
+def test_urgent_priority_goes_first_within_a_customer():
+    live = {"late", "urgent"}
+    queue = build_queue(live)
+    queue.push("c", 1.0, 2, "late")
+    queue.push("c", 1.0, 0, "urgent")
+    assert queue.pop(1.0) == ("c", "urgent")
+    assert queue.pop(1.0) == ("c", "late")
+    assert queue.pop(1.0) == (None, None)
--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -57,6 +57,8 @@
         Monotonic milliseconds.
     metrics : Metrics
     policy : gather.Policy
+    seed : int, optional
+        Seed of random choices.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         read_clock,
         metrics,
         policy=gather.Policy(),
+        seed=None,
     ):
         self.settings = settings
         self.network = network
@@ -110,7 +113,7 @@
             self.explainer,
             metrics,
             settings.extra_load_share,
-            random.Random(),
+            random.Random(seed),
             policy,
         )
         self.commands = commands.CommandRunner(
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -27,6 +27,7 @@
 SUSPECT_RATIO = 4.0
 SUSPECT_MIN_MS = 60.0
 PROBE_BACKOFF = 3.0
+PROBE_MAX_MS = 1000.0
 COMMANDS_REMEMBERED = 10000
 
 QUEUED = "queued"
@@ -307,6 +308,9 @@
         if endpoint.incarnation != owned.row.incarnation:
             owned.limit = limits.build_limit(endpoint.slots, True)
             owned.last_heard_ms = self.read_clock()
+            for work in list(owned.running.values()):
+                # The process that ran it is gone.
+                work.call.cancel()
         elif endpoint.slots != owned.row.slots:
             owned.limit = owned.limit._replace(slots=endpoint.slots)
         owned.row = endpoint
@@ -493,12 +497,9 @@
         for work in list(owned.running.values()):
             if now > work.due_ms and not work.cancelled_ms:
                 self._give_up_running(owned, work, now)
-            if work.cancelled_ms:
-                limit = max(work.due_ms, work.cancelled_ms)
-                if now > limit + CANCEL_GRACE_MS:
-                    # The endpoint stops at the deadline by itself.
-                    work.call.cancel()
-            elif now > work.probe_ms and not work.probing:
+            if now > work.probe_ms and not work.probing:
+                # The slot of a cancelled request stays taken until the
+                # endpoint says that it is free: one that hangs gets no more.
                 self._probe(owned, work)
 
     def _give_up_running(self, owned, work, now):
@@ -512,6 +513,7 @@
             self._cancel_running(owned, work, now)
         else:
             work.cancelled_ms = now
+            work.probe_ms = now + CANCEL_GRACE_MS
 
     def _cancel_work(self, work, now):
         owned = self.owned_by_id.get(work.job.part.endpoint_id)
@@ -527,6 +529,7 @@
 
     def _cancel_running(self, owned, work, now):
         work.cancelled_ms = now
+        work.probe_ms = now + CANCEL_GRACE_MS
         owned.client.cancel(work.run_id)
 
     def _get_suspect_ms(self, owned) -> float:
@@ -546,7 +549,7 @@
         if work.state != RUNNING:
             return
         late = now - work.started_ms
-        work.probe_ms = now + PROBE_BACKOFF * late
+        work.probe_ms = now + min(PROBE_MAX_MS, PROBE_BACKOFF * late)
         if state is None or state.state == "running":
             return
         logs.log_decision(
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios and fault matrix: what must always hold, under failure."""
--- /dev/null
+++ b/features/fault_matrix_test.py
@@ -0,0 +1,63 @@
+"""Fault matrix: every fault at every step, with all promises checked."""
+
+import pytest
+
+from features import faults
+from features import workload
+from features import world as world_module
+
+MESSAGE_STEPS = (
+    "Announce",
+    "LoadReport",
+    "Heartbeat",
+    "HeartbeatReply",
+    "ClaimCall",
+    "ClaimReply",
+    "RunCommand",
+    "CommandReply",
+    "ResolveCall",
+    "SubQuery",
+    "SubReply",
+    "EndpointQuery",
+    "EndpointCommand",
+    "EndpointReply",
+    "ApplyListsCall",
+    "ApplyListsReply",
+    "Append",
+    "AppendReply",
+    "PreVote",
+    "PreVoteReply",
+    "RequestVote",
+    "VoteReply",
+    "Leave",
+)
+OCCURRENCES = (1, 7)
+
+# Owner and endpoint speak HTTP over one TCP connection each time, and the
+# client library's repeats are switched off: TCP does not deliver a request
+# twice, so a doubled delivery at this step is no fault of the platform.
+IMPOSSIBLE = {("EndpointCommand", "duplicate")}
+
+
+@pytest.mark.parametrize(
+    "fault", faults.MESSAGE_FAULTS, ids=lambda f: f.__name__
+)
+@pytest.mark.parametrize("step", MESSAGE_STEPS)
+def test_message_fault(step, fault, tmp_path, monkeypatch):
+    """One fault at one message of the path."""
+    if (step, fault.__name__) in IMPOSSIBLE:
+        pytest.skip("TCP does not deliver a request twice")
+    seed = len(step) * 31 + len(fault.__name__)
+    world = world_module.World(tmp_path, monkeypatch, seed=seed)
+    occurrence = OCCURRENCES[seed % len(OCCURRENCES)]
+    workload.run_story(world, world_module.Fault(step, occurrence, fault))
+
+
+@pytest.mark.parametrize("fault", faults.DISK_FAULTS, ids=lambda f: f.__name__)
+@pytest.mark.parametrize("occurrence", (1, 4, 20))
+def test_disk_fault(fault, occurrence, tmp_path, monkeypatch):
+    """One fault at one durable write."""
+    world = world_module.World(tmp_path, monkeypatch, seed=occurrence)
+    workload.run_story(
+        world, world_module.Fault("DiskWrite", occurrence, fault)
+    )
