Check the replicated log under random schedules

A random schedule ran without end. 'Never' is minus infinity now, and a refusal that tells nothing new gets no answer.

--- a/chervilspindle/control/raft.py
+++ b/chervilspindle/control/raft.py
@@ -8,6 +8,7 @@
 caller makes the new state durable before it sends any of the messages.
 """
 
+import math
 import typing
 
 from chervilspindle.control import raft_messages as messages
@@ -18,6 +19,7 @@
 QUORUM_MARGIN_MS = 100.0
 BATCH_ENTRIES = 256
 INSTALL_RETRY_MS = 1000.0
+NEVER_MS = -math.inf
 
 DATA = 0
 CONFIG = 1
@@ -48,7 +50,7 @@
     next_index: int
     match_index: int
     acked_sent_ms: float
-    install_sent_ms: float = 0.0
+    install_sent_ms: float = -math.inf
 
 
 class RaftState(typing.NamedTuple):
@@ -185,9 +187,9 @@
         elif progress is not None:
             times.append(progress.acked_sent_ms)
         else:
-            times.append(0.0)
+            times.append(NEVER_MS)
     times.sort(reverse=True)
-    return times[len(times) // 2] if times else 0.0
+    return times[len(times) // 2] if times else NEVER_MS
 
 
 def has_authority(state: RaftState, now: float) -> bool:
@@ -371,7 +373,7 @@
 def _become_leader(state, now) -> Step:
     last = get_last_index(state)
     progress = {
-        other: Progress(last + 1, 0, 0.0) for other in _list_others(state)
+        other: Progress(last + 1, 0, NEVER_MS) for other in _list_others(state)
     }
     state = state._replace(
         role="leader",
@@ -412,7 +414,7 @@
         return state
     last = get_last_index(state)
     progress = {
-        other: state.progress_by_id.get(other, Progress(last + 1, 0, 0.0))
+        other: state.progress_by_id.get(other, Progress(last + 1, 0, NEVER_MS))
         for other in _list_others(state)
     }
     return state._replace(progress_by_id=progress)
@@ -605,14 +607,16 @@
         return Step(state)
     acked = max(progress.acked_sent_ms, message.sent_ms)
     if not message.success:
-        following = min(message.hint_index + 1, get_last_index(state) + 1)
+        last = get_last_index(state)
+        following = max(
+            progress.match_index + 1, min(message.hint_index, last) + 1
+        )
         state = _set_progress(
-            state,
-            sender,
-            next_index=max(1, progress.match_index + 1, following),
-            acked_sent_ms=acked,
+            state, sender, next_index=following, acked_sent_ms=acked
         )
-        if message.hint_index >= progress.next_index:
+        if following == progress.next_index:
+            # Answering a refusal that tells nothing new would let doubled
+            # messages multiply.
             return Step(state)
         state, resend = _build_append(state, sender, now)
         return Step(state, ((sender, resend),))
--- /dev/null
+++ b/chervilspindle/control/raft_test.py
@@ -0,0 +1,447 @@
+"""Random schedules against the replicated log, and focused cases."""
+
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from chervilspindle.control import membership
+from chervilspindle.control import raft
+from chervilspindle.control import raft_messages as messages
+
+LATENCY_MS = 5.0
+TICK_MS = 20.0
+EXAMPLES = 150
+STORM_MESSAGES = 500
+STEPS = 25
+
+
+class Disk:
+    """What survives a crash of one member."""
+
+    def __init__(self):
+        self.hard = messages.HardState(0, "")
+        self.log = ()
+        self.mark = messages.SnapshotMark(0, 0, ())
+        self.data = ()
+
+
+class Cluster:
+    """Members with disks and a lossy network, on one pure clock."""
+
+    def __init__(self, seed, voters=3):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.in_flight = []
+        self.cuts = set()
+        self.committed = {}
+        self.leader_by_term = {}
+        self.state_by_id = {}
+        self.disk_by_id = {}
+        self.skew_by_id = {}
+        self.applied_by_id = {}
+        members = tuple(
+            (f"vm-{n}#0", f"addr-{n}", True) for n in range(voters)
+        )
+        for member_id, _, _ in members:
+            disk = Disk()
+            data = messages.encode_members(members)
+            disk.log = (messages.Entry(1, 1, raft.CONFIG, data),)
+            disk.hard = messages.HardState(1, "")
+            self.disk_by_id[member_id] = disk
+            self.start(member_id)
+
+    def read_clock(self, member_id):
+        return self.now + self.skew_by_id[member_id]
+
+    def start(self, member_id):
+        disk = self.disk_by_id[member_id]
+        self.skew_by_id[member_id] = self.random.uniform(-1e6, 1e6)
+        self.state_by_id[member_id] = raft.build_state(
+            member_id,
+            disk.hard,
+            disk.log,
+            disk.mark,
+            self.read_clock(member_id),
+            self.random.random(),
+        )
+        self.applied_by_id[member_id] = (disk.mark.index, disk.data)
+
+    def crash(self, member_id):
+        self.state_by_id.pop(member_id, None)
+
+    def lose_disk(self, member_id):
+        """Replace the disk: the VM comes back as a new member."""
+        self.crash(member_id)
+        del self.disk_by_id[member_id]
+        vm_id, _, number = member_id.partition("#")
+        fresh = f"{vm_id}#{int(number) + 1}"
+        self.disk_by_id[fresh] = Disk()
+        self.start(fresh)
+
+    def take(self, member_id, result):
+        """Make a step durable, then send and apply."""
+        state = result.state
+        self.state_by_id[member_id] = state
+        disk = self.disk_by_id[member_id]
+        disk.hard = messages.HardState(state.term, state.voted_for)
+        disk.log = state.log
+        for receiver, message in result.outbox:
+            if isinstance(message, messages.Install):
+                message = message._replace(
+                    mark=disk.mark, data=repr(disk.data).encode()
+                )
+            self.send(member_id, receiver, message)
+        self.apply(member_id)
+
+    def send(self, sender, receiver, message):
+        due = self.now + LATENCY_MS * (1 + self.random.random())
+        self.in_flight.append((due, sender, receiver, message))
+
+    def apply(self, member_id):
+        state = self.state_by_id[member_id]
+        index, data = self.applied_by_id[member_id]
+        while index < state.commit_index:
+            index += 1
+            entry = raft.get_entries(state, index, index)[0]
+            known = self.committed.setdefault(index, entry)
+            assert known == entry, f"two entries committed at {index}"
+            data = data + (entry.data,)
+        self.applied_by_id[member_id] = (index, data)
+        if state.role == "leader":
+            other = self.leader_by_term.setdefault(state.term, member_id)
+            assert other == member_id, f"two leaders in term {state.term}"
+
+    def deliver(self, sender, receiver, message):
+        state = self.state_by_id.get(receiver)
+        if state is None or (sender, receiver) in self.cuts:
+            return
+        now = self.read_clock(receiver)
+        result = raft.step(state, sender, message, now, self.random.random())
+        if isinstance(message, messages.Install) and not result.outbox:
+            self.install(receiver, sender, message, result.state)
+            return
+        self.take(receiver, result)
+
+    def install(self, receiver, sender, message, state):
+        if message.mark.index > state.commit_index:
+            now = self.read_clock(receiver)
+            state = raft.adopt_snapshot(state, message.mark, now, 0.5)
+            disk = self.disk_by_id[receiver]
+            disk.mark = message.mark
+            disk.data = eval(message.data)
+            self.applied_by_id[receiver] = (message.mark.index, disk.data)
+        reply = raft.build_install_reply(state, message.mark, message.sent_ms)
+        self.take(receiver, raft.Step(state, ((sender, reply),)))
+
+    def compact(self, member_id):
+        state = self.state_by_id[member_id]
+        index, data = self.applied_by_id[member_id]
+        state = raft.compact(state, index)
+        disk = self.disk_by_id[member_id]
+        if state.snapshot_index == index:
+            disk.mark = messages.SnapshotMark(
+                index,
+                state.snapshot_term,
+                tuple(tuple(m) for m in state.snapshot_members),
+            )
+            disk.data = data
+        self.take(member_id, raft.Step(state))
+
+    def run(self, duration_ms, loss=0.0, double=0.0):
+        """Let time pass with a lossy network."""
+        due = self.now + duration_ms
+        while self.now < due:
+            self.now += TICK_MS
+            self.in_flight.sort(key=lambda row: row[0])
+            while self.in_flight and self.in_flight[0][0] <= self.now:
+                _, sender, receiver, message = self.in_flight.pop(0)
+                if self.random.random() < loss:
+                    continue
+                self.deliver(sender, receiver, message)
+                if self.random.random() < double:
+                    self.deliver(sender, receiver, message)
+            for member_id in list(self.state_by_id):
+                self.tick(member_id)
+            self.check_authority()
+            assert len(self.in_flight) < STORM_MESSAGES, "message storm"
+
+    def tick(self, member_id):
+        result = raft.tick(
+            self.state_by_id[member_id],
+            self.read_clock(member_id),
+            self.random.random(),
+        )
+        self.take(member_id, result)
+        state = self.state_by_id[member_id]
+        if state.role == "leader":
+            planned = membership.plan_promotion(state, 3)
+            if planned is None:
+                planned = self.plan_join(state)
+            if planned is not None:
+                result, _ = raft.propose_members(
+                    state, planned, self.read_clock(member_id)
+                )
+                self.take(member_id, result)
+
+    def plan_join(self, state):
+        known = {m.member_id for m in state.members}
+        for member_id in self.state_by_id:
+            if member_id not in known:
+                return membership.plan_join(
+                    state.members, member_id, "address"
+                )
+        return None
+
+    def propose(self, value):
+        for member_id, state in list(self.state_by_id.items()):
+            if state.role == "leader":
+                result, _ = raft.propose(
+                    state, value, self.read_clock(member_id)
+                )
+                self.take(member_id, result)
+
+    def list_authorities(self):
+        return [
+            member_id
+            for member_id, state in self.state_by_id.items()
+            if raft.has_authority(state, self.read_clock(member_id))
+        ]
+
+    def check_authority(self):
+        assert len(self.list_authorities()) <= 1, self.list_authorities()
+
+
+class LogMachine(stateful.RuleBasedStateMachine):
+    """Crashes, cuts, losses and lost disks in any order."""
+
+    @stateful.initialize(seed=strategies.integers(0, 1 << 30))
+    def build(self, seed):
+        self.cluster = Cluster(seed)
+        self.values = 0
+        self.lost_disks = 0
+        self.cluster.run(3000)
+
+    def pick(self, number):
+        ids = sorted(self.cluster.disk_by_id)
+        return ids[number % len(ids)]
+
+    @stateful.rule(
+        duration=strategies.integers(1, 30),
+        loss=strategies.sampled_from((0.0, 0.1, 0.5)),
+        double=strategies.sampled_from((0.0, 0.2)),
+    )
+    def pass_time(self, duration, loss, double):
+        self.cluster.run(duration * 50.0, loss, double)
+
+    @stateful.rule(count=strategies.integers(1, 5))
+    def propose(self, count):
+        for _ in range(count):
+            self.values += 1
+            self.cluster.propose(b"%d" % self.values)
+
+    @stateful.rule(number=strategies.integers(0, 2))
+    def crash(self, number):
+        self.cluster.crash(self.pick(number))
+
+    @stateful.rule(number=strategies.integers(0, 2))
+    def restart(self, number):
+        member_id = self.pick(number)
+        self.cluster.crash(member_id)
+        self.cluster.start(member_id)
+
+    @stateful.rule(number=strategies.integers(0, 2))
+    def lose_disk(self, number):
+        """Lose one disk while all others are up and caught up."""
+        states = self.cluster.state_by_id
+        if len(states) < 3 or self.cluster.cuts:
+            return
+        self.cluster.run(4000)
+        leader = self.cluster.list_authorities()
+        if not leader:
+            return
+        voters = raft.list_voters(states[leader[0]])
+        if len(voters) == 3 and set(voters) <= set(states):
+            self.cluster.lose_disk(self.pick(number))
+
+    @stateful.rule(
+        first=strategies.integers(0, 2), second=strategies.integers(0, 2)
+    )
+    def cut_one_way(self, first, second):
+        if first != second:
+            self.cluster.cuts.add((self.pick(first), self.pick(second)))
+
+    @stateful.rule()
+    def heal(self):
+        self.cluster.cuts.clear()
+
+    @stateful.rule(number=strategies.integers(0, 2))
+    def compact(self, number):
+        member_id = self.pick(number)
+        if member_id in self.cluster.state_by_id:
+            self.cluster.compact(member_id)
+
+    def teardown(self):
+        """After all repairs a leader emerges and new values commit."""
+        cluster = getattr(self, "cluster", None)
+        if cluster is None:
+            return
+        cluster.cuts.clear()
+        for member_id in sorted(cluster.disk_by_id):
+            if member_id not in cluster.state_by_id:
+                cluster.start(member_id)
+        cluster.run(8000)
+        assert cluster.list_authorities(), "no leader after repair"
+        cluster.propose(b"last")
+        cluster.run(2000)
+        values = [entry.data for entry in cluster.committed.values()]
+        assert b"last" in values
+
+
+LogMachine.TestCase.settings = hypothesis.settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+test_random_schedules = LogMachine.TestCase
+
+
+def get_leader(cluster):
+    return cluster.list_authorities()[0]
+
+
+def test_even_split_decides_nothing():
+    cluster = Cluster(1, voters=4)
+    cluster.run(3000)
+    ids = sorted(cluster.disk_by_id)
+    for first in ids[:2]:
+        for second in ids[2:]:
+            cluster.cuts.update({(first, second), (second, first)})
+    cluster.run(5000)
+    before = max(cluster.committed)
+    cluster.propose(b"x")
+    cluster.run(5000)
+    assert max(cluster.committed) == before
+    assert not cluster.list_authorities()
+
+
+def test_cut_off_leader_stands_down_by_its_own_clock():
+    cluster = Cluster(2)
+    cluster.run(3000)
+    old = get_leader(cluster)
+    for other in cluster.disk_by_id:
+        if other != old:
+            cluster.cuts.update({(old, other), (other, old)})
+    cluster.run(raft.ELECTION_MIN_MS)
+    assert old not in cluster.list_authorities()
+    cluster.run(3000)
+    assert cluster.list_authorities()
+    assert get_leader(cluster) != old
+
+
+def test_frozen_leader_has_no_authority_when_it_wakes():
+    cluster = Cluster(3)
+    cluster.run(3000)
+    old = get_leader(cluster)
+    frozen = cluster.state_by_id.pop(old)
+    cluster.run(4000)
+    cluster.state_by_id[old] = frozen
+    assert old not in cluster.list_authorities()
+    cluster.propose(b"x")
+    cluster.run(2000)
+    assert get_leader(cluster) != old
+
+
+def test_rejoining_member_does_not_disturb_the_leader():
+    cluster = Cluster(4)
+    cluster.run(3000)
+    leader = get_leader(cluster)
+    other = next(i for i in cluster.disk_by_id if i != leader)
+    for third in cluster.disk_by_id:
+        cluster.cuts.update({(other, third), (third, other)})
+    cluster.run(20000)
+    term = cluster.state_by_id[leader].term
+    cluster.cuts.clear()
+    cluster.run(3000)
+    assert get_leader(cluster) == leader
+    assert cluster.state_by_id[leader].term == term
+
+
+def test_lost_disk_never_votes_under_its_old_identity():
+    cluster = Cluster(5)
+    cluster.run(3000)
+    leader = get_leader(cluster)
+    lost = next(i for i in cluster.disk_by_id if i != leader)
+    cluster.lose_disk(lost)
+    cluster.run(5000)
+    voters = raft.list_voters(cluster.state_by_id[leader])
+    assert lost not in voters
+    assert lost.split("#")[0] + "#1" in voters
+    assert len(voters) == 3
+
+
+def test_second_vm_fails_right_after_a_repair():
+    cluster = Cluster(6)
+    cluster.run(3000)
+    first = get_leader(cluster)
+    lost = next(i for i in cluster.disk_by_id if i != first)
+    cluster.lose_disk(lost)
+    cluster.propose(b"during")
+    cluster.run(60)
+    second = next(
+        i
+        for i in cluster.disk_by_id
+        if i != first and not i.startswith(lost.split("#")[0])
+    )
+    cluster.crash(second)
+    cluster.run(6000)
+    cluster.start(second)
+    cluster.run(6000)
+    cluster.propose(b"after")
+    cluster.run(2000)
+    values = [entry.data for entry in cluster.committed.values()]
+    assert b"during" in values and b"after" in values
+
+
+def test_doubled_refusals_cause_no_message_storm():
+    cluster = Cluster(8)
+    cluster.run(3000)
+    leader = get_leader(cluster)
+    away = next(i for i in cluster.disk_by_id if i != leader)
+    cluster.crash(away)
+    for number in range(50):
+        cluster.propose(b"%d" % number)
+        cluster.run(40)
+    cluster.compact(leader)
+    cluster.start(away)
+    cluster.cuts.add((leader, away))
+    cluster.run(500)
+    cluster.cuts.clear()
+    state = cluster.state_by_id[leader]
+    state = raft._set_progress(
+        state, away, install_sent_ms=cluster.read_clock(leader)
+    )
+    cluster.state_by_id[leader] = state
+    sent = len(cluster.in_flight)
+    cluster.run(raft.INSTALL_RETRY_MS - 50, double=0.3)
+    assert len(cluster.in_flight) - sent < 20
+
+
+def test_snapshot_reaches_a_member_that_was_away():
+    cluster = Cluster(7)
+    cluster.run(3000)
+    leader = get_leader(cluster)
+    away = next(i for i in cluster.disk_by_id if i != leader)
+    cluster.crash(away)
+    for number in range(50):
+        cluster.propose(b"%d" % number)
+        cluster.run(40)
+    cluster.compact(leader)
+    cluster.start(away)
+    cluster.run(3000)
+    state = cluster.state_by_id[away]
+    assert state.snapshot_index > 0
+    assert cluster.applied_by_id[away] == cluster.applied_by_id[leader]
