Show that each check can go red, and keep slow endpoints usable

Found on the way, failing first: - After a slow phase an endpoint was refused all work, since the estimate of its service time only learns from work. An idle endpoint is tried now. - An entry went on with a lease from control that had lost accepted changes. It takes no lease from tables older than its own now.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: experiments on real processes, and slopes for capacity."""
--- a/chervilspindle/cli.py
+++ b/chervilspindle/cli.py
@@ -180,6 +180,49 @@
     reactor.run()
 
 
+def load(
+    file: str,
+    *,
+    target: str,
+    seed: int = 1,
+    output: str = "",
+    plot: str = "",
+):
+    """Run a load scenario against a running deployment and report.
+
+    :param file: scenario file
+    :param target: JSON file with entries, token_by_name, address_by_endpoint
+    :param seed: seed of arrivals
+    :param output: file to which the report is added as a JSON line
+    :param plot: PNG file for a plot
+    """
+    from twisted.internet import reactor
+
+    from chervilspindle.tools import load as load_module
+
+    logs.configure_logging("load", "WARNING")
+    scenario, mistakes = load_module.load_scenario(file)
+    if mistakes:
+        _exit(EXIT_MISTAKE, "\n".join(jsonc.format_error(m) for m in mistakes))
+    with open(target, "rb") as handle:
+        where = load_module.msgspec.json.decode(
+            handle.read(), type=load_module.Target
+        )
+
+    @defer.inlineCallbacks
+    def run():
+        generator = load_module.Generator(reactor, scenario, where, seed)
+        report = yield generator.run()
+        print(load_module.format_report(report))
+        if output:
+            with open(output, "a", encoding="utf-8") as sink:
+                sink.write(json.dumps(report) + "\n")
+        if plot:
+            load_module.plot_reports([report], plot)
+
+    _run(run)
+
+
 def demo(*, profile: str = "lagoon-paddle"):
     """Run a small deployment in this process and show what it does.
 
@@ -211,6 +254,7 @@
             token,
             settings_reference,
             endpoint,
+            load,
             demo,
         ],
         argv=arguments,
--- a/chervilspindle/config/options.py
+++ b/chervilspindle/config/options.py
@@ -107,6 +107,13 @@
         "s",
         "Longest wait for requests in flight at shutdown.",
     ),
+    Option(
+        "baselines",
+        list,
+        [],
+        '"no-hedge", "random-replica", "fifo", "no-ownership"',
+        "Mechanisms to switch off in experiments; empty in production.",
+    ),
     Option(
         "extra_load_share",
         float,
@@ -118,6 +125,7 @@
 
 OPTION_BY_NAME = {option.name: option for option in OPTIONS}
 
+BASELINES = ("no-hedge", "random-replica", "fifo", "no-ownership")
 CONTROL_VM_FIELDS = ("vm_id", "peer_address", "raft_address")
 TOKEN_FIELDS = ("name", "token_salt", "token_digest")
 
--- a/chervilspindle/config/settings.py
+++ b/chervilspindle/config/settings.py
@@ -43,6 +43,7 @@
     endpoint_tokens: tuple[TokenRow, ...]
     log_level: str
     drain_seconds: float
+    baselines: tuple[str, ...]
     extra_load_share: float
 
 
@@ -159,6 +160,9 @@
     level = document.get("log_level", "INFO").upper()
     if level not in logging.getLevelNamesMapping():
         yield "log_level", f"unknown level {level!r}"
+    for index, name in enumerate(document.get("baselines", [])):
+        if name not in options.BASELINES:
+            yield f"baselines[{index}]", f"unknown baseline {name!r}"
     if not 0 < document.get("drain_seconds", 30.0) <= 600:
         yield "drain_seconds", "must be in (0, 600]"
     if not 0 <= document.get("extra_load_share", 0.05) <= 0.5:
@@ -208,6 +212,7 @@
     for option in options.OPTIONS:
         values[option.name] = document.get(option.name, option.default)
     values["roles"] = tuple(values["roles"])
+    values["baselines"] = tuple(values["baselines"])
     values["control_vms"] = tuple(
         ControlVm(**row) for row in values["control_vms"]
     )
--- /dev/null
+++ b/chervilspindle/control/storage_test.py
@@ -0,0 +1,147 @@
+"""Tests of durable storage under torn, damaged and failing writes."""
+
+import os
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from chervilspindle.control import raft
+from chervilspindle.control import raft_messages as messages
+from chervilspindle.control import storage as storage_module
+
+
+def build_state(count=0, term=1):
+    state = raft.build_state(
+        "vm#1",
+        messages.HardState(term, ""),
+        (),
+        messages.SnapshotMark(0, 0, ()),
+        0.0,
+        0.5,
+    )
+    log = tuple(
+        messages.Entry(i + 1, term, raft.DATA, b"%d" % i) for i in range(count)
+    )
+    return state._replace(log=log)
+
+
+def open_storage(folder, **fields):
+    storage = storage_module.Storage(str(folder), **fields)
+    return storage, storage.recover()
+
+
+def write(folder, *states):
+    storage, _ = open_storage(folder)
+    previous = build_state(term=0)
+    for state in states:
+        storage.persist(previous, state)
+        previous = state
+    storage.close()
+
+
+def test_what_was_written_is_recovered(tmp_path):
+    state = build_state(5, term=3)._replace(voted_for="vm#2")
+    write(tmp_path, state)
+    _, recovered = open_storage(tmp_path)
+    assert recovered.hard == (3, "vm#2")
+    assert recovered.log == state.log
+
+
+def test_replaced_suffix_is_recovered(tmp_path):
+    first = build_state(5)
+    replaced = first.log[:2] + (messages.Entry(3, 2, raft.DATA, b"new"),)
+    write(tmp_path, first, first._replace(log=replaced))
+    _, recovered = open_storage(tmp_path)
+    assert recovered.log == replaced
+
+
+@hypothesis.given(cut=strategies.integers(1, 400))
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+def test_torn_tail_keeps_all_whole_records(tmp_path_factory, cut):
+    folder = tmp_path_factory.mktemp("torn")
+    states = [build_state(n) for n in range(1, 8)]
+    write(folder, *states)
+    path = folder / "log"
+    size = path.stat().st_size
+    os.truncate(path, max(0, size - cut))
+    storage, recovered = open_storage(folder)
+    assert recovered.log == states[-1].log[: len(recovered.log)]
+    storage.persist(
+        build_state(len(recovered.log)), build_state(len(recovered.log) + 1)
+    )
+    storage.close()
+    _, again = open_storage(folder)
+    assert len(again.log) == len(recovered.log) + 1
+
+
+def test_damage_before_the_last_record_is_refused(tmp_path):
+    write(tmp_path, *(build_state(n) for n in range(1, 8)))
+    path = tmp_path / "log"
+    data = bytearray(path.read_bytes())
+    data[12] ^= 0xFF
+    path.write_bytes(data)
+    with pytest.raises(storage_module.StorageError):
+        open_storage(tmp_path)
+
+
+def test_damaged_snapshot_is_refused(tmp_path):
+    storage, _ = open_storage(tmp_path)
+    state = build_state(5)._replace(commit_index=5)
+    mark = messages.SnapshotMark(5, 1, ())
+    storage.save_snapshot(storage_module.SnapshotFile(mark, b"x" * 50), state)
+    storage.close()
+    path = tmp_path / "snapshot"
+    path.write_bytes(path.read_bytes()[:-1] + b"?")
+    with pytest.raises(storage_module.StorageError):
+        open_storage(tmp_path)
+
+
+def test_snapshot_and_log_after_it_are_recovered(tmp_path):
+    storage, _ = open_storage(tmp_path)
+    state = build_state(8)._replace(commit_index=5)
+    storage.persist(build_state(term=0), state)
+    compacted = raft.compact(state, 5)
+    mark = messages.SnapshotMark(5, 1, ())
+    storage.save_snapshot(
+        storage_module.SnapshotFile(mark, b"tables"), compacted
+    )
+    storage.close()
+    _, recovered = open_storage(tmp_path)
+    assert recovered.snapshot.data == b"tables"
+    assert [e.index for e in recovered.log] == [6, 7, 8]
+
+
+def test_failed_write_makes_the_storage_unusable(tmp_path):
+    storage, _ = open_storage(tmp_path)
+
+    def fail(handle):
+        raise OSError(28, "No space left on device")
+
+    storage.fsync = fail
+    for _ in range(2):
+        with pytest.raises(storage_module.StorageError):
+            storage.persist(build_state(), build_state(1))
+        storage.fsync = os.fsync
+
+
+def test_short_writes_are_continued(tmp_path):
+    storage, _ = open_storage(tmp_path)
+    storage.write = lambda handle, data: os.write(handle, data[:3])
+    storage.persist(build_state(term=0), build_state(4))
+    storage.close()
+    _, recovered = open_storage(tmp_path)
+    assert len(recovered.log) == 4
+
+
+def test_each_new_disk_has_a_new_identity(tmp_path):
+    first = storage_module.create_identity(str(tmp_path / "a"), "g", "vm")
+    second = storage_module.create_identity(str(tmp_path / "b"), "g", "vm")
+    assert first.member_id != second.member_id
+    assert storage_module.load_identity(str(tmp_path / "a")) == first
+
+
+def test_log_without_identity_is_refused(tmp_path):
+    write(tmp_path, build_state(2))
+    with pytest.raises(storage_module.StorageError):
+        storage_module.create_identity(str(tmp_path), "g", "vm")
--- a/chervilspindle/policy/admission.py
+++ b/chervilspindle/policy/admission.py
@@ -45,8 +45,12 @@
 def is_hopeless(estimate: QueueEstimate, remaining_ms: float) -> bool:
     """Tell whether a request can't finish within its deadline.
 
-    Service times vary, so half of the typical one is counted.
+    Service times vary, so half of the typical one is counted. A request
+    that needs not wait is never hopeless: were a slow endpoint refused all
+    work, its estimate could never recover.
     """
+    if estimate.wait_ms <= 0:
+        return remaining_ms <= 0
     service = estimate.finish_ms - estimate.wait_ms
     return estimate.wait_ms + DEADLINE_MARGIN * service > remaining_ms
 
--- /dev/null
+++ b/chervilspindle/policy/admission_test.py
@@ -0,0 +1,44 @@
+"""Tests of admission and of the advice when to come back."""
+
+from chervilspindle.policy import admission
+
+
+def test_idle_endpoint_is_tried_however_slow_it_was():
+    estimate = admission.estimate_queue(0, 0, 2, 5000.0, 1.0)
+    assert not admission.is_hopeless(estimate, 100.0)
+
+
+def test_request_behind_a_long_queue_is_refused_at_once():
+    estimate = admission.estimate_queue(50, 2, 2, 20.0, 1.0)
+    assert estimate.wait_ms == 10.0 + 500.0
+    assert admission.is_hopeless(estimate, 300.0)
+    retry_after = admission.compute_retry_after_ms(estimate, 300.0)
+    assert retry_after == 230
+
+
+def test_wait_counts_the_share_that_is_sure():
+    half = admission.estimate_queue(10, 2, 2, 20.0, 0.5)
+    whole = admission.estimate_queue(10, 2, 2, 20.0, 1.0)
+    assert half.wait_ms == 10.0 + 200.0
+    assert whole.wait_ms == 10.0 + 100.0
+
+
+def test_expired_request_is_hopeless():
+    estimate = admission.estimate_queue(0, 0, 2, 20.0, 1.0)
+    assert admission.is_hopeless(estimate, 0.0)
+
+
+def test_entry_admits_all_while_there_is_room():
+    load = admission.EntryLoad(100, 1000)
+    assert admission.may_admit(load, 0, 900, 0.1, 1.0)
+
+
+def test_greedy_customer_is_held_to_its_share_of_a_full_entry():
+    load = admission.EntryLoad(1000, 1000)
+    assert not admission.may_admit(load, 800, 10, 0.5, 1.0)
+    assert admission.may_admit(load, 300, 10, 0.5, 1.0)
+
+
+def test_nobody_is_admitted_far_over_the_limit():
+    load = admission.EntryLoad(2000, 1000)
+    assert not admission.may_admit(load, 0, 1, 0.5, 1.0)
--- a/chervilspindle/query/directory.py
+++ b/chervilspindle/query/directory.py
@@ -19,7 +19,11 @@
 
 
 class Directory:
-    """Tables of one entry, kept current by deltas from control."""
+    """Tables of one entry, kept current by deltas from control.
+
+    `sole_owner` is for the baseline without ownership: that session counts
+    as the owner of every endpoint.
+    """
 
     def __init__(self):
         self.version = 0
@@ -30,6 +34,7 @@
         self.ids_by_service = {}
         self.plan_by_query = {}
         self.listeners = []
+        self.sole_owner = ""
 
     def apply_delta(self, delta) -> bool:
         """Put a delta in force.
@@ -113,6 +118,11 @@
             self.ownership_by_id.pop(endpoint_id, None)
         for ownership in delta.ownerships:
             self.ownership_by_id[ownership.endpoint_id] = ownership
+        if self.sole_owner:
+            self.ownership_by_id = {
+                i: rows.Ownership(i, self.sole_owner, 1)
+                for i in self.endpoint_by_id
+            }
 
     def _index_services(self):
         ids_by_service = {}
--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -56,7 +56,6 @@
     read_clock : callable
         Monotonic milliseconds.
     metrics : Metrics
-    policy : gather.Policy
     seed : int, optional
         Seed of random choices.
     """
@@ -69,7 +68,6 @@
         timers,
         read_clock,
         metrics,
-        policy=gather.Policy(),
         seed=None,
     ):
         self.settings = settings
@@ -87,6 +85,8 @@
             "ready",
         )
         self.directory = directory_module.Directory()
+        if "no-ownership" in settings.baselines:
+            self.directory.sole_owner = vm.session
         self.explainer = explain.Explainer()
         self.lifecycle = lifecycle.build_lifecycle()
         addresses = {v.vm_id: v.peer_address for v in settings.control_vms}
@@ -103,6 +103,7 @@
             timers,
             read_clock,
             metrics,
+            is_fair="fifo" not in settings.baselines,
         )
         self.gatherer = gather.Gatherer(
             vm,
@@ -114,7 +115,7 @@
             metrics,
             settings.extra_load_share,
             random.Random(seed),
-            policy,
+            settings.baselines,
         )
         self.commands = commands.CommandRunner(
             self.directory,
--- a/chervilspindle/query/gather.py
+++ b/chervilspindle/query/gather.py
@@ -115,13 +115,6 @@
         self.retries = 0
 
 
-class Policy(typing.NamedTuple):
-    """Switches of the gatherer; baselines of experiments turn them off."""
-
-    hedge: bool = True
-    random_replica: bool = False
-
-
 class Gatherer:
     """All queries that this entry gathers.
 
@@ -139,7 +132,8 @@
     extra_load_share : float
         Budget of hedges and retries.
     random : random.Random
-    policy : Policy
+    baselines : tuple of str
+        Mechanisms that an experiment switches off.
     """
 
     def __init__(
@@ -153,7 +147,7 @@
         metrics,
         extra_load_share,
         random,
-        policy=Policy(),
+        baselines=(),
     ):
         self.vm = vm
         self.directory = directory
@@ -162,7 +156,8 @@
         self.explainer = explainer
         self.metrics = metrics
         self.random = random
-        self.policy = policy
+        self.may_hedge = "no-hedge" not in baselines
+        self.chooses_at_random = "random-replica" in baselines
         self.budget = hedging.build_budget(extra_load_share)
         self.query_by_id = {}
         self.stats_by_endpoint = {}
@@ -234,7 +229,7 @@
         ]
         if not candidates:
             return None
-        if self.policy.random_replica:
+        if self.chooses_at_random:
             return self.random.choice(candidates).endpoint_id
         best = replicas.choose_replica(
             candidates, self.read_clock(), self.random.random
@@ -343,7 +338,7 @@
             self.send(self.directory.vm_by_session[session], message)
 
     def _schedule_hedge(self, query, shard, now):
-        if not self.policy.hedge or len(shard.plan.endpoint_ids) < 2:
+        if not self.may_hedge or len(shard.plan.endpoint_ids) < 2:
             return
         latencies = self.latencies_by_service.get(shard.plan.service)
         delay = hedging.DEFAULT_DELAY_MS
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -129,10 +129,19 @@
     read_clock : callable
         Monotonic milliseconds.
     metrics : Metrics
+    is_fair : bool
+        False for first come, first served, as a baseline of experiments.
     """
 
     def __init__(
-        self, session, directory, build_client, timers, read_clock, metrics
+        self,
+        session,
+        directory,
+        build_client,
+        timers,
+        read_clock,
+        metrics,
+        is_fair=True,
     ):
         self.session = session
         self.directory = directory
@@ -140,6 +149,7 @@
         self.timers = timers
         self.read_clock = read_clock
         self.metrics = metrics
+        self.is_fair = is_fair
         self.owned_by_id = {}
         self.closing = []
         self.work_by_key = {}
@@ -318,6 +328,8 @@
             self._refuse_queue(owned, errors.ErrorKind.DRAINING)
 
     def _admit(self, work: Work, now: float):
+        if not self.is_fair:
+            work.job = work.job._replace(customer="", weight=1.0, rank=0)
         part = work.job.part
         owned = self.owned_by_id.get(part.endpoint_id)
         if owned is None or owned.epoch != part.epoch:
@@ -362,7 +374,7 @@
             customer, work = owned.queue.pop(cost)
             if work is None:
                 return
-            if work.due_ms - now < admission.DEADLINE_MARGIN * cost:
+            if work.due_ms - now < self._get_least_ms(owned):
                 owned.queue.charge(customer, -cost)
                 self._refuse(work, errors.ErrorKind.DEADLINE)
                 continue
@@ -487,12 +499,21 @@
     def _expire_queue(self, owned, now):
         if not owned.queue.size:
             return
-        needed = admission.DEADLINE_MARGIN * owned.limit.service_ms
+        needed = self._get_least_ms(owned)
         for customer, work in owned.queue.list_lowest():
             if work.due_ms - now < needed:
                 owned.queue.drop(customer)
                 self._refuse(work, errors.ErrorKind.DEADLINE)
 
+    def _get_least_ms(self, owned):
+        """Return the time left below which work is not started.
+
+        An idle endpoint tries any work, so that a bad estimate recovers.
+        """
+        if not owned.running:
+            return 0.0
+        return admission.DEADLINE_MARGIN * owned.limit.service_ms
+
     def _check_running(self, owned, now):
         for work in list(owned.running.values()):
             if now > work.due_ms and not work.cancelled_ms:
--- a/chervilspindle/query/session.py
+++ b/chervilspindle/query/session.py
@@ -179,7 +179,11 @@
 
     def _renewed(self, reply, sent_ms):
         before = self.directory.version
-        self.directory.apply_delta(reply.delta)
+        if not self.directory.apply_delta(reply.delta):
+            # Control that knows less than it said before has lost accepted
+            # changes; going on with it would revert them.
+            LOGGER.error("control is older than what it said before")
+            return True
         if reply.lease_ms and not self.stopped:
             if not self.is_valid():
                 logs.log_decision("lease-gained", session=self.vm.session)
--- a/chervilspindle/serve.py
+++ b/chervilspindle/serve.py
@@ -15,7 +15,6 @@
 from chervilspindle.core import metrics as metrics_module
 from chervilspindle.core import timers as timers_module
 from chervilspindle.query import entry as entry_module
-from chervilspindle.query import gather
 from chervilspindle.wire import endpoint_client
 from chervilspindle.wire import http_api
 from chervilspindle.wire import messages
@@ -55,10 +54,9 @@
     settings : Settings
     on_failure : callable
         Called with an exit code when the process can't go on.
-    policy : gather.Policy
     """
 
-    def __init__(self, reactor, settings, on_failure, policy=gather.Policy()):
+    def __init__(self, reactor, settings, on_failure):
         self.reactor = reactor
         self.settings = settings
         self.on_failure = on_failure
@@ -70,7 +68,6 @@
         self.ports = []
         self.transport = None
         self.roles = Roles(None, None, None)
-        self.policy = policy
 
     @defer.inlineCallbacks
     def start(self):
@@ -151,7 +148,6 @@
             self.timers,
             timers_module.read_monotonic_ms,
             self.metrics,
-            self.policy,
         )
 
     def _listen_http(self, entry):
--- /dev/null
+++ b/features/http_api_test.py
@@ -0,0 +1,169 @@
+"""Bad input gets a clear error with its place, and never a traceback."""
+
+import json
+
+import pytest
+import treq.testing
+
+from chervilspindle.wire import http_api
+from features import workload
+from features import world as world_module
+
+
+@pytest.fixture(name="world")
+def build_world(tmp_path, monkeypatch):
+    """Build a small world that serves."""
+    world = world_module.World(tmp_path, monkeypatch, seed=3)
+    workload.start_services(world)
+    return world
+
+
+def send(world, method, path, body=b"", token=None, headers=None):
+    """Send one request to the first entry, in memory."""
+    entry = world.vm_by_name["entry-1"].entry
+    api = http_api.HttpApi(entry)
+    stub = treq.testing.StubTreq(api.app.resource())
+    if not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    token = token or world.token_by_name[world_module.CUSTOMER]
+    results = []
+    stub.request(
+        method,
+        f"http://127.0.0.1{path}",
+        data=body,
+        headers={"Authorization": f"Bearer {token}", **(headers or {})},
+    ).addBoth(results.append)
+    for _ in range(200):
+        stub.flush()
+        world.advance(0.01)
+        if results:
+            break
+    response = results[0]
+    contents = []
+    response.json().addBoth(contents.append)
+    stub.flush()
+    return response, contents[0]
+
+
+QUERY = {"services": ["portal-*"], "query": {"nonce": "x"}}
+
+CASES = (
+    ({"token": "nobody.x", "body": QUERY}, 401, "header Authorization"),
+    ({"body": b"{"}, 400, "$"),
+    ({"body": b"\xff\xfe"}, 400, "$"),
+    ({"body": []}, 400, "$"),
+    ({"body": {**QUERY, "typo": 1}}, 400, "$"),
+    ({"body": {**QUERY, "deadline_ms": "x"}}, 400, "$.deadline_ms"),
+    ({"body": {**QUERY, "deadline_ms": 0}}, 400, "$.deadline_ms"),
+    ({"body": {**QUERY, "services": [1]}}, 400, "$.services[0]"),
+    ({"body": {**QUERY, "services": []}}, 400, "$.services"),
+    ({"body": {**QUERY, "services": ["none-*"]}}, 404, "$.services[0]"),
+    ({"body": {**QUERY, "priority": "vip"}}, 403, "$.priority"),
+)
+
+
+@pytest.mark.parametrize("request_,status,source", CASES)
+def test_bad_query(world, request_, status, source):
+    response, body = send(world, "POST", "/v1/query", **request_)
+    assert response.code == status, body
+    assert body["source"] == source
+    assert body["not_run"] is True
+    assert "Traceback" not in json.dumps(body)
+    kind = response.headers.getRawHeaders("content-type")
+    assert kind == ["application/problem+json"]
+
+
+def test_good_query(world):
+    response, body = send(world, "POST", "/v1/query", QUERY)
+    assert response.code == 200, body
+    assert body["coverage"]["complete"] is True
+    assert len(body["results"]) == 2
+
+
+def test_command_needs_an_idempotency_key(world):
+    command = {"service": "portal-1", "key": "a", "command": {"nonce": "x"}}
+    response, body = send(world, "POST", "/v1/command", command)
+    assert response.code == 400
+    assert body["source"] == "header Idempotency-Key"
+    assert body["not_run"] is True
+
+
+def test_key_of_another_request_is_refused(world):
+    command = {"service": "portal-1", "key": "a", "command": {"nonce": "x"}}
+    headers = {"Idempotency-Key": "k"}
+    first = send(world, "POST", "/v1/command", command, headers=headers)
+    assert first[0].code == 200
+    command["command"] = {"nonce": "y"}
+    response, body = send(
+        world, "POST", "/v1/command", command, headers=headers
+    )
+    assert response.code == 422
+    assert body["not_run"] is True
+
+
+def test_unknown_path(world):
+    response, body = send(world, "GET", "/v2/query")
+    assert response.code == 404
+    assert body["kind"] == "unknown_path"
+
+
+def test_operator_paths_refuse_customers(world):
+    for method, path in (
+        ("GET", "/v1/config"),
+        ("PUT", "/v1/config"),
+        ("GET", "/v1/status"),
+        ("GET", "/v1/explain/x"),
+    ):
+        response, body = send(world, method, path)
+        assert response.code == 401, (path, body)
+
+
+def test_health_readiness_and_metrics(world):
+    assert send(world, "GET", "/healthz")[0].code == 200
+    assert send(world, "GET", "/readyz")[0].code == 200
+    entry = world.vm_by_name["entry-1"].entry
+    send(world, "POST", "/v1/query", QUERY)
+    body, _ = entry.metrics.render(["text/plain"])
+    assert b"chervilspindle_shards_total" in body
+
+
+def test_cut_off_entry_refuses_and_fails_its_readiness_check(world):
+    world.isolate("entry-1")
+    world.advance(6.0)
+    response, body = send(world, "POST", "/v1/query", QUERY)
+    assert response.code == 503
+    assert body["kind"] == "no_lease"
+    assert body["not_run"] is True
+    assert response.headers.hasHeader("retry-after")
+    assert send(world, "GET", "/readyz")[0].code == 503
+
+
+@pytest.mark.parametrize(
+    "field,value",
+    (
+        ("slots", 0),
+        ("state", "gone"),
+        ("address", "nowhere"),
+        ("holdings", [[1, 5, 5]]),
+        ("endpoint", ""),
+    ),
+)
+def test_bad_announcement(world, field, value):
+    body = {
+        "endpoint": "x.0",
+        "service": "x",
+        "address": "127.0.0.1:1",
+        "zone": "a",
+        "slots": 1,
+        "connections": 1,
+        "state": "ready",
+        "holdings": [[1, 0, 10]],
+        "incarnation": 1,
+        "sequence": 1,
+    }
+    assert send(world, "POST", "/v1/announce", body)[0].code == 200
+    response, problem = send(
+        world, "POST", "/v1/announce", {**body, field: value}
+    )
+    assert response.code == 400
+    assert problem["source"].startswith(f"$.{field}")
--- a/features/promises.py
+++ b/features/promises.py
@@ -37,6 +37,7 @@
         ]
         named = answered + missing
         assert len(set(named)) == len(named), outcome.nonce
+        assert {s for s, _ in named} == world.list_services(), outcome.nonce
         for service in {s for s, _ in named}:
             ranges = sorted(
                 tuple(map(int, name.split("-")))
@@ -98,6 +99,17 @@
             assert late <= DRAIN_LIMIT_S, (endpoint.name, late)
 
 
+def check_nothing_cut(world, vm):
+    """A VM that has drained owes no caller an answer."""
+    if vm.process.killed or vm.process.frozen:
+        return
+    for outcome in world.outcomes:
+        if outcome.entry_name == vm.name and outcome.ended_at is None:
+            age = world.clock.seconds() - outcome.sent_at
+            started = world.clock.seconds() - vm.process.started_s
+            assert age > started, f"{outcome.nonce} was cut"
+
+
 def check_in_force(world, accepted_at, revision):
     """A revision is in force on a VM, or the VM admits nothing."""
     assert world.clock.seconds() >= accepted_at + IN_FORCE_LIMIT_S
--- a/features/workload.py
+++ b/features/workload.py
@@ -9,6 +9,8 @@
 RESEND_S = 0.35
 APPLY_PERIOD_S = 1.0
 SETTLE_S = 12.0
+RECOVERED_SERVICE_S = 0.008
+DROP_PAUSE_S = 0.1
 RECOVERY_LIMIT_S = 10.0
 
 
@@ -116,10 +118,14 @@
 
 
 def drop_old_snapshot(world):
-    """Drop the old snapshot while queries may still read it."""
-    for endpoint in world.endpoint_by_name.values():
-        endpoint.holdings = [h for h in endpoint.holdings if h.snapshot != 1]
-        endpoint.announce()
+    """Drop the old snapshot, one endpoint after the other, under load."""
+    for number, endpoint in enumerate(world.endpoint_by_name.values()):
+        world.clock.callLater(DROP_PAUSE_S * number, _drop_old, endpoint)
+
+
+def _drop_old(endpoint):
+    endpoint.holdings = [h for h in endpoint.holdings if h.snapshot != 1]
+    endpoint.announce()
 
 
 def run_story(world, fault=None):
@@ -156,7 +162,11 @@
     world.advance(SETTLE_S - 6.0)
     workload.stop()
     world.faults.clear()
+    for endpoint in world.endpoint_by_name.values():
+        endpoint.service_s = RECOVERED_SERVICE_S
     world.advance(8.0)
+    for failure in world.failures:
+        failure.raiseException()
     promises.check_all(world)
     check_recovery(world)
 
@@ -165,10 +175,13 @@
     """Drain an entry, then start it again."""
 
     def start_again(_):
+        promises.check_nothing_cut(world, vm)
         vm.kill()
         world.clock.callLater(0.5, vm.start)
 
-    vm.entry.drain().addBoth(start_again)
+    failures = []
+    vm.entry.drain().addBoth(start_again).addErrback(failures.append)
+    world.failures = failures
 
 
 def check_recovery(world):
--- a/features/world.py
+++ b/features/world.py
@@ -49,6 +49,7 @@
         self.frozen = False
         self.killed = False
         self.backlog = []
+        self.started_s = world.clock.seconds()
 
     def seconds(self):
         """Return the time on this process's clock, in seconds."""
@@ -438,7 +439,7 @@
 
         def answer(result):
             self.world.act(
-                "EndpointReply",
+                f"{step}Reply",
                 (self.endpoint.name, self.process.name),
                 lambda: self.process.run(lambda: finish(result)),
             )
@@ -633,6 +634,7 @@
         self.token_by_name = {}
         self.lists_document = None
         self.revision_floor = {}
+        self.failures = []
         self._build(controls, entries)
 
     def read_wall_ms(self):
@@ -647,6 +649,10 @@
         """Return the control VMs."""
         return [v for v in self.vm_by_name.values() if v.is_control]
 
+    def list_services(self):
+        """Return the services of all endpoints."""
+        return {e.service for e in self.endpoint_by_name.values()}
+
     def get_leader(self):
         """Return the VM that leads, or None."""
         for vm in self.controls():
