Keep retries after a loss apart from hedges; prove over real processes

A search lost a shard with connection_lost while connections to one endpoint were silent, although the other replica was well. Cause: ordinary hedges at the 95th percentile use up the one budget, so nothing was left for the retry after a loss. Ruled out: replica choice, which had the other replica as an untried candidate. Retries have a budget of their own now, and an endpoint that answers no probe gets no work until it does.

--- a/chervilspindle/policy/hedging.py
+++ b/chervilspindle/policy/hedging.py
@@ -2,8 +2,10 @@
 
 A part that is late against a high quantile of its service's recent times is
 sent to another replica as well (Dean and Barroso, "The Tail at Scale",
-2013). Hedges and retries draw on one budget that first sends fill, so the
-extra load stays a fixed share even when every request is late.
+2013). First sends fill the budgets that hedges and retries draw on, so the
+extra load stays a fixed share even when every request is late. Retries have
+a budget of their own: they follow a loss, when the first send is no load
+any more, and coverage depends on them.
 """
 
 import statistics
@@ -15,25 +17,28 @@
 MIN_DELAY_MS = 5.0
 DEFAULT_DELAY_MS = 50.0
 REFRESH_SAMPLES = 20
-BURST_TOKENS = 10.0
+HEDGE_BURST = 10.0
+RETRY_SHARE = 0.1
+RETRY_BURST = 200.0
 
 
 class Budget(typing.NamedTuple):
     """Token bucket of extra sub-requests."""
 
     share: float
+    burst: float
     tokens: float
 
 
-def build_budget(share: float) -> Budget:
+def build_budget(share: float, burst: float) -> Budget:
     """Build a full bucket that refills by `share` of a token a send."""
-    return Budget(share, BURST_TOKENS if share else 0.0)
+    return Budget(share, burst, burst if share else 0.0)
 
 
 def earn(budget: Budget, sends: int) -> Budget:
     """Add the tokens that first sends bring."""
     tokens = budget.tokens + sends * budget.share
-    return budget._replace(tokens=min(BURST_TOKENS, tokens))
+    return budget._replace(tokens=min(budget.burst, tokens))
 
 
 def spend(budget: Budget):
--- /dev/null
+++ b/chervilspindle/policy/policy_test.py
@@ -0,0 +1,85 @@
+"""Tests of replica choice, limits and hedging."""
+
+from chervilspindle.policy import hedging
+from chervilspindle.policy import limits
+from chervilspindle.policy import replicas
+
+
+def build_candidate(name, **fields):
+    return replicas.Candidate(name, 2, True, replicas.ReplicaStats(**fields))
+
+
+def choose(*candidates, now=1000.0):
+    return replicas.choose_replica(candidates, now, lambda: 0.5).endpoint_id
+
+
+def test_longer_queue_is_avoided():
+    busy = build_candidate("busy", backlog_ms=100.0, observed_ms=990.0)
+    assert choose(busy, build_candidate("idle")) == "idle"
+
+
+def test_old_report_of_a_queue_counts_little():
+    once_busy = build_candidate("a", backlog_ms=100.0, observed_ms=-9000.0)
+    slow = build_candidate("b", service_ms=20.0)
+    assert choose(once_busy, slow) == "a"
+
+
+def test_failed_replica_is_avoided_and_tried_again_later():
+    failed = build_candidate("failed", failed_ms=900.0)
+    assert choose(failed, build_candidate("slow", service_ms=100.0)) == "slow"
+    later = 900.0 + 20000.0
+    slow = build_candidate("slow", service_ms=100.0)
+    assert choose(failed, slow, now=later) == "failed"
+
+
+def test_own_outstanding_requests_count():
+    loaded = build_candidate("loaded", outstanding=8)
+    assert choose(loaded, build_candidate("other", service_ms=15.0)) == "other"
+
+
+def test_limit_never_exceeds_the_announced_slots():
+    state = limits.build_limit(2, True)
+    assert limits.get_limit(state) == 1
+    for now in range(100):
+        state = limits.note_success(state, 10.0, float(now))
+    assert limits.get_limit(state) == 2
+
+
+def test_shed_requests_cut_the_limit_once_a_pause():
+    state = limits.build_limit(8, False)
+    for now in (1000.0, 1001.0, 1002.0):
+        state = limits.note_shed(state, now)
+    assert limits.get_limit(state) == 4
+    state = limits.note_shed(state, 2000.0)
+    assert limits.get_limit(state) == 2
+
+
+def test_slow_answers_cut_the_limit():
+    state = limits.build_limit(8, False)
+    for now in range(50):
+        state = limits.note_success(state, 10.0, float(now))
+    for now in range(60):
+        state = limits.note_success(state, 200.0, 1000.0 + now * 50)
+    assert limits.get_limit(state) < 8
+
+
+def test_hedges_stay_within_their_share():
+    budget = hedging.build_budget(0.05, 10.0)
+    granted = 0
+    for _ in range(10000):
+        budget = hedging.earn(budget, 1)
+        budget, ok = hedging.spend(budget)
+        granted += ok
+    assert granted <= 10000 * 0.05 + 10
+
+
+def test_no_share_means_no_hedge():
+    budget = hedging.build_budget(0.0, 10.0)
+    assert not hedging.spend(hedging.earn(budget, 1000))[1]
+
+
+def test_delay_follows_the_quantile():
+    state = hedging.Latencies()
+    for number in range(200):
+        state = hedging.note_latency(state, float(number))
+    assert 170.0 <= state.delay_ms <= 195.0
--- a/chervilspindle/policy/replicas.py
+++ b/chervilspindle/policy/replicas.py
@@ -94,6 +94,11 @@
     )
 
 
+def mark_failed(stats: ReplicaStats, now: float) -> ReplicaStats:
+    """Take in that the endpoint can't be used at the moment."""
+    return stats._replace(failed_ms=now)
+
+
 def note_failure(stats: ReplicaStats, now: float) -> ReplicaStats:
     """Take in a part that failed or got no reply."""
     return stats._replace(
--- a/chervilspindle/query/gather.py
+++ b/chervilspindle/query/gather.py
@@ -130,7 +130,7 @@
     explainer : Explainer
     metrics : Metrics
     extra_load_share : float
-        Budget of hedges and retries.
+        Budget of hedges.
     random : random.Random
     baselines : tuple of str
         Mechanisms that an experiment switches off.
@@ -158,7 +158,12 @@
         self.random = random
         self.may_hedge = "no-hedge" not in baselines
         self.chooses_at_random = "random-replica" in baselines
-        self.budget = hedging.build_budget(extra_load_share)
+        self.hedge_budget = hedging.build_budget(
+            extra_load_share, hedging.HEDGE_BURST
+        )
+        self.retry_budget = hedging.build_budget(
+            hedging.RETRY_SHARE, hedging.RETRY_BURST
+        )
         self.query_by_id = {}
         self.stats_by_endpoint = {}
         self.latencies_by_service = {}
@@ -291,7 +296,8 @@
                 )
             else:
                 chosen.append((shard, endpoint_id))
-        self.budget = hedging.earn(self.budget, len(chosen))
+        self.hedge_budget = hedging.earn(self.hedge_budget, len(chosen))
+        self.retry_budget = hedging.earn(self.retry_budget, len(chosen))
         self._send_parts(query, chosen, "expected-finish")
         self._finish_if_settled(query)
 
@@ -361,7 +367,7 @@
         endpoint_id = self.choose_endpoint(untried)
         if endpoint_id is None:
             return
-        self.budget, granted = hedging.spend(self.budget)
+        self.hedge_budget, granted = hedging.spend(self.hedge_budget)
         if not granted:
             self.explainer.note(
                 query.request.request_id,
@@ -388,6 +394,8 @@
             reply.backlog_ms,
             now,
         )
+        if reply.status in _UNHEALTHY:
+            self._update_stats(reply.endpoint_id, replicas.mark_failed, now)
         shard.may_have_run = shard.may_have_run or reply.dispatched
         if shard.settled:
             return
@@ -437,7 +445,7 @@
         if len(shard.tried) < MAX_SENDS and now < query.due_ms:
             endpoint_id = self._choose_retry(shard)
         if endpoint_id is not None and dispatched:
-            self.budget, granted = hedging.spend(self.budget)
+            self.retry_budget, granted = hedging.spend(self.retry_budget)
             if not granted:
                 endpoint_id = None
         if endpoint_id is None:
@@ -610,6 +618,18 @@
         )
 
 
+_UNHEALTHY = frozenset(
+    kind.value
+    for kind in (
+        errors.ErrorKind.NO_ENDPOINT,
+        errors.ErrorKind.NOT_OWNER,
+        errors.ErrorKind.NO_LEASE,
+        errors.ErrorKind.DRAINING,
+        errors.ErrorKind.CONNECTION_LOST,
+    )
+)
+
+
 def build_request_id(vm_id: str) -> str:
     """Return a unique request id that names the gathering VM."""
     return f"{vm_id}~{uuid.uuid4().hex}"
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -28,6 +28,7 @@
 SUSPECT_MIN_MS = 60.0
 PROBE_BACKOFF = 3.0
 PROBE_MAX_MS = 1000.0
+SUSPECT_PROBE_MS = 500.0
 COMMANDS_REMEMBERED = 10000
 
 QUEUED = "queued"
@@ -108,6 +109,9 @@
         self.foreign_until_ms = 0.0 if epoch == 1 else now + MAX_DEADLINE_MS
         self.reported_lost = False
         self.released = False
+        # An endpoint that answers no probe gets no work until it does.
+        self.suspect = False
+        self.suspect_probe_ms = 0.0
 
     def count_free(self, now: float) -> int:
         """Return the slots that may be used now."""
@@ -274,6 +278,7 @@
             self._expire_queue(owned, now)
             self._check_running(owned, now)
             self._check_heard(owned, now)
+            self._check_suspect(owned, now)
             self._dispatch(owned, now)
             owned.queue.forget_idle()
         for owned in list(self.closing):
@@ -335,7 +340,7 @@
         if owned is None or owned.epoch != part.epoch:
             self._refuse(work, errors.ErrorKind.NOT_OWNER)
             return
-        if owned.row.state != "ready":
+        if owned.row.state != "ready" or owned.suspect:
             self._refuse(work, errors.ErrorKind.NO_ENDPOINT)
             return
         estimate = self._estimate(owned, work.job)
@@ -368,7 +373,7 @@
             if not self.session.is_valid():
                 self._refuse_queue(owned, errors.ErrorKind.NO_LEASE)
                 return
-            if owned.row.state != "ready":
+            if owned.row.state != "ready" or owned.suspect:
                 return
             cost = owned.limit.service_ms
             customer, work = owned.queue.pop(cost)
@@ -571,7 +576,12 @@
             return
         late = now - work.started_ms
         work.probe_ms = now + min(PROBE_MAX_MS, PROBE_BACKOFF * late)
-        if state is None or state.state == "running":
+        self._note_probe(owned, state is not None)
+        if state is None:
+            # The slot stays taken; the gatherer may try elsewhere.
+            self._answer_lost(owned, work)
+            return
+        if state.state == "running":
             return
         logs.log_decision(
             "connection-silent",
@@ -592,6 +602,39 @@
             )
         work.call.cancel()
 
+    def _answer_lost(self, owned, work):
+        kind = errors.ErrorKind.CONNECTION_LOST
+        if work.job.key is not None:
+            kind = errors.ErrorKind.OUTCOME_UNKNOWN
+        self._answer(
+            owned, work, kind.value, True, 0, 0.0, messages.EMPTY_VALUE
+        )
+
+    def _note_probe(self, owned, answered):
+        if owned.suspect != answered:
+            return
+        owned.suspect = not answered
+        owned.suspect_probe_ms = self.read_clock() + SUSPECT_PROBE_MS
+        logs.log_decision(
+            "endpoint-suspect",
+            endpoint=owned.row.endpoint_id,
+            suspect=owned.suspect,
+        )
+        if owned.suspect:
+            self._refuse_queue(owned, errors.ErrorKind.NO_ENDPOINT)
+
+    def _check_suspect(self, owned, now):
+        """Probe a suspect endpoint until it answers again."""
+        if not owned.suspect or now < owned.suspect_probe_ms:
+            return
+        owned.suspect_probe_ms = now + SUSPECT_PROBE_MS
+        self.metrics.count_probe()
+        deferred = owned.client.probe("health")
+        deferred.addCallback(
+            lambda state: self._note_probe(owned, state is not None)
+        )
+        deferred.addErrback(_log_failure)
+
     def _check_heard(self, owned, now):
         if owned.reported_lost or now < owned.last_heard_ms + LOST_AFTER_MS:
             return
--- a/chervilspindle/wire/endpoint_client.py
+++ b/chervilspindle/wire/endpoint_client.py
@@ -18,7 +18,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_S = 20.0
-PROBE_TIMEOUT_S = 0.5
+PROBE_TIMEOUT_S = 0.15
 
 _NOT_CONNECTED = (
     internet_error.ConnectError,
--- a/features/processes.py
+++ b/features/processes.py
@@ -18,7 +18,9 @@
 
 def find_free_ports(count):
     """Return the first of a run of ports that are free now."""
-    for first in range(23000, 60000, count + 50):
+    # Parallel test workers look in ranges of their own.
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
+    for first in range(23000 + 1500 * worker, 60000, count + 50):
         if all(_is_free(first + offset) for offset in range(count)):
             return first
     raise RuntimeError("no run of free ports")
