Let the cost of a change follow the change, not the deployment

Question: which control costs grow with the fleet. Slopes before, at 10,800 endpoints and 2,000 VMs: a placement pass took 53 ms although nothing was to be done, and ran ten times a second; a delta of one row cost an entry 7.8 ms (index of all services built anew). Both reach past the target's budget at 21,000 endpoints. Ruled out: the heartbeat itself, 5 to 8 us at any size.

Placement keeps an index of unsettled endpoints, the directory an index that it updates row by row, and a delta is encoded once for all entries.

--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,295 @@
+"""Measures the slopes that docs/CAPACITY.md is worked out from.
+
+Each slope is processor time (or bytes) against one size, from runs in this
+process of the very code that serves, with stand-ins only at the interfaces.
+Prints one JSON line for each point and a table of the fitted slopes.
+"""
+
+import json
+import os
+import statistics
+import sys
+import tempfile
+import time
+
+import defopt
+import msgspec
+
+from chervilspindle.control import changes
+from chervilspindle.control import placement
+from chervilspindle.control import raft
+from chervilspindle.control import raft_messages
+from chervilspindle.control import state as state_module
+from chervilspindle.control import storage as storage_module
+from chervilspindle.core import rows
+from chervilspindle.query import directory as directory_module
+from chervilspindle.wire import messages
+from chervilspindle.wire import peer
+
+REPEATS = 5
+
+
+def measure_us(function, count):
+    """Return the median processor time of one call, in microseconds."""
+    samples = []
+    for _ in range(REPEATS):
+        started = time.process_time()
+        for _ in range(count):
+            function()
+        samples.append((time.process_time() - started) / count * 1e6)
+    return statistics.median(samples)
+
+
+def fit_slope(points):
+    """Return slope and intercept of the least-squares line."""
+    xs, ys = zip(*points)
+    slope, intercept = statistics.linear_regression(xs, ys)
+    return slope, intercept
+
+
+def build_endpoints(count):
+    """Build rows of endpoints, two to a service."""
+    return tuple(
+        rows.Endpoint(
+            f"service-{n // 2:05d}.{n % 2}",
+            f"service-{n // 2:05d}",
+            f"10.0.{n // 250}.{n % 250}:8000",
+            f"zone-{n % 8}",
+            2,
+            60,
+            "ready",
+            (rows.Holding(1, 0, rows.KEY_SPACE),),
+            1796338148071,
+            n,
+        )
+        for n in range(count)
+    )
+
+
+def build_vms(count):
+    """Build rows of entry sessions."""
+    return tuple(
+        rows.Vm(
+            f"entry-{n}@1796338148071",
+            f"entry-{n}",
+            f"zone-{n % 8}",
+            f"10.1.{n // 250}.{n % 250}:9000",
+            1796338148071,
+            "ready",
+        )
+        for n in range(count)
+    )
+
+
+def build_tables(vms, endpoints):
+    """Build replicated tables with every endpoint owned."""
+    state = state_module.EMPTY_STATE._replace(version=1)
+    for vm in build_vms(vms):
+        state = state_module.apply_command(
+            state_module.RegisterVm(vm), state
+        ).state
+    report = state_module.ReportEndpoints(build_endpoints(endpoints), 0)
+    state = state_module.apply_command(report, state).state
+    index = placement.PlacementIndex(state)
+    assignments = placement.plan_assignments(state, index, {})
+    assign = state_module.Assign(assignments)
+    return state_module.apply_command(assign, state).state
+
+
+def measure_placement(sizes):
+    """Placement pass of the leader against VMs and endpoints."""
+    for vms, endpoints in sizes:
+        state = build_tables(vms, endpoints)
+        index = placement.PlacementIndex(state)
+        cost = measure_us(
+            lambda: placement.plan_assignments(state, index, {}), 3
+        )
+        yield endpoints, cost
+
+
+def measure_vm_loss(sizes):
+    """Placement pass after one VM is lost."""
+    for vms, endpoints in sizes:
+        state = build_tables(vms, endpoints)
+        session = next(iter(state.vm_by_session))
+        state = state_module.apply_command(
+            state_module.RemoveVm(session), state
+        ).state
+        index = placement.PlacementIndex(state)
+        cost = measure_us(
+            lambda: placement.plan_assignments(state, index, {}), 3
+        )
+        yield endpoints, cost
+
+
+def measure_heartbeat(sizes):
+    """Heartbeat answered by the leader, delta cached, with the frame tag."""
+    for vms, endpoints in sizes:
+        state = build_tables(vms, endpoints)
+        feed = changes.ChangeFeed()
+        vm = next(iter(state.vm_by_session.values()))
+        heartbeat = messages.Heartbeat(vm, state.version, 1, ())
+        data = messages.encode_frame(heartbeat, 1, False)
+
+        def answer():
+            peer._compute_tag(b"k" * 32, 1, data)
+            messages.decode_frame(data)
+            delta = feed.get_delta(state, state.version)
+            reply = messages.HeartbeatReply(3000, delta)
+            out = messages.encode_frame(reply, 1, True)
+            peer._compute_tag(b"k" * 32, 1, out)
+
+        yield vms, measure_us(answer, 300)
+
+
+def measure_directory(sizes):
+    """Delta of one changed endpoint put in force by an entry."""
+    for vms, endpoints in sizes:
+        state = build_tables(vms, endpoints)
+        directory = directory_module.Directory()
+        directory.apply_delta(changes.build_full(state))
+        directory.plan_query(("service-00000",))
+        row = next(iter(state.endpoint_by_id.values()))
+        delta = messages.Delta(
+            state.version + 1, False, None, (), (row,), (), (), ()
+        )
+
+        def apply():
+            directory.version = 0
+            directory.apply_delta(delta)
+
+        yield endpoints, measure_us(apply, 5)
+
+
+def measure_full_sync(sizes):
+    """Bytes of all tables, as a new entry gets them."""
+    for vms, endpoints in sizes:
+        state = build_tables(vms, endpoints)
+        delta = changes.build_full(state)
+        yield endpoints, len(msgspec.msgpack.encode(delta))
+
+
+def measure_commit(sizes):
+    """Log entry proposed, written with fsync and acknowledged, by batch."""
+    for batch in sizes:
+        with tempfile.TemporaryDirectory(dir=os.getcwd()) as folder:
+            storage = storage_module.Storage(folder)
+            storage.recover()
+            yield batch, _time_commits(storage, batch)
+
+
+def _time_commits(storage, batch):
+    member = ("a#1", "10.0.0.1:1", True)
+    data = raft_messages.encode_members((member,))
+    entry = raft_messages.Entry(1, 1, raft.CONFIG, data)
+    state = raft.build_state(
+        "a#1",
+        raft_messages.HardState(1, ""),
+        (entry,),
+        raft_messages.SnapshotMark(0, 0, ()),
+        0.0,
+        0.5,
+    )
+    state = raft.tick(state, 10000.0, 0.5).state
+    claim = rows.Claim("customer/key", "d" * 32, "r" * 40, "claimed", b"", 1)
+    commands = [state_module.ClaimCommand(claim)] * batch
+    holder = [state, state]
+
+    def commit():
+        data_ = state_module.encode_batch(commands)
+        step, _ = raft.propose(holder[0], data_, 10001.0)
+        storage.persist(holder[0], step.state)
+        for command in state_module.decode_batch(data_):
+            state_module.apply_command(command, state_module.EMPTY_STATE)
+        holder[0] = step.state
+
+    return measure_us(commit, 30)
+
+
+def measure_fan_out(sizes):
+    """Sub-query of so many parts encoded, tagged, checked and decoded."""
+    for parts in sizes:
+        message = messages.SubQuery(
+            "entry-1~" + "a" * 32,
+            1,
+            "customer",
+            0.5,
+            0,
+            300.0,
+            7,
+            b'{"text": "canoe"}',
+            tuple(
+                messages.Part(n, f"service-{n:05d}.0", 3, 0, 65536)
+                for n in range(parts)
+            ),
+        )
+
+        def carry():
+            data = messages.encode_frame(message, 0, False)
+            peer._compute_tag(b"k" * 32, 1, data)
+            peer._compute_tag(b"k" * 32, 1, data)
+            messages.decode_frame(data)
+
+        yield parts, measure_us(carry, 200)
+
+
+def measure_memory(sizes):
+    """Bytes of the directory of one entry, by resident set."""
+    for vms, endpoints in sizes:
+        state = build_tables(vms, endpoints)
+        data = msgspec.msgpack.encode(changes.build_full(state))
+        del state
+        before = _read_resident()
+        held = []
+        for _ in range(3):
+            directory = directory_module.Directory()
+            delta = msgspec.msgpack.decode(data, type=messages.Delta)
+            directory.apply_delta(delta)
+            held.append(directory)
+        yield endpoints, (_read_resident() - before) / len(held)
+
+
+def _read_resident():
+    with open("/proc/self/statm", encoding="ascii") as handle:
+        return int(handle.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+SIZES = ((100, 540), (400, 2160), (1000, 5400), (2000, 10800))
+
+SLOPES = (
+    ("placement pass, nothing to do", "us/endpoint", measure_placement, SIZES),
+    ("placement pass, one VM lost", "us/endpoint", measure_vm_loss, SIZES),
+    ("heartbeat at the leader", "us/VM known", measure_heartbeat, SIZES),
+    ("delta of one row at an entry", "us/endpoint", measure_directory, SIZES),
+    ("full sync", "bytes/endpoint", measure_full_sync, SIZES),
+    ("directory memory", "bytes/endpoint", measure_memory, SIZES),
+    ("commit with fsync", "us/command", measure_commit, (1, 10, 50, 100)),
+    ("peer message", "us/part", measure_fan_out, (1, 10, 50, 150)),
+)
+
+
+def main(*, output: str = "run/slopes.jsonl"):
+    """Measure all slopes.
+
+    :param output: file to which points are added as JSON lines
+    """
+    os.makedirs(os.path.dirname(output) or ".", exist_ok=True)
+    with open(output, "w", encoding="utf-8") as sink:
+        for name, unit, measure, sizes in SLOPES:
+            points = []
+            for size, value in measure(sizes):
+                points.append((size, value))
+                line = {"slope": name, "size": size, "value": value}
+                sink.write(json.dumps(line) + "\n")
+            slope, intercept = fit_slope(points)
+            print(
+                f"{name:<34}{slope:>12.4f} {unit:<16}"
+                f"+ {intercept:>10.1f}   "
+                + " ".join(f"{x}:{y:.0f}" for x, y in points),
+                flush=True,
+            )
+    print(sys.version.split()[0])
+
+
+if __name__ == "__main__":
+    defopt.run(main, cli_options="kwonly")
--- a/chervilspindle/control/changes.py
+++ b/chervilspindle/control/changes.py
@@ -35,16 +35,19 @@
             oldest, _ = self.changes_by_version.popitem(last=False)
             self.oldest_version = oldest
 
-    def get_delta(self, state, known_version: int) -> messages.Delta:
-        """Return what changed since `known_version`."""
-        delta = self.delta_by_known.get(known_version)
-        if delta is None:
+    def get_delta(self, state, known_version: int) -> bytes:
+        """Return the encoded delta of what changed since `known_version`."""
+        if not self.oldest_version <= known_version <= state.version:
+            known_version = 0
+        data = self.delta_by_known.get(known_version)
+        if data is None:
             delta = self._build(state, known_version)
-            self.delta_by_known[known_version] = delta
-        return delta
+            data = messages.encode_delta(delta)
+            self.delta_by_known[known_version] = data
+        return data
 
     def _build(self, state, known_version: int) -> messages.Delta:
-        if not self.oldest_version <= known_version <= state.version:
+        if known_version == 0:
             return build_full(state)
         keys_by_kind = {
             "lists": set(),
--- a/chervilspindle/control/leader.py
+++ b/chervilspindle/control/leader.py
@@ -9,6 +9,7 @@
 
 import functools
 import json
+import math
 
 from chervilspindle.control import placement
 from chervilspindle.control import raft
@@ -20,6 +21,7 @@
 LEASE_MARGIN_MS = 300
 TEND_PERIOD_S = 0.1
 EXPIRE_PERIOD_MS = 60000
+MOVE_PERIOD_MS = 500.0
 
 
 class Leader:
@@ -39,9 +41,9 @@
         self.renewed_by_session = {}
         self.acked_version_by_session = {}
         self.revision_by_session = {}
-        self.placed_at = None
         self.pending_assign = False
-        self.expire_due_ms = 0.0
+        self.move_due_ms = -math.inf
+        self.expire_due_ms = -math.inf
         node.leader_listeners.append(self._start_term)
         timers.subscribe("leader-tend", TEND_PERIOD_S, self.tend)
 
@@ -57,7 +59,7 @@
             return
         now = self.read_clock()
         self._end_expired(now)
-        self._place()
+        self._place(now)
         if now >= self.expire_due_ms:
             self.expire_due_ms = now + EXPIRE_PERIOD_MS
             command = state_module.Expire(logs.read_wall_ms())
@@ -70,7 +72,6 @@
         }
         self.acked_version_by_session = {}
         self.revision_by_session = {}
-        self.placed_at = None
         self.pending_assign = False
 
     def _end_expired(self, now):
@@ -82,17 +83,16 @@
                 self.renewed_by_session[session] = now
                 self._propose_quietly(state_module.RemoveVm(session))
 
-    def _place(self):
-        mark = (
-            self.node.tables.version,
-            sum(self.acked_version_by_session.values()),
-        )
-        if self.pending_assign or mark == self.placed_at:
+    def _place(self, now):
+        if self.pending_assign:
             return
+        tables = self.node.tables
         assignments = placement.plan_assignments(
-            self.node.tables, self.acked_version_by_session
+            tables, self.node.placement, self.acked_version_by_session
         )
-        self.placed_at = mark
+        if not assignments and now >= self.move_due_ms:
+            self.move_due_ms = now + MOVE_PERIOD_MS
+            assignments = placement.plan_moves(tables, self.node.placement)
         if not assignments:
             return
         self.pending_assign = True
@@ -146,10 +146,8 @@
                     "lease_age_ms": (
                         round(now - renewed) if renewed else None
                     ),
-                    "endpoints": sum(
-                        1
-                        for o in tables.ownership_by_id.values()
-                        if o.session == vm.session
+                    "endpoints": len(
+                        self.node.placement.ids_by_session.get(vm.session, ())
                     ),
                 }
             )
--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -12,6 +12,7 @@
 
 from chervilspindle.control import changes
 from chervilspindle.control import membership
+from chervilspindle.control import placement
 from chervilspindle.control import raft
 from chervilspindle.control import raft_messages
 from chervilspindle.control import state as state_module
@@ -91,6 +92,7 @@
         self.applied_index = 0
         self.snapshot = storage_module.EMPTY_SNAPSHOT
         self.feed = changes.ChangeFeed()
+        self.placement = placement.PlacementIndex(self.tables)
         self.proposals = []
         self.waiting_by_index = {}
         self.inbox = []
@@ -118,7 +120,6 @@
         )
         self.persisted = self.raft
         self._load_tables(recovered.snapshot)
-        self.feed.reset(self.tables.version)
         LOGGER.info(
             "control recovered",
             extra={
@@ -317,6 +318,8 @@
         self.snapshot = snapshot
         self.tables = state_module.decode_image(snapshot.data)
         self.applied_index = snapshot.mark.index
+        self.feed.reset(self.tables.version)
+        self.placement = placement.PlacementIndex(self.tables)
 
     def _install(self, sender, message):
         now = self.read_clock()
@@ -339,7 +342,6 @@
                 return ()
             self.raft = self.persisted = state
             self._load_tables(snapshot)
-            self.feed.reset(self.tables.version)
         reply = raft.build_install_reply(self.raft, mark, message.sent_ms)
         return ((sender, reply),)
 
@@ -364,6 +366,7 @@
             touched.extend(outcome.changes)
             _log_placement(command)
         self.feed.record(entry.index, touched)
+        self.placement.update(self.tables, touched)
         return results
 
     def _resolve_waiting(self, entry, results):
--- a/chervilspindle/control/placement.py
+++ b/chervilspindle/control/placement.py
@@ -22,80 +22,136 @@
     session: str
 
 
-def plan_assignments(state, acked_version_by_session):
+class PlacementIndex:
+    """What placement needs to know, kept current row by row.
+
+    A pass looks only at endpoints without a settled owner, so that its cost
+    follows what changed and not the size of the deployment.
+    """
+
+    def __init__(self, state):
+        self.ids_by_session = {vm: set() for vm in state.vm_by_session}
+        self.owner_by_id_by_service = {}
+        self.service_by_id = {}
+        self.unsettled_ids = set()
+        for endpoint_id in state.endpoint_by_id:
+            self._refresh(state, endpoint_id)
+
+    def update(self, state, changes):
+        """Take in the rows that a version touched."""
+        for change in changes:
+            if change.kind in ("endpoint", "ownership"):
+                self._refresh(state, change.key)
+            elif change.kind == "vm":
+                self._refresh_session(state, change.key)
+
+    def count_loads(self, state):
+        """Return the number of endpoints of each ready session."""
+        return {
+            session: len(ids)
+            for session, ids in self.ids_by_session.items()
+            if state.vm_by_session[session].state == "ready"
+        }
+
+    def list_siblings(self, service):
+        """Return the sessions that own a replica of a service."""
+        return list(self.owner_by_id_by_service.get(service, {}).values())
+
+    def _refresh_session(self, state, session):
+        for endpoint_id in list(self.ids_by_session.get(session, ())):
+            self._refresh(state, endpoint_id)
+        if session in state.vm_by_session:
+            self.ids_by_session.setdefault(session, set())
+        else:
+            self.ids_by_session.pop(session, None)
+
+    def _refresh(self, state, endpoint_id):
+        self._forget(endpoint_id)
+        endpoint = state.endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            return
+        ownership = state.ownership_by_id.get(endpoint_id)
+        session = ownership.session if ownership else ""
+        self.service_by_id[endpoint_id] = endpoint.service
+        if session:
+            self.ids_by_session.setdefault(session, set()).add(endpoint_id)
+            owners = self.owner_by_id_by_service.setdefault(
+                endpoint.service, {}
+            )
+            owners[endpoint_id] = session
+        vm = state.vm_by_session.get(session)
+        is_settled = vm is not None and vm.state == "ready"
+        if not is_settled and endpoint.state != "lost":
+            self.unsettled_ids.add(endpoint_id)
+
+    def _forget(self, endpoint_id):
+        self.unsettled_ids.discard(endpoint_id)
+        service = self.service_by_id.pop(endpoint_id, None)
+        owners = self.owner_by_id_by_service.get(service, {})
+        session = owners.pop(endpoint_id, None)
+        if not owners:
+            self.owner_by_id_by_service.pop(service, None)
+        if session in self.ids_by_session:
+            self.ids_by_session[session].discard(endpoint_id)
+
+
+def plan_assignments(state, index, acked_version_by_session):
     """Return the ownership changes that are safe and useful now.
 
     Parameters
     ----------
     state : ControlState
+    index : PlacementIndex
+        Current for `state`.
     acked_version_by_session : dict of str to int
         Version of the tables that each session has confirmed.
 
     Returns
     -------
     tuple of Assignment
-        Grants for endpoints without owner, releases from sessions that
-        drain, and a few releases that even out the load.
+        Grants for endpoints without owner, and releases from sessions that
+        drain.
     """
-    owners = _list_owners_by_service(state)
-    loads = _count_loads(state)
-    grants = _plan_grants(state, owners, loads, acked_version_by_session)
-    releases = _plan_drain_releases(state)
-    if not grants and not releases:
-        releases = _plan_moves(state, owners, loads)
+    if not index.unsettled_ids:
+        return ()
+    grantable = []
+    releases = []
+    for endpoint_id in sorted(index.unsettled_ids):
+        ownership = state.ownership_by_id.get(endpoint_id)
+        if ownership is not None and ownership.session:
+            releases.append(_release(ownership))
+        elif _is_grantable(ownership, state, acked_version_by_session):
+            grantable.append(endpoint_id)
+    grants = _plan_grants(state, index, grantable) if grantable else []
     return tuple(grants) + tuple(releases)
 
 
-def _list_owners_by_service(state):
-    """Map each service to the sessions that own a replica of it."""
-    owners_by_service = {}
-    for ownership in state.ownership_by_id.values():
-        endpoint = state.endpoint_by_id.get(ownership.endpoint_id)
-        if endpoint is not None and ownership.session:
-            owners = owners_by_service.setdefault(endpoint.service, [])
-            owners.append(ownership.session)
-    return owners_by_service
-
-
-def _count_loads(state):
-    count_by_session = {
-        vm.session: 0
-        for vm in state.vm_by_session.values()
-        if vm.state == "ready"
-    }
-    for ownership in state.ownership_by_id.values():
-        if ownership.session in count_by_session:
-            count_by_session[ownership.session] += 1
-    return count_by_session
-
-
 def _is_grantable(ownership, state, acked_version_by_session):
     """Tell whether no earlier owner can still send work."""
     if ownership is None:
         return True
-    if ownership.session:
-        return False
     if ownership.previous not in state.vm_by_session:
         return True
     acked = acked_version_by_session.get(ownership.previous, 0)
     return acked >= ownership.released_at
 
 
-def _plan_grants(state, owners_by_service, count_by_session, acked):
-    heap = [SessionLoad(n, s) for s, n in count_by_session.items()]
+def _plan_grants(state, index, endpoint_ids):
+    loads = index.count_loads(state)
+    heap = [SessionLoad(count, session) for session, count in loads.items()]
     heapq.heapify(heap)
+    siblings_by_service = {}
     grants = []
-    for endpoint_id in sorted(state.endpoint_by_id):
+    for endpoint_id in endpoint_ids:
+        if not heap:
+            break
         endpoint = state.endpoint_by_id[endpoint_id]
-        ownership = state.ownership_by_id.get(endpoint_id)
-        if endpoint.state == "lost" or not heap:
-            continue
-        if not _is_grantable(ownership, state, acked):
-            continue
-        siblings = owners_by_service.setdefault(endpoint.service, [])
+        siblings = siblings_by_service.setdefault(
+            endpoint.service, index.list_siblings(endpoint.service)
+        )
         session = _choose_session(state, endpoint, siblings, heap)
-        count_by_session[session] += 1
         siblings.append(session)
+        ownership = state.ownership_by_id.get(endpoint_id)
         epoch = ownership.epoch if ownership else 0
         grants.append(state_module.Assignment(endpoint_id, session, epoch))
     return grants
@@ -128,38 +184,31 @@
     return best.session
 
 
-def _plan_drain_releases(state):
-    releases = []
-    for ownership in state.ownership_by_id.values():
-        vm = state.vm_by_session.get(ownership.session)
-        if vm is not None and vm.state == "draining":
-            releases.append(_release(ownership))
-    return releases
-
-
 def _release(ownership):
     return state_module.Assignment(ownership.endpoint_id, "", ownership.epoch)
 
 
-def _plan_moves(state, owners_by_service, count_by_session):
-    """Release endpoints of the most loaded session, a few at a time."""
-    if len(count_by_session) < 2:
-        return []
-    most = max(count_by_session, key=count_by_session.get)
-    least = min(count_by_session.values())
-    spread = count_by_session[most] - least
+def plan_moves(state, index):
+    """Return releases that even out the load, a few at a time.
+
+    At most one endpoint of a service is moved at once, so that its other
+    replicas go on serving.
+    """
+    loads = index.count_loads(state)
+    if len(loads) < 2 or index.unsettled_ids:
+        return ()
+    most = max(loads, key=loads.get)
+    spread = loads[most] - min(loads.values())
     if spread <= MAX_SPREAD:
-        return []
+        return ()
     moves = []
-    moving_services = set()
-    for ownership in state.ownership_by_id.values():
-        if ownership.session != most:
-            continue
-        endpoint = state.endpoint_by_id.get(ownership.endpoint_id)
-        if endpoint is None or endpoint.service in moving_services:
+    services = set()
+    for endpoint_id in sorted(index.ids_by_session[most]):
+        service = index.service_by_id[endpoint_id]
+        if service in services:
             continue
-        moving_services.add(endpoint.service)
-        moves.append(_release(ownership))
+        services.add(service)
+        moves.append(_release(state.ownership_by_id[endpoint_id]))
         if len(moves) >= min(MOVES_PER_ROUND, spread // 2):
             break
-    return moves
+    return tuple(moves)
--- a/chervilspindle/query/directory.py
+++ b/chervilspindle/query/directory.py
@@ -47,18 +47,18 @@
         if delta.lists and delta.lists.revision < self.lists.revision:
             LOGGER.error("refused an older revision of the lists")
             return False
+        touched = set()
         if delta.full:
-            self.vm_by_session = {}
-            self.endpoint_by_id = {}
-            self.ownership_by_id = {}
+            touched.update(self.endpoint_by_id)
+            self._clear()
         self.version = delta.version
         if delta.lists is not None:
             self.lists = delta.lists
-        self._merge(delta)
-        self._index_services()
-        self.plan_by_query.clear()
+        self._merge(delta, touched)
+        if touched or delta.vms or delta.gone_vms or delta.lists:
+            self.plan_by_query.clear()
         for listener in self.listeners:
-            listener()
+            listener(touched)
         return True
 
     def list_services(self):
@@ -106,30 +106,51 @@
         self.plan_by_query[query] = plan
         return plan
 
-    def _merge(self, delta):
+    def _clear(self):
+        self.vm_by_session = {}
+        self.endpoint_by_id = {}
+        self.ownership_by_id = {}
+        self.ids_by_service = {}
+
+    def _merge(self, delta, touched):
+        """Take over the rows of a delta and note the endpoints they touch.
+
+        The cost follows the size of the delta, not that of the tables.
+        """
         for vm in delta.vms:
             self.vm_by_session[vm.session] = vm
         for session in delta.gone_vms:
             self.vm_by_session.pop(session, None)
         for endpoint in delta.endpoints:
-            self.endpoint_by_id[endpoint.endpoint_id] = endpoint
+            self._put_endpoint(endpoint)
+            touched.add(endpoint.endpoint_id)
         for endpoint_id in delta.gone_endpoints:
-            self.endpoint_by_id.pop(endpoint_id, None)
-            self.ownership_by_id.pop(endpoint_id, None)
+            self._drop_endpoint(endpoint_id)
+            touched.add(endpoint_id)
         for ownership in delta.ownerships:
-            self.ownership_by_id[ownership.endpoint_id] = ownership
+            touched.add(ownership.endpoint_id)
+            if not self.sole_owner:
+                self.ownership_by_id[ownership.endpoint_id] = ownership
+
+    def _put_endpoint(self, endpoint):
+        endpoint_id = endpoint.endpoint_id
+        known = self.endpoint_by_id.get(endpoint_id)
+        if known is not None and known.service != endpoint.service:
+            self._drop_endpoint(endpoint_id)
+        self.endpoint_by_id[endpoint_id] = endpoint
+        ids = self.ids_by_service.setdefault(endpoint.service, {})
+        ids[endpoint_id] = True
         if self.sole_owner:
-            self.ownership_by_id = {
-                i: rows.Ownership(i, self.sole_owner, 1)
-                for i in self.endpoint_by_id
-            }
-
-    def _index_services(self):
-        ids_by_service = {}
-        for endpoint in self.endpoint_by_id.values():
-            ids = ids_by_service.setdefault(endpoint.service, [])
-            ids.append(endpoint.endpoint_id)
-        self.ids_by_service = ids_by_service
+            self.ownership_by_id[endpoint_id] = rows.Ownership(
+                endpoint_id, self.sole_owner, 1
+            )
+
+    def _drop_endpoint(self, endpoint_id):
+        """Forget an endpoint; its service stays known and is missed."""
+        known = self.endpoint_by_id.pop(endpoint_id, None)
+        self.ownership_by_id.pop(endpoint_id, None)
+        if known is not None:
+            self.ids_by_service[known.service].pop(endpoint_id, None)
 
 
 def _is_pattern(text: str) -> bool:
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -164,21 +164,26 @@
         directory.listeners.append(self.update_owned)
         timers.subscribe("owner", TICK_S, self.tick)
 
-    def update_owned(self):
-        """Take up and give up endpoints as the directory now says."""
+    def update_owned(self, endpoint_ids):
+        """Take up and give up endpoints as the directory now says.
+
+        Parameters
+        ----------
+        endpoint_ids : set of str
+            Endpoints whose rows changed.
+        """
         own = self.session.vm.session
-        for endpoint_id, owned in list(self.owned_by_id.items()):
+        for endpoint_id in endpoint_ids:
             row = self.directory.ownership_by_id.get(endpoint_id)
-            if row is None or (row.session, row.epoch) != (own, owned.epoch):
-                self._give_up(endpoint_id)
-        for endpoint_id, row in self.directory.ownership_by_id.items():
             endpoint = self.directory.endpoint_by_id.get(endpoint_id)
-            if row.session != own or endpoint is None:
-                continue
+            is_own = row is not None and row.session == own and endpoint
             owned = self.owned_by_id.get(endpoint_id)
-            if owned is None:
+            if owned and (not is_own or row.epoch != owned.epoch):
+                self._give_up(endpoint_id)
+                owned = None
+            if is_own and owned is None:
                 self._take_up(endpoint, row.epoch)
-            elif owned.row != endpoint:
+            elif is_own and owned.row != endpoint:
                 self._update_row(owned, endpoint)
 
     def submit(self, message: messages.SubQuery, target):
--- a/chervilspindle/query/session.py
+++ b/chervilspindle/query/session.py
@@ -179,7 +179,8 @@
 
     def _renewed(self, reply, sent_ms):
         before = self.directory.version
-        if not self.directory.apply_delta(reply.delta):
+        delta = messages.decode_delta(reply.delta)
+        if not self.directory.apply_delta(delta):
             # Control that knows less than it said before has lost accepted
             # changes; going on with it would revert them.
             LOGGER.error("control is older than what it said before")
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -46,10 +46,14 @@
 
 
 class HeartbeatReply(typing.NamedTuple):
-    """Grants a lease from the time at which the heartbeat was sent."""
+    """Grants a lease from the time at which the heartbeat was sent.
+
+    `delta` is an encoded `Delta`, so that it is encoded once for all
+    sessions that know the same version.
+    """
 
     lease_ms: int
-    delta: Delta
+    delta: bytes
 
 
 class Leave(typing.NamedTuple):
@@ -292,12 +296,23 @@
 EMPTY_VALUE = b"null"
 
 _ENCODER = msgspec.msgpack.Encoder()
+_DELTA = msgspec.msgpack.Decoder(Delta)
 _FRAME = msgspec.msgpack.Decoder(Frame)
 _DECODER_BY_NAME = {
     name: msgspec.msgpack.Decoder(cls) for name, cls in MESSAGE_BY_NAME.items()
 }
 
 
+def encode_delta(delta: Delta) -> bytes:
+    """Encode a delta for `HeartbeatReply`."""
+    return _ENCODER.encode(delta)
+
+
+def decode_delta(data: bytes) -> Delta:
+    """Decode the delta of a `HeartbeatReply`."""
+    return _DELTA.decode(data)
+
+
 def encode_frame(message, call_id: int, is_reply: bool) -> bytes:
     """Encode one message."""
     body = msgspec.Raw(_ENCODER.encode(message))
