Find endpoints that hang, and refuse what would end too late

Cause, from the decisions of one request: parts stayed at the hung endpoint until the deadline, since it said 'running', and the budget for hedges was spent. Now gatherers count how long an endpoint has answered nothing, and its owner pauses one that takes requests and ends none.

The baseline without ownership found all endpoints lost, since each of its entries hears a part of the announcements only; it no longer judges that.

--- /dev/null
+++ b/bench/processor_time.py
@@ -0,0 +1,125 @@
+"""Processor time of real processes: idle, and for each shard of a query.
+
+Starts a deployment, reads each process's time from /proc while it is idle,
+then while queries over a growing number of shards are sent one by one.
+"""
+
+import json
+import os
+import tempfile
+import time
+
+import defopt
+
+from bench import slopes
+from features import processes
+
+IDLE_S = 10.0
+QUERIES = 150
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def read_process(pid):
+    """Return processor time in ms and resident memory in MB."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as handle:
+        fields = handle.read().rsplit(")", 1)[1].split()
+    with open(f"/proc/{pid}/statm", encoding="ascii") as handle:
+        pages = int(handle.read().split()[1])
+    ticks = int(fields[11]) + int(fields[12])
+    memory = pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+    return ticks * 1000.0 / TICKS, memory
+
+
+def read_all(deployment):
+    """Return the readings of all processes by name."""
+    return {
+        name: read_process(process.pid)
+        for name, process in deployment.process_by_name.items()
+    }
+
+
+def measure_idle(deployment):
+    """Print share of a core and memory of each process when idle."""
+    before = read_all(deployment)
+    time.sleep(IDLE_S)
+    after = read_all(deployment)
+    for name in sorted(after):
+        spent = after[name][0] - before[name][0]
+        share = spent / (IDLE_S * 10.0)
+        print(
+            f"idle {name:<14}{share:6.2f} % of a core, "
+            f"{after[name][1]:6.1f} MB"
+        )
+
+
+def measure_queries(deployment, services):
+    """Return processor time of all entries for one query, in ms."""
+    body = {
+        "services": services,
+        "query": {"text": "canoe"},
+        "priority": "lookup",
+        "deadline_ms": 2000,
+    }
+
+    def send(count):
+        for number in range(count):
+            status, _ = deployment.request(
+                "POST", "/v1/query", "desk-negombo", body, entry=number % 3
+            )
+            assert status == 200
+
+    send(30)
+    before = read_all(deployment)
+    started = time.monotonic()
+    send(QUERIES)
+    elapsed = time.monotonic() - started
+    after = read_all(deployment)
+    spent = sum(
+        after[n][0] - before[n][0] for n in after if n.startswith("entry")
+    )
+    idle = spent / QUERIES
+    return idle, elapsed / QUERIES * 1000.0
+
+
+def main(*, shards: str = "1,5,10,20"):
+    """Measure and print.
+
+    :param shards: numbers of shards with commas
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = processes.Deployment(folder, entries=3, scale=0.5)
+        try:
+            deployment.start()
+            time.sleep(3)
+            measure_idle(deployment)
+            points = []
+            for count in map(int, shards.split(",")):
+                names = sorted(
+                    {
+                        row["service"]
+                        for row in deployment.documents.endpoints
+                        if row["service"].startswith(("booking", "hotel"))
+                    }
+                )[:count]
+                cost, elapsed = measure_queries(deployment, names)
+                points.append((count, cost))
+                print(
+                    f"{count} shards: {cost:.2f} ms of entries' time a "
+                    f"query, {elapsed:.1f} ms elapsed",
+                    flush=True,
+                )
+            slope, intercept = slopes.fit_slope(points)
+            print(
+                json.dumps(
+                    {
+                        "ms_per_shard": round(slope, 3),
+                        "ms_per_query": round(intercept, 3),
+                    }
+                )
+            )
+        finally:
+            deployment.stop()
+
+
+if __name__ == "__main__":
+    defopt.run(main, cli_options="kwonly")
--- a/chervilspindle/policy/admission.py
+++ b/chervilspindle/policy/admission.py
@@ -5,7 +5,8 @@
 MAX_RETRY_AFTER_MS = 30000
 MIN_RETRY_AFTER_MS = 50
 MIN_PARTS_PER_CUSTOMER = 200
-DEADLINE_MARGIN = 0.5
+SERVICE_MARGIN = 1.0
+WAIT_MARGIN = 1.2
 
 
 class QueueEstimate(typing.NamedTuple):
@@ -45,14 +46,16 @@
 def is_hopeless(estimate: QueueEstimate, remaining_ms: float) -> bool:
     """Tell whether a request can't finish within its deadline.
 
-    Service times vary, so half of the typical one is counted. A request
+    Margins keep out requests that would run and end too late: under
+    overload they would fill the slots and be of use to nobody. A request
     that needs not wait is never hopeless: were a slow endpoint refused all
     work, its estimate could never recover.
     """
     if estimate.wait_ms <= 0:
         return remaining_ms <= 0
     service = estimate.finish_ms - estimate.wait_ms
-    return estimate.wait_ms + DEADLINE_MARGIN * service > remaining_ms
+    needed = WAIT_MARGIN * estimate.wait_ms + SERVICE_MARGIN * service
+    return needed > remaining_ms
 
 
 def compute_retry_after_ms(
--- a/chervilspindle/policy/limits.py
+++ b/chervilspindle/policy/limits.py
@@ -6,6 +6,7 @@
 started begins at one.
 """
 
+import math
 import typing
 
 SHED_FACTOR = 0.5
@@ -13,6 +14,10 @@
 SLOW_RATIO = 5.0
 RAISE_STEP = 0.5
 CUT_PAUSE_MS = 200.0
+STALL_RATIO = 8.0
+STALL_MIN_MS = 100.0
+STALL_PAUSE_MS = 1000.0
+STALL_MAX_PAUSE_MS = 8000.0
 SERVICE_SMOOTHING = 0.1
 BASELINE_SMOOTHING = 0.002
 DEFAULT_SERVICE_MS = 10.0
@@ -27,6 +32,9 @@
     baseline_ms: float = 0.0
     cut_ms: float = 0.0
     samples: int = 0
+    last_success_ms: float = -math.inf
+    stalls: int = 0
+    stalled_until_ms: float = -math.inf
 
 
 def build_limit(slots: int, is_cold: bool) -> LimitState:
@@ -51,6 +59,9 @@
         service_ms=service,
         baseline_ms=min(baseline, service),
         samples=state.samples + 1,
+        last_success_ms=now,
+        stalls=0,
+        stalled_until_ms=-math.inf,
     )
     if service > SLOW_RATIO * state.baseline_ms:
         return _cut(state, SLOW_FACTOR, now)
@@ -63,6 +74,43 @@
     return _cut(state, SHED_FACTOR, now)
 
 
+def is_stalled(state: LimitState, started_ms, now: float) -> bool:
+    """Tell whether an endpoint takes requests and ends none.
+
+    Parameters
+    ----------
+    started_ms : sequence of float
+        Starts of the requests that run.
+    now : float
+        Monotonic milliseconds.
+
+    Returns
+    -------
+    bool
+        True if each request is far later than usual and none ended since
+        the first of them started. While slots are free it takes twice as
+        long to tell, since one late request says less than all.
+    """
+    late_ms = max(STALL_MIN_MS, STALL_RATIO * state.service_ms)
+    if len(started_ms) < get_limit(state):
+        late_ms *= 2.0
+    if state.last_success_ms >= min(started_ms):
+        return False
+    return now - max(started_ms) > late_ms
+
+
+def note_stall(state: LimitState, now: float) -> LimitState:
+    """Pause an endpoint that stalled, longer each time, then try it again.
+
+    This is a circuit breaker that lets one request through when half open
+    (Nygard, "Release It!", 2007).
+    """
+    pause = min(STALL_MAX_PAUSE_MS, STALL_PAUSE_MS * 2**state.stalls)
+    return state._replace(
+        limit=1.0, stalls=state.stalls + 1, stalled_until_ms=now + pause
+    )
+
+
 def _cut(state, factor, now):
     if now < state.cut_ms + CUT_PAUSE_MS:
         return state
--- a/chervilspindle/policy/replicas.py
+++ b/chervilspindle/policy/replicas.py
@@ -21,14 +21,17 @@
 class ReplicaStats(typing.NamedTuple):
     """What a gatherer knows of one endpoint.
 
-    Times are in milliseconds; `observed_ms` and `failed_ms` are readings of
-    the monotonic clock.
+    Times are in milliseconds; `observed_ms`, `waiting_since_ms` and
+    `failed_ms` are readings of the monotonic clock. While requests are
+    outstanding, `waiting_since_ms` is when the first of them was sent, or
+    when one was answered since: an endpoint that answers keeps it recent.
     """
 
     service_ms: float = DEFAULT_SERVICE_MS
     backlog_ms: float = 0.0
     observed_ms: float = 0.0
     outstanding: int = 0
+    waiting_since_ms: float = 0.0
     failed_ms: float = -math.inf
 
 
@@ -50,7 +53,9 @@
     failed_age = now - stats.failed_ms
     penalty = FAILURE_PENALTY_MS * math.exp(-failed_age / FAILURE_DECAY_MS)
     zone = 0.0 if candidate.same_zone else OTHER_ZONE_MS
-    return max(backlog, own) + stats.service_ms + penalty + zone
+    waited = now - stats.waiting_since_ms if stats.outstanding else 0.0
+    service = max(stats.service_ms, waited)
+    return max(backlog, own) + service + penalty + zone
 
 
 def choose_replica(candidates, now: float, random_unit) -> Candidate:
@@ -74,9 +79,12 @@
     return min(candidates, key=rank)
 
 
-def note_sent(stats: ReplicaStats) -> ReplicaStats:
+def note_sent(stats: ReplicaStats, now: float) -> ReplicaStats:
     """Count a part that was sent."""
-    return stats._replace(outstanding=stats.outstanding + 1)
+    since = stats.waiting_since_ms if stats.outstanding else now
+    return stats._replace(
+        outstanding=stats.outstanding + 1, waiting_since_ms=since
+    )
 
 
 def note_reply(
@@ -90,6 +98,7 @@
         service_ms=smoothed,
         backlog_ms=backlog_ms,
         observed_ms=now,
+        waiting_since_ms=now,
         outstanding=max(0, stats.outstanding - 1),
     )
 
--- a/chervilspindle/query/gather.py
+++ b/chervilspindle/query/gather.py
@@ -330,7 +330,7 @@
             shard.outstanding[number] = Send(endpoint_id, vm.peer_address)
             shard.tried.append(endpoint_id)
             shard.sent_ms = now
-            self._update_stats(endpoint_id, replicas.note_sent)
+            self._update_stats(endpoint_id, replicas.note_sent, now)
             self._schedule_hedge(query, shard, now)
         request = query.request
         for session, parts in parts_by_session.items():
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -118,6 +118,12 @@
         self.suspect = False
         self.suspect_probe_ms = 0.0
 
+    def takes_work(self, now: float) -> bool:
+        """Tell whether the endpoint may be sent work at all."""
+        if self.suspect or now < self.limit.stalled_until_ms:
+            return False
+        return self.row.state == "ready"
+
     def count_free(self, now: float) -> int:
         """Return the slots that may be used now."""
         foreign = self.foreign if now < self.foreign_until_ms else 0
@@ -288,6 +294,7 @@
         for owned in list(self.owned_by_id.values()):
             self._expire_queue(owned, now)
             self._check_running(owned, now)
+            self._check_stalled(owned, now)
             self._check_heard(owned, now)
             self._check_suspect(owned, now)
             self._dispatch(owned, now)
@@ -351,7 +358,7 @@
         if owned is None or owned.epoch != part.epoch:
             self._refuse(work, errors.ErrorKind.NOT_OWNER)
             return
-        if owned.row.state != "ready" or owned.suspect:
+        if not owned.takes_work(now):
             self._refuse(work, errors.ErrorKind.NO_ENDPOINT)
             return
         estimate = self._estimate(owned, work.job)
@@ -383,7 +390,7 @@
             if not self.session.is_valid():
                 self._refuse_queue(owned, errors.ErrorKind.NO_LEASE)
                 return
-            if owned.row.state != "ready" or owned.suspect:
+            if not owned.takes_work(now):
                 return
             cost = owned.limit.service_ms
             customer, work = owned.queue.pop(cost)
@@ -527,7 +534,7 @@
         """
         if not owned.running:
             return 0.0
-        return admission.DEADLINE_MARGIN * owned.limit.service_ms
+        return admission.SERVICE_MARGIN * owned.limit.service_ms
 
     def _check_running(self, owned, now):
         for work in list(owned.running.values()):
@@ -633,6 +640,29 @@
         if owned.suspect:
             self._refuse_queue(owned, errors.ErrorKind.NO_ENDPOINT)
 
+    def _check_stalled(self, owned, now):
+        """Give up on an endpoint that takes requests and ends none.
+
+        Its slots stay taken. Parts are answered as lost, so that gatherers
+        try other replicas; a command waits for its outcome.
+        """
+        if not owned.running or now < owned.limit.stalled_until_ms:
+            return
+        started = [work.started_ms for work in owned.running.values()]
+        if not limits.is_stalled(owned.limit, started, now):
+            return
+        owned.limit = limits.note_stall(owned.limit, now)
+        logs.log_decision(
+            "endpoint-stalled",
+            endpoint=owned.row.endpoint_id,
+            running=len(started),
+            pause_ms=owned.limit.stalled_until_ms - now,
+        )
+        for work in list(owned.running.values()):
+            if work.job.key is None:
+                self._answer_lost(owned, work)
+        self._refuse_queue(owned, errors.ErrorKind.NO_ENDPOINT)
+
     def _check_suspect(self, owned, now):
         """Probe a suspect endpoint until it answers again."""
         if not owned.suspect or now < owned.suspect_probe_ms:
@@ -646,6 +676,9 @@
         deferred.addErrback(_log_failure)
 
     def _check_heard(self, owned, now):
+        if self.directory.sole_owner:
+            # Each announcement reaches one entry, which here owns all.
+            return
         if owned.reported_lost or now < owned.last_heard_ms + LOST_AFTER_MS:
             return
         owned.reported_lost = True
--- /dev/null
+++ b/features/decisions_test.py
@@ -0,0 +1,122 @@
+"""Decisions under faults: coverage, fairness and advice on a fake clock."""
+
+import pytest
+
+from features import promises
+from features import workload
+from features import world as world_module
+
+QUERY_PERIOD_S = 0.04
+
+
+@pytest.fixture(name="world")
+def build_world(tmp_path, monkeypatch):
+    """Build a small world that has served for a while."""
+    world = world_module.World(tmp_path, monkeypatch, seed=11)
+    workload.start_services(world)
+    send_queries(world, 40)
+    return world
+
+
+def send_queries(world, count, period_s=QUERY_PERIOD_S, **fields):
+    """Send queries one after the other and return their outcomes."""
+    outcomes = []
+    for _ in range(count):
+        outcomes.append(world.query(**fields))
+        world.advance(period_s)
+    world.advance(0.6)
+    return outcomes
+
+
+def list_reasons(outcomes):
+    """Return why shards are missing, with the time of the request."""
+    found = []
+    for outcome in outcomes:
+        if outcome.problem:
+            found.append((outcome.sent_at, outcome.problem.kind.value))
+        elif outcome.answer is None:
+            found.append((outcome.sent_at, "none"))
+        else:
+            for row in outcome.answer.missing:
+                found.append((outcome.sent_at, row.service, row.reason))
+    return found
+
+
+def test_coverage_while_one_of_each_pair_hangs(world):
+    """Endpoints that announce, answer probes and end nothing."""
+    for service in (1, 2):
+        world.endpoint_by_name[f"portal-{service}.0"].service_s = 60.0
+    outcomes = send_queries(world, 150)
+    promises.check_all(world)
+    assert list_reasons(outcomes) == []
+
+
+def test_coverage_while_one_of_each_pair_is_dead(world):
+    """Endpoints whose process is gone."""
+    for service in (1, 2):
+        world.endpoint_by_name[f"portal-{service}.0"].crash()
+    outcomes = send_queries(world, 150)
+    promises.check_all(world)
+    assert list_reasons(outcomes) == []
+
+
+def test_hung_endpoint_is_used_again_once_it_works(world):
+    """The other replica does not carry the load alone for ever."""
+    endpoint = world.endpoint_by_name["portal-1.0"]
+    endpoint.service_s = 60.0
+    send_queries(world, 50)
+    endpoint.service_s = world_module.SERVICE_S
+    for run_id in list(endpoint.running):
+        endpoint.cancel(run_id)
+    world.advance(10.0)
+    before = len(endpoint.ran)
+    send_queries(world, 50)
+    assert len(endpoint.ran) - before > 10
+
+
+def test_given_up_request_is_answered_at_once(world):
+    """A caller that wants all or nothing is not kept waiting."""
+    for replica in (0, 1):
+        world.endpoint_by_name[f"portal-1.{replica}"].crash()
+    world.advance(6.0)
+    outcome = world.query(partial=False, deadline_ms=5000)
+    world.advance(0.05)
+    assert outcome.problem is not None
+    assert outcome.problem.retry_after_ms > 0
+    assert outcome.problem.not_run
+
+
+def test_overload_is_refused_at_once_and_truly_not_run(world):
+    """Refusals wait for less than 20 ms and carry a time to come back."""
+    outcomes = []
+    for _ in range(120):
+        for _ in range(6):
+            outcomes.append(
+                world.query(deadline_ms=150, services=["portal-1"])
+            )
+        world.advance(0.005)
+    world.advance(1.0)
+    promises.check_all(world)
+    refused = [o for o in outcomes if o.problem and o.problem.not_run]
+    assert refused
+    assert all(o.problem.retry_after_ms > 0 for o in refused)
+    overloaded = [o for o in refused if o.problem.kind.value == "overloaded"]
+    # The fake endpoints end 200 requests a second; half is goodput.
+    answered = [o for o in outcomes if o.answer and not o.answer.missing]
+    assert len(answered) > 0.6 * 200 * 0.5
+    waits = sorted(o.ended_at - o.sent_at for o in overloaded)
+    assert waits[int(len(waits) * 0.5)] < 0.020
+
+
+def test_urgent_requests_pass_those_that_may_wait(world):
+    """Within a customer the urgent priority goes first."""
+    archive = [
+        world.query(deadline_ms=4000, priority="archive") for _ in range(200)
+    ]
+    urgent = [
+        world.query(deadline_ms=4000, priority="lookup") for _ in range(20)
+    ]
+    world.advance(4.5)
+    last_urgent = max(o.ended_at for o in urgent if o.answer)
+    median = sorted(o.ended_at for o in archive if o.ended_at)[100]
+    assert last_urgent < median
