--- a/chervilspindle/policy/limits.py
+++ b/chervilspindle/policy/limits.py
@@ -87,8 +87,8 @@
     Returns
     -------
     bool
-        True if each request is far later than usual and none ended since
-        the first of them started. While slots are free it takes twice as
+        True if the oldest request is far later than usual and none ended
+        since it started. While slots are free it takes twice as
         long to tell, since one late request says less than all.
     """
     late_ms = max(STALL_MIN_MS, STALL_RATIO * state.service_ms)
@@ -96,7 +96,7 @@
         late_ms *= 2.0
     if state.last_success_ms >= min(started_ms):
         return False
-    return now - max(started_ms) > late_ms
+    return now - min(started_ms) > late_ms
 
 
 def note_stall(state: LimitState, now: float) -> LimitState:
