--- /dev/null
+++ b/chervilspindle/config/options_test.py
@@ -0,0 +1,11 @@
+"""The settings reference in the operators' page is the printed one."""
+
+import pathlib
+
+from chervilspindle.config import options
+
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATING.md"
+
+
+def test_reference_is_current():
+    assert options.render_reference() in PAGE.read_text(encoding="utf-8")
