Pool the samples of lateness, bound the delay, rescue what is truly late

Question: why is the 99th percentile under stragglers (3 of 100 requests, 200 ms, 10 shards) no better by hedging? Causes found, one after the other, in the decisions of slow requests: 1. A rescued part was sampled from its second send, so late parts were missing from the samples and 6 % of the parts counted as late against a budget of 5 %. Counted from the first send now. 2. One service gives too few samples for a high quantile; ratios to the typical time are pooled over services. 3. The quantile then lay among the stragglers (85 to 100 ms for a typical 12) and crept up. It is bounded at three times the typical time. 4. A refused hedge was never looked at again; it is, once, with a budget of its own for parts that are truly late. Ruled out: the agenda, and double stragglers (0.9 % of queries).

--- a/chervilspindle/config/options.py
+++ b/chervilspindle/config/options.py
@@ -119,7 +119,8 @@
         float,
         0.05,
         "fraction",
-        "Hedges and retries allowed, as a share of all sub-requests.",
+        "Hedges allowed, as a share of all sends; as much again for "
+        "parts that are truly late.",
     ),
 )
 
--- a/chervilspindle/policy/hedging.py
+++ b/chervilspindle/policy/hedging.py
@@ -1,7 +1,7 @@
 """When to hedge, and the budget for extra load on endpoints.
 
-A part that is late against a high quantile of its service's recent times is
-sent to another replica as well (Dean and Barroso, "The Tail at Scale",
+A part that is late against recent times of its service is sent to another
+replica as well (Dean and Barroso, "The Tail at Scale",
 2013). First sends fill the budgets that hedges and retries draw on, so the
 extra load stays a fixed share even when every request is late. Retries have
 a budget of their own: they follow a loss, when the first send is no load
@@ -13,10 +13,12 @@
 
 BUDGET_USE = 0.8  # part of the budget that late parts are meant to use
 WINDOW_SAMPLES = 200
-MIN_SAMPLES = 20
+MIN_SAMPLES = 50
 MIN_DELAY_MS = 5.0
 DEFAULT_DELAY_MS = 50.0
-REFRESH_SAMPLES = 20
+REFRESH_SAMPLES = 25
+TYPICAL_SMOOTHING = 0.05
+MAX_LATE_RATIO = 3.0
 HEDGE_BURST = 10.0
 RETRY_SHARE = 0.1
 RETRY_BURST = 200.0
@@ -53,38 +55,76 @@
     return budget._replace(tokens=budget.tokens - 1.0), True
 
 
-class Latencies(typing.NamedTuple):
-    """Recent answer times of one service, and the delay they give."""
+class Lateness(typing.NamedTuple):
+    """How late parts of all services are, against what is typical.
 
-    samples_ms: tuple[float, ...] = ()
-    delay_ms: float = DEFAULT_DELAY_MS
+    One service gives too few samples for a high quantile, so the samples
+    are ratios to the typical time of each service, pooled over services.
+
+    Parameters
+    ----------
+    ratios : tuple of float
+        Latest samples: time from the first send of a shard to its answer,
+        over the typical time of the service.
+    limit : float
+        Ratio above which a part is late; 0 while too little is known.
+    since_refresh : int
+        Samples since the limit was computed.
+    typical_ms_by_service : dict of str to float
+    """
+
+    ratios: tuple[float, ...] = ()
+    limit: float = 0.0
     since_refresh: int = 0
+    typical_ms_by_service: dict[str, float] = {}
 
 
 def note_latency(
-    state: Latencies, latency_ms: float, share: float
-) -> Latencies:
-    """Add a sample and renew the delay every so many samples.
+    state: Lateness, service: str, latency_ms: float, share: float
+) -> Lateness:
+    """Add a sample and renew the limit every so many samples.
 
     Parameters
     ----------
+    latency_ms : float
+        From the first send, so that a part which a hedge rescued counts as
+        late: otherwise the limit would sink and overspend the budget.
     share : float
         Budget of hedges, as a share of all sends.
     """
-    samples = (state.samples_ms + (latency_ms,))[-WINDOW_SAMPLES:]
+    typical = state.typical_ms_by_service.get(service, latency_ms)
+    ratio = latency_ms / max(typical, 0.1)
+    # Late parts say little about what is typical.
+    bounded = min(latency_ms, 2.0 * typical)
+    state.typical_ms_by_service[service] = typical + TYPICAL_SMOOTHING * (
+        bounded - typical
+    )
+    ratios = (state.ratios + (ratio,))[-WINDOW_SAMPLES:]
     count = state.since_refresh + 1
-    if count < REFRESH_SAMPLES or len(samples) < MIN_SAMPLES:
-        return state._replace(samples_ms=samples, since_refresh=count)
-    return Latencies(samples, compute_delay_ms(samples, share), 0)
+    if count < REFRESH_SAMPLES or len(ratios) < MIN_SAMPLES:
+        return state._replace(ratios=ratios, since_refresh=count)
+    return state._replace(
+        ratios=ratios, limit=compute_limit(ratios, share), since_refresh=0
+    )
 
 
-def compute_delay_ms(samples_ms, share: float) -> float:
-    """Return the delay after which a part is late, in ms.
+def compute_limit(ratios, share: float) -> float:
+    """Return the ratio above which a part is late.
 
     It is the quantile that the budget can pay for: a lower one would spend
     the budget on parts that are about to end, and leave none for those that
-    are truly late.
+    are truly late. When more parts straggle than the budget can pay for,
+    that quantile lies among the stragglers themselves, where a hedge is of
+    no use any more; so the ratio is bounded.
     """
-    cuts = statistics.quantiles(samples_ms, n=1000, method="inclusive")
+    cuts = statistics.quantiles(ratios, n=1000, method="inclusive")
     quantile = 1.0 - BUDGET_USE * share
-    return max(MIN_DELAY_MS, cuts[min(998, int(quantile * 1000) - 1)])
+    return min(MAX_LATE_RATIO, cuts[min(998, int(quantile * 1000) - 1)])
+
+
+def get_delay_ms(state: Lateness, service: str) -> float:
+    """Return after how long a part of a service is late, in ms."""
+    typical = state.typical_ms_by_service.get(service)
+    if typical is None or not state.limit:
+        return DEFAULT_DELAY_MS
+    return max(MIN_DELAY_MS, state.limit * typical)
--- a/chervilspindle/query/gather.py
+++ b/chervilspindle/query/gather.py
@@ -170,12 +170,15 @@
         self.hedge_budget = hedging.build_budget(
             extra_load_share, hedging.HEDGE_BURST
         )
+        self.rescue_budget = hedging.build_budget(
+            extra_load_share, hedging.HEDGE_BURST
+        )
         self.retry_budget = hedging.build_budget(
             hedging.RETRY_SHARE, hedging.RETRY_BURST
         )
         self.query_by_id = {}
         self.stats_by_endpoint = {}
-        self.latencies_by_service = {}
+        self.lateness = hedging.Lateness(typical_ms_by_service={})
         self.parts_by_customer = {}
         self.weight_by_customer = {}
         self.parts_in_flight = 0
@@ -232,7 +235,7 @@
             if kind == "deadline":
                 self._finish(query)
             elif item[0] == query.attempt:
-                self._hedge(query, query.shards[item[1]])
+                self._hedge(query, query.shards[item[1]], kind == "rescue")
 
     def choose_endpoint(self, endpoint_ids):
         """Return the replica with the least expected finish, or None."""
@@ -307,6 +310,7 @@
             else:
                 chosen.append((shard, endpoint_id))
         self.hedge_budget = hedging.earn(self.hedge_budget, len(chosen))
+        self.rescue_budget = hedging.earn(self.rescue_budget, len(chosen))
         self.retry_budget = hedging.earn(self.retry_budget, len(chosen))
         self._send_parts(query, chosen, "expected-finish")
         self._finish_if_settled(query)
@@ -329,7 +333,7 @@
             parts_by_session.setdefault(vm.session, []).append(part)
             shard.outstanding[number] = Send(endpoint_id, vm.peer_address)
             shard.tried.append(endpoint_id)
-            shard.sent_ms = now
+            shard.sent_ms = shard.sent_ms or now
             self._update_stats(endpoint_id, replicas.note_sent, now)
             self._schedule_hedge(query, shard, now)
         request = query.request
@@ -355,16 +359,13 @@
             )
             self.send(self.directory.vm_by_session[session], message)
 
-    def _schedule_hedge(self, query, shard, now):
+    def _schedule_hedge(self, query, shard, now, kind="hedge"):
         if not self.may_hedge or len(shard.plan.endpoint_ids) < 2:
             return
-        latencies = self.latencies_by_service.get(shard.plan.service)
-        delay = hedging.DEFAULT_DELAY_MS
-        if latencies is not None:
-            delay = latencies.delay_ms
+        delay = hedging.get_delay_ms(self.lateness, shard.plan.service)
         if now + delay < query.due_ms:
             item = (query.attempt, shard.index)
-            self._schedule(now + delay, "hedge", query, item)
+            self._schedule(now + delay, kind, query, item)
 
     def _schedule(self, due_ms, kind, query, item):
         self.agenda_number += 1
@@ -372,25 +373,44 @@
             self.agenda, (due_ms, self.agenda_number, kind, query, item)
         )
 
-    def _hedge(self, query, shard):
+    def _hedge(self, query, shard, is_rescue):
+        """Send a late part to another replica, if a budget allows it.
+
+        A part for which the budget of hedges has no room is looked at once
+        more after the same delay. One that is still out by then is truly
+        late, which is rare unless endpoints straggle, and has a budget of
+        its own: extra load grows only while it is of use.
+        """
         if shard.settled or len(shard.tried) >= MAX_SENDS:
             return
         endpoint_id = self._choose_hedge(shard)
         if endpoint_id is None:
             return
-        self.hedge_budget, granted = hedging.spend(self.hedge_budget)
-        if not granted:
-            self.metrics.count_refused_hedge()
-            self.explainer.note(
-                query.request.request_id,
-                "hedge-refused",
-                endpoint=endpoint_id,
-                reason="budget of extra load is spent",
-            )
+        if not self._spend_hedge(is_rescue):
+            self._refuse_hedge(query, shard, endpoint_id, is_rescue)
             return
         query.hedges += 1
-        self.metrics.count_extra("hedge")
-        self._send_parts(query, [(shard, endpoint_id)], "hedge")
+        reason = "rescue" if is_rescue else "hedge"
+        self.metrics.count_extra(reason)
+        self._send_parts(query, [(shard, endpoint_id)], reason)
+
+    def _spend_hedge(self, is_rescue):
+        if is_rescue:
+            self.rescue_budget, granted = hedging.spend(self.rescue_budget)
+        else:
+            self.hedge_budget, granted = hedging.spend(self.hedge_budget)
+        return granted
+
+    def _refuse_hedge(self, query, shard, endpoint_id, is_rescue):
+        self.metrics.count_refused_hedge()
+        self.explainer.note(
+            query.request.request_id,
+            "hedge-refused",
+            endpoint=endpoint_id,
+            reason="budget of extra load is spent",
+        )
+        if not is_rescue:
+            self._schedule_hedge(query, shard, self.read_clock(), "rescue")
 
     def _choose_hedge(self, shard):
         """Return another replica; one that was tried if none is left.
@@ -435,10 +455,9 @@
         shard.value = reply.value
         shard.settled = True
         query.open_count -= 1
-        service = shard.plan.service
-        latencies = self.latencies_by_service.get(service)
-        self.latencies_by_service[service] = hedging.note_latency(
-            latencies or hedging.Latencies(),
+        self.lateness = hedging.note_latency(
+            self.lateness,
+            shard.plan.service,
             now - shard.sent_ms,
             self.hedge_budget.share,
         )
