--- a/chervilspindle/control/leader.py
+++ b/chervilspindle/control/leader.py
@@ -85,6 +85,18 @@
                 expired.append(session)
         if expired:
             self._propose_quietly(state_module.RemoveVms(tuple(expired)))
+            self._forget_ended()
+
+    def _forget_ended(self):
+        """Drop what is remembered of sessions that ended earlier."""
+        for table in (
+            self.renewed_by_session,
+            self.acked_version_by_session,
+            self.revision_by_session,
+        ):
+            for session in list(table):
+                if session not in self.node.tables.vm_by_session:
+                    del table[session]
 
     def _place(self, now):
         if self.pending_assign:
--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -18,6 +18,7 @@
 from chervilspindle.query import gather
 from chervilspindle.query import owner as owner_module
 from chervilspindle.query import requests
+from chervilspindle.query import running
 from chervilspindle.query import session as session_module
 from chervilspindle.wire import messages
 
@@ -148,7 +149,7 @@
 
         Returns
         -------
-        Deferred of gather.Answer
+        Deferred of running.Answer
             Fails with `ProblemError`.
         """
         request_id = gather.build_request_id(self.settings.vm_id)
@@ -305,7 +306,7 @@
         services = requests.match_plan_services(
             body.services, grant.plan, self.directory.list_services()
         )
-        return gather.QueryRequest(
+        return running.QueryRequest(
             request_id,
             grant.customer,
             grant.plan.share,
--- a/chervilspindle/query/gather.py
+++ b/chervilspindle/query/gather.py
@@ -8,7 +8,6 @@
 import heapq
 import logging
 import math
-import typing
 import uuid
 
 from twisted.internet import defer
@@ -19,6 +18,7 @@
 from chervilspindle.policy import replicas
 from chervilspindle.query import coverage
 from chervilspindle.query import directory as directory_module
+from chervilspindle.query import running
 from chervilspindle.wire import messages
 
 LOGGER = logging.getLogger(__name__)
@@ -28,101 +28,6 @@
 MAX_SENDS = 5
 RETRY_PAUSE_MS = 60.0
 MAX_PARTS_IN_FLIGHT = 20000
-REPLY_GRACE_MS = 15.0
-
-
-class QueryRequest(typing.NamedTuple):
-    """An admitted caller's query."""
-
-    request_id: str
-    customer: str
-    weight: float
-    rank: int
-    services: tuple[str, ...]
-    query: dict
-    encoded_query: bytes
-    deadline_ms: float
-    partial: bool
-
-
-class Answer(typing.NamedTuple):
-    """A whole answer; `missing` tells what it does not cover."""
-
-    request_id: str
-    snapshot: int
-    results: tuple[tuple[str, str, bytes], ...]
-    missing: tuple[coverage.Missing, ...]
-
-
-class Send(typing.NamedTuple):
-    """One part that was sent and has no reply yet."""
-
-    endpoint_id: str
-    address: str
-
-
-class ShardState:
-    """One shard of a running query; `outstanding` maps numbers to sends."""
-
-    __slots__ = (
-        "plan",
-        "index",
-        "outstanding",
-        "tried",
-        "value",
-        "settled",
-        "reason",
-        "may_have_run",
-        "retry_after_ms",
-        "sent_ms",
-    )
-
-    def __init__(self, plan: coverage.Shard, index: int):
-        self.plan = plan
-        self.index = index
-        self.outstanding = {}
-        self.tried = []
-        self.value = None
-        self.settled = False
-        self.reason = ""
-        self.may_have_run = False
-        self.retry_after_ms = 0
-        self.sent_ms = 0.0
-
-
-class RunningQuery:
-    """One query between its admission and its answer."""
-
-    __slots__ = (
-        "request",
-        "deferred",
-        "started_ms",
-        "due_ms",
-        "attempt",
-        "excluded",
-        "plan",
-        "shards",
-        "shard_by_send",
-        "open_count",
-        "ran_before",
-        "hedges",
-        "retries",
-    )
-
-    def __init__(self, request, deferred, now):
-        self.request = request
-        self.deferred = deferred
-        self.started_ms = now
-        self.due_ms = now + request.deadline_ms - REPLY_GRACE_MS
-        self.attempt = 0
-        self.excluded = frozenset()
-        self.plan = None
-        self.shards = ()
-        self.shard_by_send = {}
-        self.open_count = 0
-        self.ran_before = False
-        self.hedges = 0
-        self.retries = 0
 
 
 class Gatherer:
@@ -189,18 +94,18 @@
         self.wake = None
         self.wake_ms = math.inf
 
-    def submit(self, request: QueryRequest) -> defer.Deferred:
+    def submit(self, request: running.QueryRequest) -> defer.Deferred:
         """Run a query.
 
         Returns
         -------
-        Deferred of Answer
+        Deferred of running.Answer
             Fails with `ProblemError`.
         """
         now = self.read_clock()
         plan = self._plan(request, frozenset())
         self._check_room(request, len(plan.shards))
-        query = RunningQuery(request, defer.Deferred(), now)
+        query = running.RunningQuery(request, defer.Deferred(), now)
         self.query_by_id[request.request_id] = query
         self._schedule(query.due_ms, "deadline", query, None)
         self._start_attempt(query, plan)
@@ -290,7 +195,8 @@
         query.plan = plan
         query.attempt += 1
         query.shards = tuple(
-            ShardState(shard, index) for index, shard in enumerate(plan.shards)
+            running.ShardState(shard, index)
+            for index, shard in enumerate(plan.shards)
         )
         query.shard_by_send = {}
         query.open_count = len(query.shards)
@@ -341,7 +247,9 @@
                 insist,
             )
             parts_by_session.setdefault(vm.session, []).append(part)
-            shard.outstanding[number] = Send(endpoint_id, vm.peer_address)
+            shard.outstanding[number] = running.Send(
+                endpoint_id, vm.peer_address
+            )
             shard.tried.append(endpoint_id)
             shard.sent_ms = shard.sent_ms or now
             self._update_stats(endpoint_id, replicas.note_sent, now)
@@ -646,7 +554,7 @@
             error = self._build_failure(query, missing)
             query.deferred.errback(error)
             return
-        answer = Answer(
+        answer = running.Answer(
             request.request_id, query.plan.snapshot, results, missing
         )
         query.deferred.callback(answer)
--- /dev/null
+++ b/chervilspindle/query/owned.py
@@ -0,0 +1,108 @@
+"""Rows of the endpoints that an entry owns, and of the work at them."""
+
+import typing
+
+from chervilspindle.policy import fairness
+from chervilspindle.policy import limits
+from chervilspindle.wire import messages
+
+MAX_DEADLINE_MS = 30000.0
+
+QUEUED = "queued"
+RUNNING = "running"
+ENDED = "ended"
+
+
+class Job(typing.NamedTuple):
+    """What is to run: a part of a query, or a command."""
+
+    request_id: str
+    attempt: int
+    customer: str
+    weight: float
+    rank: int
+    snapshot: int
+    body: object
+    part: messages.Part
+    key: str | None
+
+
+class Work:
+    """One job at one endpoint, from admission to its end.
+
+    `answered` tells that the gatherer has its reply; the slot stays taken
+    until the endpoint is known to be done with the job.
+    """
+
+    __slots__ = (
+        "job",
+        "answer",
+        "due_ms",
+        "queued_ms",
+        "started_ms",
+        "state",
+        "answered",
+        "run_id",
+        "call",
+        "probe_ms",
+        "probing",
+        "cancelled_ms",
+    )
+
+    def __init__(self, job: Job, answer, due_ms: float, now: float):
+        self.job = job
+        self.answer = answer
+        self.due_ms = due_ms
+        self.queued_ms = now
+        self.started_ms = 0.0
+        self.state = QUEUED
+        self.answered = False
+        self.run_id = ""
+        self.call = None
+        self.probe_ms = 0.0
+        self.probing = False
+        self.cancelled_ms = 0.0
+
+
+def build_key(job: Job):
+    """Return the key under which a job can be cancelled."""
+    return job.request_id, job.attempt, job.part.send
+
+
+def is_queued(work: Work) -> bool:
+    """Tell whether work still waits for a slot."""
+    return work.state == QUEUED
+
+
+class OwnedEndpoint:
+    """State of one endpoint while this VM owns it."""
+
+    def __init__(self, row, epoch: int, client, now: float):
+        self.row = row
+        self.epoch = epoch
+        self.client = client
+        self.limit = limits.build_limit(row.slots, epoch == 1)
+        self.queue = fairness.FairQueue(is_queued)
+        self.running = {}
+        self.last_heard_ms = now
+        # Work of an earlier owner may still run; until the endpoint says
+        # how much, all its slots count as taken.
+        self.foreign = 0 if epoch == 1 else row.slots
+        self.foreign_until_ms = 0.0 if epoch == 1 else now + MAX_DEADLINE_MS
+        self.reported_lost = False
+        self.released = False
+        # An endpoint that answers no probe gets no work until it does.
+        self.suspect = False
+        self.suspect_probe_ms = 0.0
+
+    def takes_work(self, now: float) -> bool:
+        """Tell whether the endpoint may be sent work at all."""
+        if self.suspect or now < self.limit.stalled_until_ms:
+            return False
+        return self.row.state == "ready"
+
+    def count_free(self, now: float) -> int:
+        """Return the slots that may be used now."""
+        foreign = self.foreign if now < self.foreign_until_ms else 0
+        allowed = min(limits.get_limit(self.limit), self.row.slots - foreign)
+        return allowed - len(self.running)
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -9,13 +9,12 @@
 import itertools
 import logging
 import math
-import typing
 
 from chervilspindle.core import errors
 from chervilspindle.core import logs
 from chervilspindle.policy import admission
-from chervilspindle.policy import fairness
 from chervilspindle.policy import limits
+from chervilspindle.query import owned as owned_module
 from chervilspindle.wire import messages
 
 LOGGER = logging.getLogger(__name__)
@@ -24,7 +23,6 @@
 FULL_PASS_MS = 100.0
 LOST_AFTER_MS = 3500.0
 MAX_QUEUED = 5000
-MAX_DEADLINE_MS = 30000.0
 CANCEL_GRACE_MS = 250.0
 SUSPECT_RATIO = 4.0
 SUSPECT_MIN_MS = 60.0
@@ -33,105 +31,6 @@
 SUSPECT_PROBE_MS = 500.0
 COMMANDS_REMEMBERED = 10000
 
-QUEUED = "queued"
-RUNNING = "running"
-ENDED = "ended"
-
-
-class Job(typing.NamedTuple):
-    """What is to run: a part of a query, or a command."""
-
-    request_id: str
-    attempt: int
-    customer: str
-    weight: float
-    rank: int
-    snapshot: int
-    body: object
-    part: messages.Part
-    key: str | None
-
-
-class Work:
-    """One job at one endpoint, from admission to its end.
-
-    `answered` tells that the gatherer has its reply; the slot stays taken
-    until the endpoint is known to be done with the job.
-    """
-
-    __slots__ = (
-        "job",
-        "answer",
-        "due_ms",
-        "queued_ms",
-        "started_ms",
-        "state",
-        "answered",
-        "run_id",
-        "call",
-        "probe_ms",
-        "probing",
-        "cancelled_ms",
-    )
-
-    def __init__(self, job: Job, answer, due_ms: float, now: float):
-        self.job = job
-        self.answer = answer
-        self.due_ms = due_ms
-        self.queued_ms = now
-        self.started_ms = 0.0
-        self.state = QUEUED
-        self.answered = False
-        self.run_id = ""
-        self.call = None
-        self.probe_ms = 0.0
-        self.probing = False
-        self.cancelled_ms = 0.0
-
-
-def build_key(job: Job):
-    """Return the key under which a job can be cancelled."""
-    return job.request_id, job.attempt, job.part.send
-
-
-def is_queued(work: Work) -> bool:
-    """Tell whether work still waits for a slot."""
-    return work.state == QUEUED
-
-
-class OwnedEndpoint:
-    """State of one endpoint while this VM owns it."""
-
-    def __init__(self, row, epoch: int, client, now: float):
-        self.row = row
-        self.epoch = epoch
-        self.client = client
-        self.limit = limits.build_limit(row.slots, epoch == 1)
-        self.queue = fairness.FairQueue(is_queued)
-        self.running = {}
-        self.last_heard_ms = now
-        # Work of an earlier owner may still run; until the endpoint says
-        # how much, all its slots count as taken.
-        self.foreign = 0 if epoch == 1 else row.slots
-        self.foreign_until_ms = 0.0 if epoch == 1 else now + MAX_DEADLINE_MS
-        self.reported_lost = False
-        self.released = False
-        # An endpoint that answers no probe gets no work until it does.
-        self.suspect = False
-        self.suspect_probe_ms = 0.0
-
-    def takes_work(self, now: float) -> bool:
-        """Tell whether the endpoint may be sent work at all."""
-        if self.suspect or now < self.limit.stalled_until_ms:
-            return False
-        return self.row.state == "ready"
-
-    def count_free(self, now: float) -> int:
-        """Return the slots that may be used now."""
-        foreign = self.foreign if now < self.foreign_until_ms else 0
-        allowed = min(limits.get_limit(self.limit), self.row.slots - foreign)
-        return allowed - len(self.running)
-
 
 class Owner:
     """All endpoints that this VM owns.
@@ -210,9 +109,9 @@
             Its ``send(message)`` takes the replies.
         """
         now = self.read_clock()
-        due = now + min(message.deadline_ms, MAX_DEADLINE_MS)
+        due = now + min(message.deadline_ms, owned_module.MAX_DEADLINE_MS)
         for part in message.parts:
-            job = Job(
+            job = owned_module.Job(
                 message.request_id,
                 message.attempt,
                 message.customer,
@@ -223,7 +122,7 @@
                 part,
                 None,
             )
-            work = Work(job, self._build_answer(target), due, now)
+            work = owned_module.Work(job, self._build_answer(target), due, now)
             self._admit(work, now)
 
     def run_command(self, message: messages.RunCommand, answer):
@@ -239,7 +138,7 @@
             return
         self._remember_command(message.request_id)
         part = messages.Part(0, message.endpoint_id, message.epoch, 0, 0)
-        job = Job(
+        job = owned_module.Job(
             message.request_id,
             0,
             message.customer,
@@ -250,7 +149,7 @@
             part,
             message.key,
         )
-        due = now + min(message.deadline_ms, MAX_DEADLINE_MS)
+        due = now + min(message.deadline_ms, owned_module.MAX_DEADLINE_MS)
 
         def convert(job_, reply):
             answer(
@@ -262,7 +161,7 @@
                 )
             )
 
-        self._admit(Work(job, convert, due, now), now)
+        self._admit(owned_module.Work(job, convert, due, now), now)
 
     def cancel(self, message: messages.CancelParts):
         """End parts whose answer is no longer wanted."""
@@ -324,7 +223,7 @@
             endpoint.address, min(endpoint.connections, endpoint.slots + 1)
         )
         now = self.read_clock()
-        self.owned_by_id[endpoint.endpoint_id] = OwnedEndpoint(
+        self.owned_by_id[endpoint.endpoint_id] = owned_module.OwnedEndpoint(
             endpoint, epoch, client, now
         )
         logs.log_decision(
@@ -358,7 +257,7 @@
         if endpoint.state == "draining":
             self._refuse_queue(owned, errors.ErrorKind.DRAINING)
 
-    def _admit(self, work: Work, now: float):
+    def _admit(self, work: owned_module.Work, now: float):
         if not self.is_fair:
             work.job = work.job._replace(customer="", weight=1.0, rank=0)
         part = work.job.part
@@ -380,7 +279,7 @@
             retry_after = admission.compute_retry_after_ms(estimate, remaining)
             self._refuse(work, errors.ErrorKind.OVERLOADED, retry_after)
             return
-        self.work_by_key[build_key(work.job)] = work
+        self.work_by_key[owned_module.build_key(work.job)] = work
         owned.queue.push(
             work.job.customer, work.job.weight, work.job.rank, work
         )
@@ -395,7 +294,7 @@
             owned.queue.get_share(job.customer, job.weight),
         )
 
-    def _dispatch(self, owned: OwnedEndpoint, now: float):
+    def _dispatch(self, owned: owned_module.OwnedEndpoint, now: float):
         while owned.queue.size and owned.count_free(now) > 0:
             if not self.session.is_valid():
                 self._refuse_queue(owned, errors.ErrorKind.NO_LEASE)
@@ -414,7 +313,7 @@
 
     def _start(self, owned, work, now):
         job = work.job
-        work.state = RUNNING
+        work.state = owned_module.RUNNING
         work.started_ms = now
         work.probe_ms = now + self._get_suspect_ms(owned)
         work.run_id = (
@@ -446,7 +345,7 @@
         if owned.running.pop(work.run_id, None) is None:
             return
         self._forget(work)
-        work.state = ENDED
+        work.state = owned_module.ENDED
         service_ms = now - work.started_ms
         self._learn(owned, work, result, service_ms, now)
         status = result.status
@@ -512,7 +411,7 @@
         """Answer work that was never dispatched."""
         owned = self.owned_by_id.get(work.job.part.endpoint_id)
         self._forget(work)
-        work.state = ENDED
+        work.state = owned_module.ENDED
         self._answer(
             owned,
             work,
@@ -571,11 +470,11 @@
     def _cancel_work(self, work, now):
         owned = self.owned_by_id.get(work.job.part.endpoint_id)
         work.answered = True
-        if work.state == QUEUED and owned is not None:
+        if work.state == owned_module.QUEUED and owned is not None:
             owned.queue.drop(work.job.customer)
             self._forget(work)
-            work.state = ENDED
-        elif work.state == RUNNING:
+            work.state = owned_module.ENDED
+        elif work.state == owned_module.RUNNING:
             for candidate in (owned, *self.closing):
                 if candidate and work.run_id in candidate.running:
                     self._cancel_running(candidate, work, now)
@@ -599,7 +498,7 @@
     def _probed(self, state, owned, work):
         work.probing = False
         now = self.read_clock()
-        if work.state != RUNNING:
+        if work.state != owned_module.RUNNING:
             return
         late = now - work.started_ms
         work.probe_ms = now + min(PROBE_MAX_MS, PROBE_BACKOFF * late)
@@ -720,7 +619,7 @@
             )
 
     def _forget(self, work):
-        key = build_key(work.job)
+        key = owned_module.build_key(work.job)
         if self.work_by_key.get(key) is work:
             del self.work_by_key[key]
 
--- a/features/decisions_test.py
+++ b/features/decisions_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from features import fakes
 from features import promises
 from features import workload
 from features import world as world_module
@@ -65,7 +66,7 @@
     endpoint = world.endpoint_by_name["portal-1.0"]
     endpoint.service_s = 60.0
     send_queries(world, 50)
-    endpoint.service_s = world_module.SERVICE_S
+    endpoint.service_s = fakes.SERVICE_S
     for run_id in list(endpoint.running):
         endpoint.cancel(run_id)
     world.advance(10.0)
@@ -131,7 +132,7 @@
         late.service_s = 0.2
         outcomes.append(world.query())
         world.advance(0.01)
-        late.service_s = world_module.SERVICE_S
+        late.service_s = fakes.SERVICE_S
         world.advance(0.04)
     world.advance(0.6)
     promises.check_all(world)
--- a/features/sabotage_test.py
+++ b/features/sabotage_test.py
@@ -14,9 +14,12 @@
 from chervilspindle.query import directory
 from chervilspindle.query import entry
 from chervilspindle.query import gather
+from chervilspindle.query import owned
 from chervilspindle.query import owner
+from chervilspindle.query import running
 from chervilspindle.query import session
 from chervilspindle.wire import messages
+from features import fakes
 from features import faults
 from features import promises
 from features import workload
@@ -30,12 +33,12 @@
         query.plan = query.plan._replace(missing=())
 
     monkeypatch.setattr(gather.Gatherer, "_note_answer", note_nothing)
-    original = gather.Answer
+    original = running.Answer
 
     def build(request_id, snapshot, results, missing):
         return original(request_id, snapshot, results, ())
 
-    monkeypatch.setattr(gather, "Answer", build)
+    monkeypatch.setattr(running, "Answer", build)
 
 
 def answer_another_caller(monkeypatch):
@@ -50,7 +53,7 @@
             for reply in message.parts:
                 shard = query.shard_by_send.get(reply.send)
                 if shard is not None:
-                    send = gather.Send(reply.endpoint_id, "")
+                    send = running.Send(reply.endpoint_id, "")
                     shard.outstanding.setdefault(reply.send, send)
         original(self, message)
 
@@ -91,7 +94,7 @@
     """Stop although requests are in flight."""
     monkeypatch.setattr(entry.Entry, "_is_busy", lambda self: False)
     monkeypatch.setattr(entry, "READY_LINGER_S", 0.0)
-    monkeypatch.setattr(world_module, "SERVICE_S", 0.2)
+    monkeypatch.setattr(fakes, "SERVICE_S", 0.2)
 
 
 def ignore_lease(monkeypatch):
@@ -116,8 +119,8 @@
     def count_free(self, now):
         return self.row.slots - len(self.running)
 
-    monkeypatch.setattr(owner.OwnedEndpoint, "count_free", count_free)
-    monkeypatch.setattr(world_module, "SERVICE_S", 4.0)
+    monkeypatch.setattr(owned.OwnedEndpoint, "count_free", count_free)
+    monkeypatch.setattr(fakes, "SERVICE_S", 4.0)
 
 
 def accept_older_lists(monkeypatch):
@@ -219,7 +222,7 @@
 def test_mechanism_holds_under_the_same_fault(check, tmp_path, monkeypatch):
     """The same fault with all mechanisms in place breaks nothing."""
     if check == "slots":
-        monkeypatch.setattr(world_module, "SERVICE_S", 4.0)
+        monkeypatch.setattr(fakes, "SERVICE_S", 4.0)
     world = world_module.World(tmp_path, monkeypatch, seed=5)
     step = next(c[1] for c in CASES if c[3] == check)
     workload.run_story(world, world_module.Fault(step, 3, REPLACED[check]))
