Forward loads when there are some; log a lost leadership once

Reading the log of the binary: a won election was logged twice. The timer that passed on load reports ran ten times a second for nothing; it is set by the first report now.

--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -204,7 +204,7 @@
         elif now >= self.join_due_ms:
             self.join_due_ms = now + JOIN_PERIOD_MS
             self._ask_to_join()
-        if was_leader != (self.raft.role == "leader"):
+        if was_leader and self.raft.role != "leader":
             logs.log_decision(
                 "leadership",
                 role=self.raft.role,
--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -25,6 +25,7 @@
 LOGGER = logging.getLogger(__name__)
 
 FORWARD_S = 0.1
+STATE_S = 0.25
 DRAIN_CHECK_S = 0.05
 READY_LINGER_S = 0.5
 EXPLAIN_TIMEOUT_S = 1.0
@@ -134,8 +135,7 @@
     def start(self):
         """Start the session and the periodic work."""
         self.session.start()
-        self.timers.subscribe("forward-loads", FORWARD_S, self._forward_loads)
-        self.timers.subscribe("entry-state", 0.1, self._watch_state)
+        self.timers.subscribe("entry-state", STATE_S, self._watch_state)
 
     def is_ready(self) -> bool:
         """Tell whether the balancer may send callers here."""
@@ -200,6 +200,8 @@
         if vm.session == self.session.vm.session:
             self.owner.note_load(load)
             return
+        if not self.loads_by_session:
+            self.timers.call_later(FORWARD_S, self._forward_loads)
         self.loads_by_session.setdefault(vm.session, []).append(load)
         if endpoint.state == "draining":
             self._forward_loads()
