--- a/chervilspindle/policy/limits.py
+++ b/chervilspindle/policy/limits.py
@@ -19,7 +19,8 @@
 STALL_PARTIAL_FACTOR = 4.0
 STALL_PAUSE_MS = 1000.0
 STALL_MAX_PAUSE_MS = 8000.0
-SERVICE_SMOOTHING = 0.1
+SERVICE_SMOOTHING_UP = 0.1
+SERVICE_SMOOTHING_DOWN = 0.3
 BASELINE_SMOOTHING = 0.002
 DEFAULT_SERVICE_MS = 10.0
 
@@ -53,7 +54,11 @@
     if not state.samples:
         state = state._replace(service_ms=service_ms, baseline_ms=service_ms)
     service = state.service_ms
-    service += SERVICE_SMOOTHING * (service_ms - service)
+    # A slow phase must not make the endpoint look slow long after it.
+    smoothing = SERVICE_SMOOTHING_UP
+    if service_ms < service:
+        smoothing = SERVICE_SMOOTHING_DOWN
+    service += smoothing * (service_ms - service)
     baseline = state.baseline_ms
     baseline += BASELINE_SMOOTHING * (service_ms - baseline)
     state = state._replace(
--- a/chervilspindle/policy/policy_test.py
+++ b/chervilspindle/policy/policy_test.py
@@ -142,3 +142,12 @@
     state = limits.note_success(state, 10.0, 30000.0)
     assert state.stalls == 0
     assert state.stalled_until_ms < 30000.0
+
+
+def test_estimate_recovers_soon_after_a_slow_phase():
+    state = limits.build_limit(2, False)
+    for now in range(50):
+        state = limits.note_success(state, 4000.0, float(now))
+    for now in range(10):
+        state = limits.note_success(state, 10.0, 100.0 + now)
+    assert state.service_ms < 200.0
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -248,9 +248,10 @@
         if endpoint.incarnation != owned.row.incarnation:
             owned.limit = limits.build_limit(endpoint.slots, True)
             owned.last_heard_ms = self.read_clock()
-            for work in list(owned.running.values()):
-                # The process that ran it is gone.
-                work.call.cancel()
+            for work in owned.running.values():
+                # Whether the old process or the new one has it, only the
+                # endpoint can tell.
+                work.probe_ms = 0.0
         elif endpoint.slots != owned.row.slots:
             owned.limit = owned.limit._replace(slots=endpoint.slots)
         owned.row = endpoint
--- a/chervilspindle/query/owner_test.py
+++ b/chervilspindle/query/owner_test.py
@@ -235,6 +235,18 @@
     assert not setting.client.call_by_run
 
 
+def test_restarted_endpoint_keeps_the_slots_it_says_are_taken(setting):
+    setting.submit(0, 1)
+    setting.put(setting.row._replace(incarnation=2, sequence=1))
+    setting.pass_time(0.1)
+    assert len(setting.client.call_by_run) == 2
+    setting.submit(2)
+    assert len(setting.client.call_by_run) == 2
+    setting.client.state = "unknown"
+    setting.pass_time(1.0)
+    assert setting.list_statuses()[0][1] is True
+
+
 def test_silent_announcements_make_an_endpoint_lost(setting):
     for _ in range(400):
         setting.clock.advance(0.01)
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -426,6 +426,10 @@
                 deferred.callback(result)
 
         def start():
+            if deferred.called:
+                # The owner has aborted the connection: its kernel sends
+                # nothing again that the endpoint has not received.
+                return
             if not self.endpoint.alive:
                 refused = endpoint_client.RunResult(
                     "no_endpoint", False, 0, 0, b"null"
--- a/features/workload.py
+++ b/features/workload.py
@@ -1,5 +1,6 @@
 """Steady work of callers and operators, while faults come and go."""
 
+from chervilspindle.control import raft
 from chervilspindle.core import rows
 from chervilspindle.wire import messages
 from features import promises
@@ -22,10 +23,18 @@
                 f"portal-{service}.{replica}", f"portal-{service}"
             )
     world.advance_until(lambda: count_owned(world) == services * replicas, 10)
+    # A new group grows from one voter, and only three can lose a disk.
+    world.advance_until(lambda: count_voters(world) == 3, 10)
     world.must_apply("first")
     world.advance_until(lambda: in_force_everywhere(world, 1), 5)
 
 
+def count_voters(world):
+    """Return how many voters the leader has, 0 without a leader."""
+    leader = world.get_leader()
+    return len(raft.list_voters(leader.node.raft)) if leader else 0
+
+
 def count_owned(world):
     """Return how many endpoints have an owner that serves them."""
     return sum(1 for n in world.endpoint_by_name if world.get_owner(n))
