--- a/chervilspindle/control/placement.py
+++ b/chervilspindle/control/placement.py
@@ -202,23 +202,31 @@
     loads = index.count_loads(state)
     if len(loads) < 2 or index.unsettled_ids:
         return ()
-    most = max(loads, key=loads.get)
-    spread = loads[most] - min(loads.values())
-    if spread <= MAX_SPREAD:
-        return ()
+    least = min(loads.values())
+    for session in sorted(loads, key=lambda s: (-loads[s], s)):
+        spread = loads[session] - least
+        if spread <= MAX_SPREAD:
+            break
+        limit = min(MOVES_PER_ROUND, spread // 2)
+        moves = _plan_session_moves(state, index, loads, session, limit)
+        if moves:
+            return moves
+    return ()
+
+
+def _plan_session_moves(state, index, loads, session, limit):
+    """Return releases of one session's endpoints, at most `limit`."""
     moves = []
     services = set()
-    for endpoint_id in sorted(index.ids_by_session[most]):
+    for endpoint_id in sorted(index.ids_by_session[session]):
         service = index.service_by_id[endpoint_id]
-        if service in services:
-            continue
-        if not _is_covered(state, index, endpoint_id):
+        if service in services or not _is_covered(state, index, endpoint_id):
             continue
-        if _find_better(state, index, loads, endpoint_id) == most:
+        if _find_better(state, index, loads, endpoint_id) == session:
             continue
         services.add(service)
         moves.append(_release(state.ownership_by_id[endpoint_id]))
-        if len(moves) >= min(MOVES_PER_ROUND, spread // 2):
+        if len(moves) >= limit:
             break
     return tuple(moves)
 
