Drop dead names and one doubled set-up of the log's tests

Reading the whole change once more: three loggers that nothing used, a decoder and a method of the fakes that nothing called, an import inside a function, and the same ten lines before two tests of a member that was away. No behaviour, check or bound changes.

--- a/chervilspindle/control/raft_test.py
+++ b/chervilspindle/control/raft_test.py
@@ -406,8 +406,9 @@
     assert b"during" in values and b"after" in values
 
 
-def test_doubled_refusals_cause_no_message_storm():
-    cluster = Cluster(8)
+def build_cluster_with_late_member(seed):
+    """Return a cluster whose member was away until its log was compacted."""
+    cluster = Cluster(seed)
     cluster.run(3000)
     leader = get_leader(cluster)
     away = next(i for i in cluster.disk_by_id if i != leader)
@@ -417,6 +418,11 @@
         cluster.run(40)
     cluster.compact(leader)
     cluster.start(away)
+    return cluster, leader, away
+
+
+def test_doubled_refusals_cause_no_message_storm():
+    cluster, leader, away = build_cluster_with_late_member(8)
     cluster.cuts.add((leader, away))
     cluster.run(500)
     cluster.cuts.clear()
@@ -431,16 +437,7 @@
 
 
 def test_snapshot_reaches_a_member_that_was_away():
-    cluster = Cluster(7)
-    cluster.run(3000)
-    leader = get_leader(cluster)
-    away = next(i for i in cluster.disk_by_id if i != leader)
-    cluster.crash(away)
-    for number in range(50):
-        cluster.propose(b"%d" % number)
-        cluster.run(40)
-    cluster.compact(leader)
-    cluster.start(away)
+    cluster, leader, away = build_cluster_with_late_member(7)
     cluster.run(3000)
     state = cluster.state_by_id[away]
     assert state.snapshot_index > 0
--- a/chervilspindle/query/commands.py
+++ b/chervilspindle/query/commands.py
@@ -7,7 +7,6 @@
 """
 
 import hashlib
-import logging
 import typing
 
 import msgspec
@@ -19,8 +18,6 @@
 from chervilspindle.query import directory as directory_module
 from chervilspindle.wire import messages
 
-LOGGER = logging.getLogger(__name__)
-
 CLAIM_TIMEOUT_S = 2.0
 RESOLVE_TIMEOUT_S = 60.0
 LATE_REPLY_S = 5.0
--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -1,7 +1,6 @@
 """The entry role of a VM: session, directory, gatherer, owner, commands."""
 
 import functools
-import logging
 import random
 
 import msgspec
@@ -22,8 +21,6 @@
 from chervilspindle.query import session as session_module
 from chervilspindle.wire import messages
 
-LOGGER = logging.getLogger(__name__)
-
 FORWARD_S = 0.1
 STATE_S = 0.25
 DRAIN_CHECK_S = 0.05
--- a/chervilspindle/query/gather.py
+++ b/chervilspindle/query/gather.py
@@ -6,7 +6,6 @@
 """
 
 import heapq
-import logging
 import math
 import uuid
 
@@ -21,8 +20,6 @@
 from chervilspindle.query import running
 from chervilspindle.wire import messages
 
-LOGGER = logging.getLogger(__name__)
-
 TICK_S = 0.002
 MAX_ATTEMPTS = 3
 MAX_SENDS = 5
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -40,11 +40,6 @@
         """Run a function later, unless killed by then."""
         return DelayedCall(self, delay_s, function, args)
 
-    def stop(self):
-        """Drop all that was to run; used when a process is killed."""
-        self.killed = True
-        self.backlog = []
-
     def run(self, function):
         """Run a function now, or when the process thaws."""
         if self.killed:
--- a/features/promises.py
+++ b/features/promises.py
@@ -1,5 +1,7 @@
 """Checks of what must always hold, over everything a world has seen."""
 
+import json
+
 IN_FORCE_LIMIT_S = 7.0
 DRAIN_LIMIT_S = 3.0
 
@@ -124,6 +126,4 @@
 
 def decode(value):
     """Return the decoded JSON of an endpoint's value."""
-    import json
-
     return json.loads(value)
--- a/features/world.py
+++ b/features/world.py
@@ -12,7 +12,6 @@
 import typing
 import uuid
 
-import msgspec
 from twisted.internet import task
 
 from chervilspindle.config import settings as settings_module
@@ -550,8 +549,3 @@
             floor = self.revision_floor.get((vm.name, vm.starts), 0)
             assert revision >= floor, f"{vm.name} went back to {revision}"
             self.revision_floor[(vm.name, vm.starts)] = revision
-
-
-def decode_value(value):
-    """Return the decoded JSON of an endpoint's value."""
-    return msgspec.json.decode(value)
