Hand endpoints over between live owners without a gap

An endpoint on the move was released, had no owner until the old one confirmed and the leader granted it, and then no slots until its next load report. The next move of the other replica of the same service could begin 0.5 s later, and a leader lost in between made the gap longer. Ruled out: a stalled process, the loss of the session lease, a silent link.

Change: control grants an endpoint to the new owner while the one before serves it; the new owner asks it directly, gets the count of running work, and is told of each that ends. Gatherers follow the refusal of the old owner. Releases and their confirmation by version are gone.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -91,7 +91,7 @@
     report = state_module.ReportEndpoints(build_endpoints(endpoints), 0)
     state = state_module.apply_command(report, state).state
     index = placement.PlacementIndex(state)
-    assignments = placement.plan_assignments(state, index, {})
+    assignments = placement.plan_assignments(state, index)
     assign = state_module.Assign(assignments)
     return state_module.apply_command(assign, state).state
 
@@ -101,9 +101,7 @@
     for vms, endpoints in sizes:
         state = build_tables(vms, endpoints)
         index = placement.PlacementIndex(state)
-        cost = measure_us(
-            lambda: placement.plan_assignments(state, index, {}), 3
-        )
+        cost = measure_us(lambda: placement.plan_assignments(state, index), 3)
         yield endpoints, cost
 
 
@@ -129,7 +127,7 @@
         started = time.process_time()
         outcome = state_module.apply_command(command, state)
         index.update(outcome.state, outcome.changes)
-        grants = placement.plan_assignments(outcome.state, index, {})
+        grants = placement.plan_assignments(outcome.state, index)
         samples.append((time.process_time() - started) * 1e6)
         assert grants
     return statistics.median(samples)
--- a/chervilspindle/control/leader.py
+++ b/chervilspindle/control/leader.py
@@ -39,7 +39,6 @@
         self.node = node
         self.read_clock = read_clock
         self.renewed_by_session = {}
-        self.acked_version_by_session = {}
         self.revision_by_session = {}
         self.pending_assign = False
         self.move_due_ms = -math.inf
@@ -70,7 +69,6 @@
         self.renewed_by_session = {
             session: now for session in self.node.tables.vm_by_session
         }
-        self.acked_version_by_session = {}
         self.revision_by_session = {}
         self.pending_assign = False
 
@@ -89,11 +87,7 @@
 
     def _forget_ended(self):
         """Drop what is remembered of sessions that ended earlier."""
-        for table in (
-            self.renewed_by_session,
-            self.acked_version_by_session,
-            self.revision_by_session,
-        ):
+        for table in (self.renewed_by_session, self.revision_by_session):
             for session in list(table):
                 if session not in self.node.tables.vm_by_session:
                     del table[session]
@@ -102,9 +96,7 @@
         if self.pending_assign:
             return
         tables = self.node.tables
-        assignments = placement.plan_assignments(
-            tables, self.node.placement, self.acked_version_by_session
-        )
+        assignments = placement.plan_assignments(tables, self.node.placement)
         if not assignments and now >= self.move_due_ms:
             self.move_due_ms = now + MOVE_PERIOD_MS
             assignments = placement.plan_moves(tables, self.node.placement)
@@ -132,7 +124,6 @@
         ):
             lease_ms = LEASE_MS
             self.renewed_by_session[session] = self.read_clock()
-        self.acked_version_by_session[session] = heartbeat.known_version
         self.revision_by_session[session] = heartbeat.known_revision
         delta = self.node.feed.get_delta(tables, heartbeat.known_version)
         return messages.HeartbeatReply(lease_ms, delta)
@@ -214,6 +205,8 @@
         commands.append(
             state_module.ReportEndpoints(message.reports, logs.read_wall_ms())
         )
+    if message.handovers:
+        commands.append(state_module.EndHandovers(message.handovers))
     if not commands:
         return leader.renew(message)
     for command in commands[:-1]:
--- a/chervilspindle/control/placement.py
+++ b/chervilspindle/control/placement.py
@@ -12,7 +12,8 @@
 
 CANDIDATES = 16
 MAX_SPREAD = 1
-MOVES_PER_ROUND = 4
+LEAST_MOVES = 4
+SESSIONS_PER_MOVE = 8
 
 
 class SessionLoad(typing.NamedTuple):
@@ -26,7 +27,8 @@
     """What placement needs to know, kept current row by row.
 
     A pass looks only at endpoints without a settled owner, so that its cost
-    follows what changed and not the size of the deployment.
+    follows what changed and not the size of the deployment. An endpoint is
+    moving while its owner before still has to hand it over.
     """
 
     def __init__(self, state):
@@ -34,6 +36,7 @@
         self.owner_by_id_by_service = {}
         self.service_by_id = {}
         self.unsettled_ids = set()
+        self.moving_ids = set()
         for endpoint_id in state.endpoint_by_id:
             self._refresh(state, endpoint_id)
 
@@ -53,9 +56,11 @@
             if state.vm_by_session[session].state == "ready"
         }
 
-    def list_siblings(self, service):
-        """Return the sessions that own a replica of a service."""
-        return list(self.owner_by_id_by_service.get(service, {}).values())
+    def list_siblings(self, endpoint_id):
+        """Return the sessions that own the other replicas of a service."""
+        service = self.service_by_id[endpoint_id]
+        owner_by_id = self.owner_by_id_by_service.get(service, {})
+        return [s for i, s in owner_by_id.items() if i != endpoint_id]
 
     def _refresh_session(self, state, session):
         for endpoint_id in list(self.ids_by_session.get(session, ())):
@@ -79,6 +84,9 @@
                 endpoint.service, {}
             )
             owners[endpoint_id] = session
+        if ownership is not None and ownership.previous:
+            self.moving_ids.add(endpoint_id)
+            return
         vm = state.vm_by_session.get(session)
         is_settled = vm is not None and vm.state == "ready"
         if not is_settled and endpoint.state != "lost":
@@ -86,6 +94,7 @@
 
     def _forget(self, endpoint_id):
         self.unsettled_ids.discard(endpoint_id)
+        self.moving_ids.discard(endpoint_id)
         service = self.service_by_id.pop(endpoint_id, None)
         owners = self.owner_by_id_by_service.get(service, {})
         session = owners.pop(endpoint_id, None)
@@ -95,66 +104,39 @@
             self.ids_by_session[session].discard(endpoint_id)
 
 
-def plan_assignments(state, index, acked_version_by_session):
-    """Return the ownership changes that are safe and useful now.
+def plan_assignments(state, index):
+    """Return the grants that endpoints without a lasting owner need now.
 
     Parameters
     ----------
     state : ControlState
     index : PlacementIndex
         Current for `state`.
-    acked_version_by_session : dict of str to int
-        Version of the tables that each session has confirmed.
 
     Returns
     -------
     tuple of Assignment
-        Grants for endpoints without owner, and releases from sessions that
-        drain.
+        For endpoints without owner, and for those of sessions that drain.
     """
     if not index.unsettled_ids:
         return ()
-    grantable = []
-    releases = []
-    for endpoint_id in sorted(index.unsettled_ids):
-        ownership = state.ownership_by_id.get(endpoint_id)
-        if ownership is not None and ownership.session:
-            releases.append(_release(ownership))
-        elif _is_grantable(ownership, state, acked_version_by_session):
-            grantable.append(endpoint_id)
-    grants = _plan_grants(state, index, grantable) if grantable else []
-    return tuple(grants) + tuple(releases)
-
-
-def _is_grantable(ownership, state, acked_version_by_session):
-    """Tell whether no earlier owner can still send work."""
-    if ownership is None:
-        return True
-    if ownership.previous not in state.vm_by_session:
-        return True
-    acked = acked_version_by_session.get(ownership.previous, 0)
-    return acked >= ownership.released_at
-
-
-def _plan_grants(state, index, endpoint_ids):
     loads = index.count_loads(state)
     heap = [SessionLoad(count, session) for session, count in loads.items()]
     heapq.heapify(heap)
-    siblings_by_service = {}
+    granted_by_service = {}
     grants = []
-    for endpoint_id in endpoint_ids:
+    for endpoint_id in sorted(index.unsettled_ids):
         if not heap:
             break
-        endpoint = state.endpoint_by_id[endpoint_id]
-        siblings = siblings_by_service.setdefault(
-            endpoint.service, index.list_siblings(endpoint.service)
+        granted = granted_by_service.setdefault(
+            index.service_by_id[endpoint_id], []
         )
+        siblings = index.list_siblings(endpoint_id) + granted
+        endpoint = state.endpoint_by_id[endpoint_id]
         session = _choose_session(state, endpoint, siblings, heap)
-        siblings.append(session)
-        ownership = state.ownership_by_id.get(endpoint_id)
-        epoch = ownership.epoch if ownership else 0
-        grants.append(state_module.Assignment(endpoint_id, session, epoch))
-    return grants
+        granted.append(session)
+        grants.append(_grant(state, endpoint_id, session))
+    return tuple(grants)
 
 
 def _choose_session(state, endpoint, siblings, heap):
@@ -189,46 +171,57 @@
     return rank
 
 
-def _release(ownership):
-    return state_module.Assignment(ownership.endpoint_id, "", ownership.epoch)
+def _grant(state, endpoint_id, session):
+    ownership = state.ownership_by_id.get(endpoint_id)
+    epoch = ownership.epoch if ownership else 0
+    return state_module.Assignment(endpoint_id, session, epoch)
 
 
 def plan_moves(state, index):
-    """Return releases that even out the load, a few at a time.
+    """Return grants that even out the load, some at a time.
 
-    At most one endpoint of a service is moved at once, so that its other
-    replicas go on serving.
+    At most one endpoint of a service moves at once, so that gatherers which
+    have not heard of the new owner yet find another replica.
     """
     loads = index.count_loads(state)
     if len(loads) < 2 or index.unsettled_ids:
         return ()
+    room = max(LEAST_MOVES, len(loads) // SESSIONS_PER_MOVE)
+    room -= len(index.moving_ids)
     least = min(loads.values())
+    services = {index.service_by_id[i] for i in index.moving_ids}
+    moves = []
     for session in sorted(loads, key=lambda s: (-loads[s], s)):
         spread = loads[session] - least
-        if spread <= MAX_SPREAD:
+        if spread <= MAX_SPREAD or len(moves) >= room:
             break
-        limit = min(MOVES_PER_ROUND, spread // 2)
-        moves = _plan_session_moves(state, index, loads, session, limit)
-        if moves:
-            return moves
-    return ()
+        limit = min(room - len(moves), max(1, spread // 2))
+        moves += _plan_session_moves(
+            state, index, loads, session, limit, services
+        )
+    return tuple(moves)
+
 
+def _plan_session_moves(state, index, loads, session, limit, services):
+    """Return moves of one session's endpoints, at most `limit`.
 
-def _plan_session_moves(state, index, loads, session, limit):
-    """Return releases of one session's endpoints, at most `limit`."""
+    `loads` and `services` take in what is planned.
+    """
     moves = []
-    services = set()
     for endpoint_id in sorted(index.ids_by_session[session]):
         service = index.service_by_id[endpoint_id]
         if service in services or not _is_covered(state, index, endpoint_id):
             continue
-        if _find_better(state, index, loads, endpoint_id) == session:
+        better = _find_better(state, index, loads, endpoint_id)
+        if better == session:
             continue
+        loads[session] -= 1
+        loads[better] += 1
         services.add(service)
-        moves.append(_release(state.ownership_by_id[endpoint_id]))
+        moves.append(_grant(state, endpoint_id, better))
         if len(moves) >= limit:
             break
-    return tuple(moves)
+    return moves
 
 
 def _is_covered(state, index, endpoint_id):
@@ -244,15 +237,13 @@
 
 
 def _find_better(state, index, loads, endpoint_id):
-    """Return the session that would be granted an endpoint, once released.
+    """Return the session that should own an endpoint, its own if none is.
 
-    Without this question an endpoint whose replicas rule out all less
-    loaded sessions would be released and granted to the same one for ever.
+    An endpoint whose replicas rule out all less loaded sessions would
+    otherwise move to and fro for ever.
     """
     endpoint = state.endpoint_by_id[endpoint_id]
-    owner_by_id = index.owner_by_id_by_service[endpoint.service]
-    siblings = [s for i, s in owner_by_id.items() if i != endpoint_id]
-    own = owner_by_id[endpoint_id]
+    own = state.ownership_by_id[endpoint_id].session
     candidates = heapq.nsmallest(
         CANDIDATES,
         (
@@ -260,5 +251,6 @@
             for session, count in loads.items()
         ),
     )
+    siblings = index.list_siblings(endpoint_id)
     rank = _build_rank(state, endpoint, siblings)
     return min(candidates, key=rank).session
--- a/chervilspindle/control/state.py
+++ b/chervilspindle/control/state.py
@@ -54,9 +54,10 @@
 
 
 class Assignment(typing.NamedTuple):
-    """Gives an endpoint to a session, or takes it if `session` is empty.
+    """Gives an endpoint to a session; a live owner hands it over first.
 
-    It takes effect only if the endpoint's epoch is still `epoch`.
+    It takes effect only if the endpoint's epoch is still `epoch` and no
+    handover is under way.
     """
 
     endpoint_id: str
@@ -70,6 +71,19 @@
     assignments: tuple[Assignment, ...]
 
 
+class Handover(typing.NamedTuple):
+    """Names the grant under which a session has taken over an endpoint."""
+
+    endpoint_id: str
+    epoch: int
+
+
+class EndHandovers(typing.NamedTuple):
+    """Records that new owners have taken over from the sessions before."""
+
+    handovers: tuple[Handover, ...]
+
+
 class ClaimCommand(typing.NamedTuple):
     """Claims the right to run a non-idempotent request."""
 
@@ -179,6 +193,7 @@
         RemoveVms,
         ReportEndpoints,
         Assign,
+        EndHandovers,
         ClaimCommand,
         ResolveClaim,
         Expire,
@@ -302,9 +317,7 @@
     freed = {}
     for endpoint_id, ownership in state.ownership_by_id.items():
         if ownership.session in gone:
-            freed[endpoint_id] = ownership._replace(
-                session="", epoch=ownership.epoch + 1, previous=""
-            )
+            freed[endpoint_id] = _free(ownership, gone)
         elif ownership.previous in gone:
             freed[endpoint_id] = ownership._replace(previous="")
     changes.extend(Change("ownership", key) for key in freed)
@@ -315,6 +328,18 @@
     return Outcome(state, None, tuple(changes))
 
 
+def _free(ownership, gone):
+    """Take an endpoint from a session that ended.
+
+    If it was to be handed over, the session before gets it back under a new
+    epoch, whether or not it has handed it over already.
+    """
+    heir = "" if ownership.previous in gone else ownership.previous
+    return ownership._replace(
+        session=heir, epoch=ownership.epoch + 1, previous=""
+    )
+
+
 @apply_command.register
 def _report_endpoints(
     command: ReportEndpoints, state: ControlState
@@ -343,17 +368,14 @@
     for assignment in command.assignments:
         endpoint_id = assignment.endpoint_id
         known = table.get(endpoint_id) or rows.Ownership(endpoint_id, "", 0)
-        if known.epoch != assignment.epoch:
+        if known.epoch != assignment.epoch or known.previous:
+            continue
+        if assignment.session not in state.vm_by_session:
             continue
-        if assignment.session not in ("", *state.vm_by_session):
+        if assignment.session == known.session:
             continue
-        previous = "" if assignment.session else known.session
         row = rows.Ownership(
-            endpoint_id,
-            assignment.session,
-            known.epoch + 1,
-            previous,
-            state.version if previous else 0,
+            endpoint_id, assignment.session, known.epoch + 1, known.session
         )
         table = table.set(endpoint_id, row)
         changes.append(Change("ownership", endpoint_id))
@@ -361,6 +383,20 @@
     return Outcome(state, None, tuple(changes))
 
 
+@apply_command.register
+def _end_handovers(command: EndHandovers, state: ControlState) -> Outcome:
+    table = state.ownership_by_id
+    changes = []
+    for endpoint_id, epoch in command.handovers:
+        known = table.get(endpoint_id)
+        if known is None or known.epoch != epoch or not known.previous:
+            continue
+        table = table.set(endpoint_id, known._replace(previous=""))
+        changes.append(Change("ownership", endpoint_id))
+    state = state._replace(ownership_by_id=table)
+    return Outcome(state, None, tuple(changes))
+
+
 @apply_command.register
 def _claim_command(command: ClaimCommand, state: ControlState) -> Outcome:
     known = state.claim_by_id.get(command.claim.claim_id)
--- a/chervilspindle/control/state_test.py
+++ b/chervilspindle/control/state_test.py
@@ -48,11 +48,21 @@
     return apply_all(state_module.EMPTY_STATE, *commands)[0]
 
 
-def place(state, acked=None):
+def end_handovers(state):
+    """Let all new owners take over."""
+    moving = tuple(
+        state_module.Handover(row.endpoint_id, row.epoch)
+        for row in state.ownership_by_id.values()
+        if row.previous
+    )
+    return apply_all(state, state_module.EndHandovers(moving))[0]
+
+
+def place(state):
     """Run placement until it has nothing to do."""
     for _ in range(20):
         index = placement.PlacementIndex(state)
-        assignments = placement.plan_assignments(state, index, acked or {})
+        assignments = placement.plan_assignments(state, index)
         if not assignments:
             return state
         state, _ = apply_all(state, state_module.Assign(assignments))
@@ -165,24 +175,68 @@
             assert row.epoch > before[endpoint_id].epoch
 
 
-def test_released_endpoint_waits_for_its_owner():
+def drain_vm():
+    """Return tables in which the endpoints of one VM are handed over."""
     state = place(build_tables())
     state, _ = apply_all(
         state, state_module.RegisterVm(build_vm(0, state="draining"))
     )
     state = place(state)
-    released = [o for o in state.ownership_by_id.values() if not o.session]
-    assert released
-    acked = {"vm-0@1": max(o.released_at for o in released)}
-    state = place(state, acked)
+    moving = [o for o in state.ownership_by_id.values() if o.previous]
+    assert moving
+    assert all(o.previous == "vm-0@1" != o.session for o in moving)
+    return state, moving
+
+
+def test_endpoint_of_a_draining_vm_is_never_without_owner():
+    state, moving = drain_vm()
     assert all(o.session for o in state.ownership_by_id.values())
+    state = end_handovers(state)
+    for row in moving:
+        assert state.ownership_by_id[row.endpoint_id].epoch == row.epoch
+        assert not state.ownership_by_id[row.endpoint_id].previous
+
+
+def test_endpoint_on_the_move_is_not_granted_again():
+    state, moving = drain_vm()
+    row = moving[0]
+    other = next(s for s in state.vm_by_session if s != row.session)
+    again = state_module.Assignment(row.endpoint_id, other, row.epoch)
+    state, _ = apply_all(state, state_module.Assign((again,)))
+    assert state.ownership_by_id[row.endpoint_id] == row
+
+
+def test_owner_before_gets_back_what_a_lost_vm_was_to_take_over():
+    state, moving = drain_vm()
+    row = moving[0]
+    state, _ = apply_all(state, state_module.RemoveVms((row.session,)))
+    found = state.ownership_by_id[row.endpoint_id]
+    assert found == row._replace(
+        session=row.previous, previous="", epoch=row.epoch + 1
+    )
+
+
+def test_new_owner_need_not_ask_an_owner_that_is_lost():
+    state, moving = drain_vm()
+    state, _ = apply_all(state, state_module.RemoveVms(("vm-0@1",)))
+    for row in moving:
+        found = state.ownership_by_id[row.endpoint_id]
+        assert found == row._replace(previous="")
+
+
+def test_late_end_of_an_older_handover_changes_nothing():
+    state, moving = drain_vm()
+    row = moving[0]
+    late = state_module.Handover(row.endpoint_id, row.epoch - 1)
+    state, _ = apply_all(state, state_module.EndHandovers((late,)))
+    assert state.ownership_by_id[row.endpoint_id] == row
 
 
 def test_new_vm_gets_endpoints_a_few_at_a_time():
     state = place(build_tables(vms=2, services=12))
     state, _ = apply_all(state, state_module.RegisterVm(build_vm(9)))
     moves = placement.plan_moves(state, placement.PlacementIndex(state))
-    assert 0 < len(moves) <= placement.MOVES_PER_ROUND
+    assert 0 < len(moves) <= placement.LEAST_MOVES
     services = [m.endpoint_id.split(".")[0] for m in moves]
     assert len(set(services)) == len(services)
 
@@ -221,12 +275,26 @@
             strategies.integers(1, 20),
             strategies.sampled_from(("ready", "draining", "lost")),
         ),
-        strategies.just("place"),
+        strategies.sampled_from(("place", "move", "end")),
     ),
     max_size=30,
 )
 
 
+def build_step(name, state, index):
+    """Return a command of the leader."""
+    if name == "place":
+        planned = placement.plan_assignments(state, index)
+        return state_module.Assign(planned)
+    if name == "move":
+        return state_module.Assign(placement.plan_moves(state, index))
+    moving = tuple(
+        state_module.Handover(i, state.ownership_by_id[i].epoch)
+        for i in sorted(index.moving_ids)
+    )
+    return state_module.EndHandovers(moving)
+
+
 @hypothesis.given(COMMANDS)
 @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
 def test_index_and_deltas_follow_any_history(history):
@@ -236,9 +304,8 @@
     feed = changes.ChangeFeed()
     feed.reset(state.version)
     for command in history:
-        if command == "place":
-            planned = placement.plan_assignments(state, index, {})
-            command = state_module.Assign(planned)
+        if isinstance(command, str):
+            command = build_step(command, state, index)
         state = state._replace(version=state.version + 1)
         outcome = state_module.apply_command(command, state)
         state = outcome.state
@@ -246,6 +313,7 @@
         feed.record(state.version, outcome.changes)
     fresh = placement.PlacementIndex(state)
     assert index.unsettled_ids == fresh.unsettled_ids
+    assert index.moving_ids == fresh.moving_ids
     assert index.ids_by_session == fresh.ids_by_session
     assert index.owner_by_id_by_service == fresh.owner_by_id_by_service
     first = state.version - len(history)
@@ -271,8 +339,7 @@
             break
         before = state.ownership_by_id
         state, _ = apply_all(state, state_module.Assign(moves))
-        acked = {s: state.version for s in state.vm_by_session}
-        state = place(state, acked)
+        state = place(end_handovers(state))
         for move in moves:
             new = state.ownership_by_id[move.endpoint_id].session
             assert new != before[move.endpoint_id].session
--- a/chervilspindle/core/rows.py
+++ b/chervilspindle/core/rows.py
@@ -104,15 +104,15 @@
 class Ownership(typing.NamedTuple):
     """Which session alone may send work to an endpoint, and since which epoch.
 
-    An empty `session` means that the endpoint was taken from `previous` and
-    is granted anew once that session confirmed it or lost its lease.
+    While `previous` is not empty, that session still serves the endpoint
+    under the epoch before, until it hands it over to `session` or loses its
+    lease. An empty `session` means that nobody may send it work.
     """
 
     endpoint_id: str
     session: str
     epoch: int
     previous: str = ""
-    released_at: int = 0
 
 
 class Claim(typing.NamedTuple):
--- a/chervilspindle/policy/replicas.py
+++ b/chervilspindle/policy/replicas.py
@@ -122,6 +122,11 @@
     )
 
 
+def note_unsent(stats: ReplicaStats) -> ReplicaStats:
+    """Take back a part that its owner passed on without running it."""
+    return stats._replace(outstanding=max(0, stats.outstanding - 1))
+
+
 def note_failure(stats: ReplicaStats, now: float) -> ReplicaStats:
     """Take in a part that failed or got no reply."""
     return stats._replace(
--- a/chervilspindle/query/commands.py
+++ b/chervilspindle/query/commands.py
@@ -87,14 +87,31 @@
             return self._repeat(request, claim, granted.claim)
         if granted.claim.outcome != "claimed":
             return self._repeat(request, claim, granted.claim)
-        remaining_s = due - self.timers.clock.seconds()
-        owner = self.directory.get_owner(endpoint_id)
-        if remaining_s <= 0 or owner[1] is None:
-            self._resolve(request, "free", b"")
-            raise self._build_not_run(request, errors.ErrorKind.DEADLINE)
-        reply = yield self._dispatch(request, endpoint_id, owner, remaining_s)
+        reply = yield self._send(request, endpoint_id, due)
         return (yield self._conclude(request, reply))
 
+    @defer.inlineCallbacks
+    def _send(self, request, endpoint_id, due):
+        """Send a claimed command to the owner, or to the one after it.
+
+        It is sent on only if the owner says that it never dispatched it.
+        """
+        while True:
+            remaining_s = due - self.timers.clock.seconds()
+            route = self.directory.get_route(endpoint_id)
+            if remaining_s <= 0 or route is None:
+                kind = errors.ErrorKind.DEADLINE.value
+                return messages.CommandReply(
+                    kind, False, 0, messages.EMPTY_VALUE
+                )
+            reply = yield self._dispatch(
+                request, endpoint_id, route, remaining_s
+            )
+            if reply.status != errors.ErrorKind.NOT_OWNER.value:
+                return reply
+            if not self.directory.reroute(endpoint_id, route.epoch):
+                return reply
+
     def _choose(self, request):
         slot = directory_module.hash_key(request.key)
         plan = self.directory.plan_query((request.service,), slot)
@@ -150,8 +167,8 @@
             request_id=request.request_id,
         )
 
-    def _dispatch(self, request, endpoint_id, owner, remaining_s):
-        ownership, vm = owner
+    def _dispatch(self, request, endpoint_id, route, remaining_s):
+        vm, epoch = route
         self.explainer.note(
             request.request_id,
             "command-route",
@@ -167,7 +184,7 @@
             request.rank,
             remaining_s * 1000.0,
             endpoint_id,
-            ownership.epoch,
+            epoch,
             request.key,
             msgspec.json.encode(request.command),
         )
--- a/chervilspindle/query/directory.py
+++ b/chervilspindle/query/directory.py
@@ -1,6 +1,7 @@
 """An entry's copy of the replicated tables, and what is derived from it."""
 
 import logging
+import typing
 import zlib
 
 from chervilspindle.config import lists as lists_module
@@ -18,6 +19,13 @@
     return zlib.crc32(key.encode()) % rows.KEY_SPACE
 
 
+class Route(typing.NamedTuple):
+    """The VM that may send work to an endpoint, and under which epoch."""
+
+    vm: rows.Vm
+    epoch: int
+
+
 class Directory:
     """Tables of one entry, kept current by deltas from control.
 
@@ -33,6 +41,7 @@
         self.ownership_by_id = {}
         self.ids_by_service = {}
         self.plan_by_query = {}
+        self.handed_epoch_by_id = {}
         self.listeners = []
         self.sole_owner = ""
 
@@ -72,18 +81,46 @@
         """Return the known services that match the patterns."""
         return lists_module.match_services(patterns, self.list_services())
 
-    def get_owner(self, endpoint_id: str):
-        """Return the ownership row and the owner's VM row, or Nones."""
+    def get_route(self, endpoint_id: str) -> Route | None:
+        """Return who serves an endpoint now, None if nobody is known to.
+
+        While an endpoint is handed over, that is the owner before, until it
+        is known to have done so.
+        """
         ownership = self.ownership_by_id.get(endpoint_id)
-        if ownership is None or not ownership.session:
-            return ownership, None
-        return ownership, self.vm_by_session.get(ownership.session)
+        if ownership is None:
+            return None
+        handed = self.handed_epoch_by_id.get(endpoint_id)
+        before = self.vm_by_session.get(ownership.previous)
+        if before is not None and handed != ownership.epoch:
+            return Route(before, ownership.epoch - 1)
+        vm = self.vm_by_session.get(ownership.session)
+        return Route(vm, ownership.epoch) if vm is not None else None
+
+    def note_handed(self, endpoint_id: str, epoch: int):
+        """Take in that an endpoint was handed over under a new epoch."""
+        self.handed_epoch_by_id[endpoint_id] = epoch
+
+    def reroute(self, endpoint_id: str, epoch: int) -> bool:
+        """Take in that whoever served under `epoch` does so no longer.
+
+        Returns
+        -------
+        bool
+            True if another owner is known by now.
+        """
+        ownership = self.ownership_by_id.get(endpoint_id)
+        if ownership is None or ownership.epoch <= epoch:
+            return False
+        if ownership.previous and ownership.epoch == epoch + 1:
+            self.note_handed(endpoint_id, ownership.epoch)
+        return True
 
     def is_usable(self, endpoint) -> bool:
         """Tell whether an endpoint takes work and has an owner."""
         if endpoint.state != "ready":
             return False
-        return self.get_owner(endpoint.endpoint_id)[1] is not None
+        return self.get_route(endpoint.endpoint_id) is not None
 
     def plan_query(self, services, key_slot=None, excluded=frozenset()):
         """Plan the shards of a query; see `coverage.plan_query`."""
@@ -129,6 +166,8 @@
             touched.add(endpoint_id)
         for ownership in delta.ownerships:
             touched.add(ownership.endpoint_id)
+            if not ownership.previous:
+                self.handed_epoch_by_id.pop(ownership.endpoint_id, None)
             if not self.sole_owner:
                 self.ownership_by_id[ownership.endpoint_id] = ownership
 
@@ -149,6 +188,7 @@
         """Forget an endpoint; its service stays known and is missed."""
         known = self.endpoint_by_id.pop(endpoint_id, None)
         self.ownership_by_id.pop(endpoint_id, None)
+        self.handed_epoch_by_id.pop(endpoint_id, None)
         if known is not None:
             self.ids_by_service[known.service].pop(endpoint_id, None)
 
--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -102,6 +102,7 @@
             timers,
             read_clock,
             metrics,
+            self._call_owner,
             is_fair="fifo" not in settings.baselines,
         )
         self.gatherer = gather.Gatherer(
@@ -191,9 +192,10 @@
             endpoint.state,
             in_use,
         )
-        _, vm = self.directory.get_owner(endpoint.endpoint_id)
-        if vm is None:
+        route = self.directory.get_route(endpoint.endpoint_id)
+        if route is None:
             return
+        vm = route.vm
         if vm.session == self.session.vm.session:
             self.owner.note_load(load)
             return
@@ -276,12 +278,21 @@
         logs.log_decision("drained", session=self.session.vm.session)
 
     def _is_busy(self):
-        owned = self.owner.owned_by_id if self.session.is_valid() else ()
         return bool(
             self.in_flight
             or self.commands.background
-            or owned
             or self.owner.count_work()
+            or self._has_heirs()
+        )
+
+    def _has_heirs(self):
+        """Tell whether endpoints of this VM are still to be handed over."""
+        if not self.owner.owned_by_id or not self.session.is_valid():
+            return False
+        own = self.session.vm.session
+        return any(
+            vm.state == "ready" and vm.session != own
+            for vm in self.directory.vm_by_session.values()
         )
 
     def _admit(self, header, request_id):
@@ -428,6 +439,16 @@
         entry.owner.note_load(load)
 
 
+@handle_peer.register
+def _handle_hand_over(message: messages.HandOverCall, entry: Entry, link):
+    return entry.owner.desk.hand_over(message, link)
+
+
+@handle_peer.register
+def _handle_slots_left(message: messages.SlotsLeft, entry: Entry, link):
+    entry.owner.note_slots_left(message)
+
+
 @handle_peer.register
 def _handle_explain(message: messages.ExplainCall, entry: Entry, link):
     body = entry.explainer.describe(message.request_id)
--- a/chervilspindle/query/gather.py
+++ b/chervilspindle/query/gather.py
@@ -232,20 +232,20 @@
         now = self.read_clock()
         parts_by_session = {}
         for shard, endpoint_id in chosen:
-            ownership, vm = self.directory.get_owner(endpoint_id)
+            vm, epoch = self.directory.get_route(endpoint_id)
             number = len(query.shard_by_send)
             query.shard_by_send[number] = shard
             part = messages.Part(
                 number,
                 endpoint_id,
-                ownership.epoch,
+                epoch,
                 shard.plan.low,
                 shard.plan.high,
                 insist,
             )
             parts_by_session.setdefault(vm.session, []).append(part)
             shard.outstanding[number] = running.Send(
-                endpoint_id, vm.peer_address, now
+                endpoint_id, epoch, vm.peer_address, now
             )
             shard.tried.append(endpoint_id)
             shard.sent_ms = shard.sent_ms or now
@@ -352,7 +352,10 @@
 
     def _take_reply(self, query, reply):
         shard = query.shard_by_send.get(reply.send)
-        if shard is None or shard.outstanding.pop(reply.send, None) is None:
+        if shard is None or reply.send not in shard.outstanding:
+            return
+        send = shard.outstanding.pop(reply.send)
+        if self._follow_handover(query, shard, send, reply):
             return
         now = self.read_clock()
         self._update_stats(
@@ -377,6 +380,24 @@
             return
         self._retry_or_miss(query, shard, reply.dispatched)
 
+    def _follow_handover(self, query, shard, send, reply):
+        """Send a part on to the new owner of an endpoint.
+
+        The refusal says nothing of the endpoint: the part waits there for
+        its turn as it would have with the owner before.
+        """
+        if reply.status != errors.ErrorKind.NOT_OWNER.value or shard.settled:
+            return False
+        if len(shard.tried) >= MAX_SENDS:
+            return False
+        if not self.directory.reroute(send.endpoint_id, send.epoch):
+            return False
+        if not self._is_usable(send.endpoint_id):
+            return False
+        self._update_stats(send.endpoint_id, replicas.note_unsent)
+        self._send_parts(query, [(shard, send.endpoint_id)], "handed-over")
+        return True
+
     def _settle_value(self, query, shard, reply, now):
         shard.value = reply.value
         shard.settled = True
--- /dev/null
+++ b/chervilspindle/query/handover.py
@@ -0,0 +1,145 @@
+"""Planned moves of endpoints between live owners, without a gap.
+
+Control grants an endpoint to a new owner while the owner before still
+serves it. The new owner waits until the other entries have heard of the
+grant, then asks the one before for the endpoint. That one stops sending
+work, passes its queue back to the gatherers, who send it on, and answers how
+much still runs; from then on the new owner fills the other slots. If the
+owner before can't be asked, it goes on serving until it answers, leaves or
+loses its lease, which control then tells the new owner.
+"""
+
+import typing
+
+from chervilspindle.core import errors
+from chervilspindle.core import logs
+from chervilspindle.core import rows
+from chervilspindle.wire import messages
+
+SPREAD_S = 1.2  # longer than the period of heartbeats
+CALL_TIMEOUT_S = 0.5
+RETRY_S = 0.3
+
+
+class Pull(typing.NamedTuple):
+    """An endpoint that this VM waits for, and under which epoch."""
+
+    endpoint_id: str
+    epoch: int
+
+
+def may_hold(row: rows.Ownership | None, own: str, epoch: int) -> bool:
+    """Tell whether a session may go on serving under an epoch.
+
+    Parameters
+    ----------
+    row : Ownership or None
+        As this VM knows it.
+    own : str
+        The session.
+    epoch : int
+        Under which it serves the endpoint.
+    """
+    if row is None:
+        return False
+    if row.previous == own and row.epoch == epoch + 1:
+        return True
+    return row.session == own and row.epoch == epoch
+
+
+class HandoverDesk:
+    """Asks for endpoints granted to this VM, and hands over its own.
+
+    Parameters
+    ----------
+    owner : Owner
+    directory : Directory
+    session : Session
+    call : callable
+        ``call(vm, message, timeout_s)`` returns a Deferred.
+    timers : TimerService
+    """
+
+    def __init__(self, owner, directory, session, call, timers):
+        self.owner = owner
+        self.directory = directory
+        self.session = session
+        self.call = call
+        self.timers = timers
+        self.pull_by_id = {}
+        self.given_epoch_by_id = {}
+
+    def may_take_up(self, row: rows.Ownership) -> bool:
+        """Tell whether a grant may be used without asking anybody."""
+        if row.session != self.session.vm.session or row.previous:
+            return False
+        return row.epoch > self.given_epoch_by_id.get(row.endpoint_id, 0)
+
+    def watch(self, row: rows.Ownership | None):
+        """Plan to ask for an endpoint that another session still serves."""
+        own = self.session.vm.session
+        if row is None or row.session != own or not row.previous:
+            return
+        pull = Pull(row.endpoint_id, row.epoch)
+        if self.pull_by_id.get(row.endpoint_id) == pull:
+            return
+        self.pull_by_id[row.endpoint_id] = pull
+        self.timers.call_later(SPREAD_S, self._ask, pull)
+
+    def hand_over(self, message: messages.HandOverCall, link):
+        """Stop serving an endpoint and say how much still runs there."""
+        if message.previous != self.session.vm.session:
+            return messages.HandOverReply(False, 0)
+        endpoint_id = message.endpoint_id
+        given = self.given_epoch_by_id.get(endpoint_id, 0)
+        self.given_epoch_by_id[endpoint_id] = max(given, message.epoch)
+        self.directory.note_handed(endpoint_id, message.epoch)
+        running = self.owner.pass_on(endpoint_id, message.epoch, link)
+        logs.log_decision(
+            "handed-over",
+            endpoint=endpoint_id,
+            epoch=message.epoch,
+            running=running,
+        )
+        return messages.HandOverReply(True, running)
+
+    def _ask(self, pull):
+        row = self.directory.ownership_by_id.get(pull.endpoint_id)
+        if not self._is_awaited(pull, row):
+            if self.pull_by_id.get(pull.endpoint_id) == pull:
+                del self.pull_by_id[pull.endpoint_id]
+            return
+        vm = self.directory.vm_by_session.get(row.previous)
+        if vm is None or not self.session.is_valid():
+            self.timers.call_later(RETRY_S, self._ask, pull)
+            return
+        call = messages.HandOverCall(*pull, row.previous)
+        deferred = self.call(vm, call, CALL_TIMEOUT_S)
+        deferred.addCallbacks(
+            self._answered, self._failed, (pull,), errbackArgs=(pull,)
+        )
+
+    def _is_awaited(self, pull, row):
+        if row is None or not row.previous or row.epoch != pull.epoch:
+            return False
+        if row.session != self.session.vm.session:
+            return False
+        return pull.endpoint_id not in self.owner.owned_by_id
+
+    def _answered(self, reply, pull):
+        row = self.directory.ownership_by_id.get(pull.endpoint_id)
+        endpoint = self.directory.endpoint_by_id.get(pull.endpoint_id)
+        if endpoint is None or not self._is_awaited(pull, row):
+            self._ask(pull)
+            return
+        if not reply.granted:
+            self.timers.call_later(RETRY_S, self._ask, pull)
+            return
+        del self.pull_by_id[pull.endpoint_id]
+        self.directory.note_handed(pull.endpoint_id, pull.epoch)
+        self.owner.take_over(endpoint, pull.epoch, reply.running)
+        self.session.report_handover(pull.endpoint_id, pull.epoch)
+
+    def _failed(self, failure, pull):
+        failure.trap(errors.ProblemError)
+        self.timers.call_later(RETRY_S, self._ask, pull)
--- a/chervilspindle/query/owned.py
+++ b/chervilspindle/query/owned.py
@@ -7,6 +7,7 @@
 from chervilspindle.wire import messages
 
 MAX_DEADLINE_MS = 30000.0
+FOREIGN_TOLD_MS = 5000.0
 
 QUEUED = "queued"
 RUNNING = "running"
@@ -74,6 +75,13 @@
     return work.state == QUEUED
 
 
+class Heir(typing.NamedTuple):
+    """Who is told of requests that end after a handover."""
+
+    link: object
+    epoch: int
+
+
 class OwnedEndpoint:
     """State of one endpoint while this VM owns it."""
 
@@ -89,12 +97,24 @@
         # how much, all its slots count as taken.
         self.foreign = 0 if epoch == 1 else row.slots
         self.foreign_until_ms = 0.0 if epoch == 1 else now + MAX_DEADLINE_MS
+        self.foreign_told_until_ms = 0.0
         self.reported_lost = False
         self.released = False
+        self.heir = None
         # An endpoint that answers no probe gets no work until it does.
         self.suspect = False
         self.suspect_probe_ms = 0.0
 
+    def inherit(self, running: int, now: float):
+        """Count requests that the owner before says it still runs.
+
+        What it says goes before reports of the endpoint, which may lag.
+        """
+        self.foreign = min(self.row.slots, running)
+        self.foreign_told_until_ms = now + FOREIGN_TOLD_MS
+        if not running:
+            self.foreign_until_ms = 0.0
+
     def takes_work(self, now: float) -> bool:
         """Tell whether the endpoint may be sent work at all."""
         if self.suspect or now < self.limit.stalled_until_ms:
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -14,6 +14,7 @@
 from chervilspindle.core import logs
 from chervilspindle.policy import admission
 from chervilspindle.policy import limits
+from chervilspindle.query import handover
 from chervilspindle.query import owned as owned_module
 from chervilspindle.wire import messages
 
@@ -45,6 +46,8 @@
     read_clock : callable
         Monotonic milliseconds.
     metrics : Metrics
+    call : callable
+        ``call(vm, message, timeout_s)`` calls the owner of another VM.
     is_fair : bool
         False for first come, first served, as a baseline of experiments.
     """
@@ -57,6 +60,7 @@
         timers,
         read_clock,
         metrics,
+        call,
         is_fair=True,
     ):
         self.session = session
@@ -74,6 +78,9 @@
         self.flush_planned = False
         self.full_pass_ms = -math.inf
         self.commands_seen = {}
+        self.desk = handover.HandoverDesk(
+            self, directory, session, call, timers
+        )
         directory.listeners.append(self.update_owned)
         timers.subscribe("owner", TICK_S, self.tick)
 
@@ -89,16 +96,56 @@
         for endpoint_id in endpoint_ids:
             row = self.directory.ownership_by_id.get(endpoint_id)
             endpoint = self.directory.endpoint_by_id.get(endpoint_id)
-            is_own = row is not None and row.session == own and endpoint
             owned = self.owned_by_id.get(endpoint_id)
-            if owned and (not is_own or row.epoch != owned.epoch):
+            if owned and not (
+                endpoint and handover.may_hold(row, own, owned.epoch)
+            ):
                 self._give_up(endpoint_id)
                 owned = None
-            if is_own and owned is None:
-                self._take_up(endpoint, row.epoch)
-            elif is_own and owned.row != endpoint:
+            if owned is None:
+                self._gain(row, endpoint)
+            elif owned.row != endpoint:
                 self._update_row(owned, endpoint)
 
+    def take_over(self, endpoint, epoch: int, running: int):
+        """Serve an endpoint whose owner before said how much runs there."""
+        self._take_up(endpoint, epoch)
+        owned = self.owned_by_id[endpoint.endpoint_id]
+        now = self.read_clock()
+        owned.inherit(running, now)
+        self._dispatch(owned, now)
+
+    def pass_on(self, endpoint_id: str, epoch: int, link) -> int:
+        """Stop serving an endpoint for the owner under a later epoch.
+
+        Parameters
+        ----------
+        link : object
+            Its ``send(message)`` reaches the new owner.
+
+        Returns
+        -------
+        int
+            How many requests still run there.
+        """
+        owned = self.owned_by_id.get(endpoint_id)
+        if owned is not None and owned.epoch < epoch:
+            self._give_up(endpoint_id)
+        running = 0
+        for owned in self.closing:
+            if owned.row.endpoint_id == endpoint_id:
+                owned.heir = owned_module.Heir(link, epoch)
+                running += len(owned.running)
+        return running
+
+    def note_slots_left(self, message: messages.SlotsLeft):
+        """Take in how much work of the owner before still runs."""
+        owned = self.owned_by_id.get(message.endpoint_id)
+        if owned is not None and owned.epoch == message.epoch:
+            now = self.read_clock()
+            owned.inherit(min(owned.foreign, message.running), now)
+            self._dispatch(owned, now)
+
     def submit(self, message: messages.SubQuery, target):
         """Queue the parts of a sub-query.
 
@@ -183,7 +230,7 @@
         if load.state != owned.row.state and load.state == "draining":
             owned.row = owned.row._replace(state="draining")
             self._refuse_queue(owned, errors.ErrorKind.DRAINING)
-        if now < owned.foreign_until_ms:
+        if owned.foreign_told_until_ms <= now < owned.foreign_until_ms:
             foreign = load.in_use - len(owned.running)
             owned.foreign = max(0, min(owned.row.slots, foreign))
             if not owned.foreign:
@@ -218,6 +265,14 @@
         running = sum(len(o.running) for o in self.owned_by_id.values())
         return queued + running + sum(len(o.running) for o in self.closing)
 
+    def _gain(self, row, endpoint):
+        if row is None or endpoint is None:
+            return
+        if self.desk.may_take_up(row):
+            self._take_up(endpoint, row.epoch)
+        else:
+            self.desk.watch(row)
+
     def _take_up(self, endpoint, epoch):
         client = self.build_client(
             endpoint.address, min(endpoint.connections, endpoint.slots + 1)
@@ -366,9 +421,24 @@
         )
         if work.answered and work.cancelled_ms and result.dispatched:
             self.metrics.count_wasted()
-        if not owned.released:
+        if owned.released:
+            self._tell_heir(owned)
+        else:
             self._dispatch(owned, now)
 
+    def _tell_heir(self, owned):
+        if owned.heir is None:
+            return
+        endpoint_id = owned.row.endpoint_id
+        running = sum(
+            len(other.running)
+            for other in self.closing
+            if other.row.endpoint_id == endpoint_id
+        )
+        owned.heir.link.send(
+            messages.SlotsLeft(endpoint_id, owned.heir.epoch, running)
+        )
+
     def _learn(self, owned, work, result, service_ms, now):
         owned.queue.charge(
             work.job.customer, service_ms - owned.limit.service_ms
--- a/chervilspindle/query/owner_test.py
+++ b/chervilspindle/query/owner_test.py
@@ -22,6 +22,10 @@
         self.vm = rows.Vm(SESSION, "entry-1", "z", "127.0.0.1:1", 1, "ready")
         self.valid = True
         self.reports = []
+        self.handovers = []
+
+    def report_handover(self, endpoint_id, epoch):
+        self.handovers.append((endpoint_id, epoch))
 
     def is_valid(self):
         return self.valid
@@ -92,7 +96,9 @@
             timers.TimerService(self.clock),
             lambda: self.clock.seconds() * 1000.0,
             metrics.Metrics(),
+            self.call,
         )
+        self.calls = []
         self.target = Target()
         self.version = 0
         self.epoch = epoch
@@ -116,6 +122,11 @@
             )
         )
 
+    def call(self, vm, message, timeout_s):
+        self.calls.append(message)
+        self.reply = defer.Deferred()
+        return self.reply
+
     def submit(self, *sends, customer="c", rank=0, deadline_ms=1000.0):
         parts = tuple(
             messages.Part(n, "e", self.epoch, 0, 65536) for n in sends
@@ -274,3 +285,94 @@
     assert refused
     assert all(p.retry_after_ms > 0 for p in refused)
     assert all(not p.dispatched for p in refused)
+
+
+class Link:
+    """Takes what the owner before tells the new one."""
+
+    def __init__(self):
+        self.messages = []
+
+    def send(self, message):
+        self.messages.append(message)
+
+
+def move(setting, session, previous, epoch):
+    setting.put(ownership=rows.Ownership("e", session, epoch, previous))
+
+
+def test_owner_before_serves_until_it_is_asked(setting):
+    move(setting, "entry-2@1", SESSION, 2)
+    setting.submit(1, 2, 3)
+    assert len(setting.client.call_by_run) == 2
+    link = Link()
+    call = messages.HandOverCall("e", 2, SESSION)
+    reply = setting.owner.desk.hand_over(call, link)
+    assert reply == messages.HandOverReply(True, 2)
+    setting.pass_time(0.1)
+    assert [p.status for p in setting.target.parts] == ["not_owner"]
+    setting.submit(4)
+    setting.pass_time(0.1)
+    assert len(setting.client.call_by_run) == 2
+    for left in (1, 0):
+        setting.client.answer(next(iter(setting.client.call_by_run)))
+        assert link.messages[-1] == messages.SlotsLeft("e", 2, left)
+
+
+def test_handed_over_grant_is_not_used_again(setting):
+    call = messages.HandOverCall("e", 2, SESSION)
+    assert setting.owner.desk.hand_over(call, Link()).granted
+    # The row of the new grant has not come yet, an older one comes late.
+    setting.put(ownership=rows.Ownership("e", SESSION, 1))
+    assert not setting.owner.owned_by_id
+    setting.put(ownership=rows.Ownership("e", SESSION, 3))
+    assert setting.owner.owned_by_id["e"].epoch == 3
+
+
+def test_late_call_does_not_take_a_later_grant(setting):
+    setting.put(ownership=rows.Ownership("e", SESSION, 3))
+    call = messages.HandOverCall("e", 2, SESSION)
+    setting.owner.desk.hand_over(call, Link())
+    assert setting.owner.owned_by_id["e"].epoch == 3
+
+
+def test_call_for_another_process_is_answered_no(setting):
+    call = messages.HandOverCall("e", 2, "entry-1@0")
+    assert not setting.owner.desk.hand_over(call, Link()).granted
+    assert setting.owner.owned_by_id
+
+
+def test_new_owner_asks_and_fills_only_free_slots():
+    setting = Setting(epoch=1)
+    other = setting.session.vm._replace(session="entry-2@1", vm_id="entry-2")
+    setting.directory.vm_by_session["entry-2@1"] = other
+    setting.put(ownership=rows.Ownership("e", "entry-2@1", 2))
+    move(setting, SESSION, "entry-2@1", 3)
+    assert not setting.owner.owned_by_id
+    setting.pass_time(2.0)
+    assert setting.calls == [messages.HandOverCall("e", 3, "entry-2@1")]
+    setting.reply.callback(messages.HandOverReply(True, 1))
+    setting.epoch = 3
+    setting.submit(1, 2)
+    assert len(setting.client.call_by_run) == 1
+    assert setting.session.handovers == [("e", 3)]
+    # A report that lags says less than the owner before.
+    setting.owner.note_load(messages.Load("e", 1, 2, "ready", 1))
+    assert len(setting.client.call_by_run) == 1
+    setting.owner.note_slots_left(messages.SlotsLeft("e", 3, 0))
+    assert len(setting.client.call_by_run) == 2
+
+
+def test_new_owner_asks_again_until_it_is_answered():
+    setting = Setting(epoch=1)
+    other = setting.session.vm._replace(session="entry-2@1", vm_id="entry-2")
+    setting.directory.vm_by_session["entry-2@1"] = other
+    setting.put(ownership=rows.Ownership("e", "entry-2@1", 2))
+    move(setting, SESSION, "entry-2@1", 3)
+    setting.pass_time(2.0)
+    setting.reply.callback(messages.HandOverReply(False, 0))
+    setting.pass_time(1.0)
+    assert len(setting.calls) == 2
+    # Control says that the owner before has ended.
+    setting.put(ownership=rows.Ownership("e", SESSION, 3))
+    assert setting.owner.owned_by_id["e"].foreign == 2
--- a/chervilspindle/query/running.py
+++ b/chervilspindle/query/running.py
@@ -34,6 +34,7 @@
     """One part that was sent and has no reply yet."""
 
     endpoint_id: str
+    epoch: int
     address: str
     sent_ms: float
 
--- a/chervilspindle/query/session.py
+++ b/chervilspindle/query/session.py
@@ -113,6 +113,7 @@
         self.read_clock = read_clock
         self.lease_until_ms = 0.0
         self.reports_by_id = {}
+        self.handed_epoch_by_id = {}
         self.due_ms = 0.0
         self.last_sent_ms = 0.0
         self.busy = False
@@ -139,6 +140,11 @@
             self.reports_by_id[endpoint.endpoint_id] = endpoint
             self.hurry()
 
+    def report_handover(self, endpoint_id: str, epoch: int):
+        """Report that an endpoint was taken over from its owner before."""
+        self.handed_epoch_by_id[endpoint_id] = epoch
+        self.hurry()
+
     def hurry(self):
         """Send the next heartbeat soon."""
         self.due_ms = min(self.due_ms, self.last_sent_ms + EAGER_MS)
@@ -171,14 +177,23 @@
             self.directory.version,
             self.directory.lists.revision,
             tuple(reports.values()),
+            self._list_handovers(),
         )
         deferred = self.control.call(heartbeat, CALL_TIMEOUT_S * 1.5)
         deferred.addCallbacks(self._renewed, self._failed, (now,))
         deferred.addErrback(_log_failure)
         deferred.addBoth(self._finished, reports)
 
+    def _list_handovers(self):
+        """Return the handovers that control has not recorded yet."""
+        for endpoint_id, epoch in list(self.handed_epoch_by_id.items()):
+            row = self.directory.ownership_by_id.get(endpoint_id)
+            if row is None or row.epoch != epoch or not row.previous:
+                del self.handed_epoch_by_id[endpoint_id]
+        return tuple(self.handed_epoch_by_id.items())
+
     def _renewed(self, reply, sent_ms):
-        before = self.directory.version
+        before = self.directory.lists.revision
         delta = messages.decode_delta(reply.delta)
         if not self.directory.apply_delta(delta):
             # Control that knows less than it said before has lost accepted
@@ -192,8 +207,8 @@
             self.lease_until_ms = max(self.lease_until_ms, until)
         elif not self.stopped:
             self.hurry()
-        if self.directory.version != before:
-            # Confirms releases early, so that others get the endpoints.
+        if self.directory.lists.revision != before:
+            # Operators see soon that the lists are in force here.
             self.hurry()
         return True
 
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -35,14 +35,15 @@
 class Heartbeat(typing.NamedTuple):
     """Renews a session and reports endpoints that changed.
 
-    `known_version` also confirms that the session has put that version in
-    force, releases of its endpoints included.
+    `known_version` and `known_revision` are those in force on the VM;
+    `handovers` name endpoints and epochs that it has taken over.
     """
 
     vm: rows.Vm
     known_version: int
     known_revision: int
     reports: tuple[rows.Endpoint, ...]
+    handovers: tuple[tuple[str, int], ...] = ()
 
 
 class HeartbeatReply(typing.NamedTuple):
@@ -227,6 +228,40 @@
     value: bytes
 
 
+class HandOverCall(typing.NamedTuple):
+    """Asks the owner before for an endpoint that was granted anew.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    epoch : int
+        Of the new grant; the owner before sends no more work under any
+        earlier one.
+    previous : str
+        The session that is asked; another process at its address answers
+        no.
+    """
+
+    endpoint_id: str
+    epoch: int
+    previous: str
+
+
+class HandOverReply(typing.NamedTuple):
+    """Says whether an endpoint was handed over, and how much runs there."""
+
+    granted: bool
+    running: int
+
+
+class SlotsLeft(typing.NamedTuple):
+    """Tells the new owner how much work of the owner before still runs."""
+
+    endpoint_id: str
+    epoch: int
+    running: int
+
+
 class Load(typing.NamedTuple):
     """What an endpoint said of its load in one announcement."""
 
@@ -293,6 +328,9 @@
         CancelParts,
         RunCommand,
         CommandReply,
+        HandOverCall,
+        HandOverReply,
+        SlotsLeft,
         LoadReport,
         ExplainCall,
         ExplainReply,
--- a/features/fault_matrix_test.py
+++ b/features/fault_matrix_test.py
@@ -33,6 +33,8 @@
     "RequestVote",
     "VoteReply",
     "Leave",
+    "HandOverCall",
+    "HandOverReply",
 )
 OCCURRENCES = (1, 7)
 
@@ -43,6 +45,8 @@
     "RequestVote",
     "VoteReply",
     "Leave",
+    "HandOverCall",
+    "HandOverReply",
     "EndpointCancel",
     "EndpointProbe",
 }
--- a/features/sabotage_test.py
+++ b/features/sabotage_test.py
@@ -53,7 +53,7 @@
             for reply in message.parts:
                 shard = query.shard_by_send.get(reply.send)
                 if shard is not None:
-                    send = running.Send(reply.endpoint_id, "", 0.0)
+                    send = running.Send(reply.endpoint_id, 0, "", 0.0)
                     shard.outstanding.setdefault(reply.send, send)
         original(self, message)
 
