Try a replica that was slow again after a while

Ruled out: the owner's pause (it had ended), the penalty for failures (it decays). Change: the estimate loses weight with the age of its last sample, and the first sample after a pause counts for more.

--- a/chervilspindle/policy/replicas.py
+++ b/chervilspindle/policy/replicas.py
@@ -2,8 +2,10 @@
 
 Reports of endpoints may lag or mislead, so a gatherer trusts what it
 observed itself: the time its own requests took, its own requests that are
-still outstanding, and the owner's queue as of the last reply, whose weight
-decays with its age.
+still outstanding, and the owner's queue as of the last reply. What was
+observed counts for less the older it is, as in an exponential moving average
+over samples at irregular times (Eckner, "Algorithms for Unevenly Spaced Time
+Series", 2019).
 """
 
 import math
@@ -11,6 +13,7 @@
 
 BACKLOG_DECAY_MS = 500.0
 SERVICE_SMOOTHING = 0.1
+SERVICE_DECAY_MS = 3000.0
 DEFAULT_SERVICE_MS = 10.0
 OTHER_ZONE_MS = 1.0
 FAILURE_PENALTY_MS = 500.0
@@ -21,13 +24,15 @@
 class ReplicaStats(typing.NamedTuple):
     """What a gatherer knows of one endpoint.
 
-    Times are in milliseconds; `observed_ms`, `waiting_since_ms` and
-    `failed_ms` are readings of the monotonic clock. While requests are
+    Times are in milliseconds; `sampled_ms`, when a service time was last
+    taken in, `observed_ms`, `waiting_since_ms` and `failed_ms` are readings
+    of the monotonic clock. While requests are
     outstanding, `waiting_since_ms` is when the first of them was sent, or
     when one was answered since: an endpoint that answers keeps it recent.
     """
 
     service_ms: float = DEFAULT_SERVICE_MS
+    sampled_ms: float = 0.0
     backlog_ms: float = 0.0
     observed_ms: float = 0.0
     outstanding: int = 0
@@ -49,12 +54,17 @@
     stats = candidate.stats
     age = max(0.0, now - stats.observed_ms)
     backlog = stats.backlog_ms * math.exp(-age / BACKLOG_DECAY_MS)
-    own = stats.outstanding * stats.service_ms / max(1, candidate.slots)
+    # An endpoint that was slow is tried again after a while: nobody would
+    # learn that it has recovered while other replicas look faster.
+    trust = _get_trust(stats, now)
+    usual = min(stats.service_ms, DEFAULT_SERVICE_MS)
+    expected = usual + trust * (stats.service_ms - usual)
+    own = stats.outstanding * expected / max(1, candidate.slots)
     failed_age = now - stats.failed_ms
     penalty = FAILURE_PENALTY_MS * math.exp(-failed_age / FAILURE_DECAY_MS)
     zone = 0.0 if candidate.same_zone else OTHER_ZONE_MS
     waited = now - stats.waiting_since_ms if stats.outstanding else 0.0
-    service = max(stats.service_ms, waited)
+    service = max(expected, waited)
     return max(backlog, own) + service + penalty + zone
 
 
@@ -91,11 +101,9 @@
     stats: ReplicaStats, service_ms: float, backlog_ms: float, now: float
 ) -> ReplicaStats:
     """Take in a reply; a service time of 0 means that nothing ran."""
-    smoothed = stats.service_ms
     if service_ms > 0:
-        smoothed += SERVICE_SMOOTHING * (service_ms - smoothed)
+        stats = _sample(stats, service_ms, now)
     return stats._replace(
-        service_ms=smoothed,
         backlog_ms=backlog_ms,
         observed_ms=now,
         waiting_since_ms=now,
@@ -108,18 +116,16 @@
     return stats._replace(failed_ms=now)
 
 
-def note_cancelled(stats: ReplicaStats, waited_ms: float) -> ReplicaStats:
+def note_cancelled(
+    stats: ReplicaStats, waited_ms: float, now: float
+) -> ReplicaStats:
     """Take in a part whose answer is no longer waited for.
 
     What it would have taken is unknown, but no less than it was waited for;
     without that sample an endpoint that answers nothing would look fast.
     """
-    service = max(stats.service_ms, waited_ms)
-    smoothed = stats.service_ms
-    smoothed += SERVICE_SMOOTHING * (service - smoothed)
-    return stats._replace(
-        service_ms=smoothed, outstanding=max(0, stats.outstanding - 1)
-    )
+    stats = _sample(stats, max(stats.service_ms, waited_ms), now)
+    return stats._replace(outstanding=max(0, stats.outstanding - 1))
 
 
 def note_unsent(stats: ReplicaStats) -> ReplicaStats:
@@ -132,3 +138,16 @@
     return stats._replace(
         failed_ms=now, outstanding=max(0, stats.outstanding - 1)
     )
+
+
+def _sample(stats, service_ms, now):
+    """Take in a service time; it counts for more the older the last one."""
+    weight = max(SERVICE_SMOOTHING, 1.0 - _get_trust(stats, now))
+    smoothed = stats.service_ms
+    smoothed += weight * (service_ms - smoothed)
+    return stats._replace(service_ms=smoothed, sampled_ms=now)
+
+
+def _get_trust(stats, now):
+    """Return how much the service time still says, in (0, 1]."""
+    return math.exp(-max(0.0, now - stats.sampled_ms) / SERVICE_DECAY_MS)
--- a/features/decisions_test.py
+++ b/features/decisions_test.py
@@ -73,8 +73,14 @@
     assert list_reasons(outcomes) == []
 
 
-def test_hung_endpoint_is_used_again_once_it_works(world):
+@pytest.mark.parametrize("seed", range(11, 15))
+def test_hung_endpoint_is_used_again_once_it_works(
+    tmp_path, monkeypatch, seed
+):
     """The other replica does not carry the load alone for ever."""
+    world = world_module.World(tmp_path, monkeypatch, seed=seed)
+    workload.start_services(world)
+    send_queries(world, 40)
     endpoint = world.endpoint_by_name["portal-1.0"]
     endpoint.service_s = 60.0
     send_queries(world, 50)
