Leave idle links between VMs alone

Cause: pings each 0.5 s on every link; at 3,900 links they would be 156 KB/s of a budget of 25 KB/s (docs/CAPACITY.md). A link that carried no message for 10 s now gets no pings and is not judged; the next message starts the pings of both ends, and silence counts from then. New peer_test.py: the first tests of the links themselves (other key, changed and replayed frames, silence, idle links).

--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -2,9 +2,11 @@
 
 Each link starts with a nonce from either side; every frame then carries a
 keyed BLAKE2b tag over a counter and the bytes, so that frames can't be
-forged, replayed, dropped or reordered within a link. Both ends send pings
-and close a link on which nothing arrives: TCP alone may take minutes to
-notice that something between the ends has lost track of the connection.
+forged, replayed, dropped or reordered within a link. Both ends of a link in
+use send pings and close it when nothing arrives: TCP alone may take minutes
+to notice that something between the ends has lost track of the connection.
+A link that carried no message for a while is left alone, so that thousands
+of idle links cost nothing; the next message starts the pings of both ends.
 """
 
 import hashlib
@@ -31,6 +33,7 @@
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 PING_PERIOD_S = 0.5
 SILENCE_LIMIT_S = 2.0
+IDLE_AFTER_S = 10.0
 CONNECT_TIMEOUT_S = 1.0
 MAX_QUEUED = 10000
 
@@ -57,6 +60,7 @@
         self.received_count = 0
         self.last_heard = network.clock.seconds()
         self.last_sent = self.last_heard
+        self.last_used = self.last_heard
         self.pending_by_id = {}
         self.call_ids = itertools.count(1)
 
@@ -95,6 +99,7 @@
             LOGGER.warning("peer frame not understood")
             self.transport.abortConnection()
             return
+        self.last_used = self.last_heard
         if is_reply:
             self._resolve(call_id, message)
         else:
@@ -108,8 +113,17 @@
         """Tell whether the handshake is done."""
         return self.send_key is not None
 
+    def is_idle(self, now: float) -> bool:
+        """Tell whether the link carried no message for a while."""
+        return now - self.last_used > IDLE_AFTER_S
+
     def send(self, message, call_id: int = 0, is_reply: bool = False):
         """Send a message."""
+        now = self.network.clock.seconds()
+        if self.is_idle(now):
+            # The other end has sent no pings; its silence counts from now.
+            self.last_heard = now
+        self.last_used = now
         self._send_body(messages.encode_frame(message, call_id, is_reply))
 
     def call(self, message, timeout_s: float) -> defer.Deferred:
@@ -325,6 +339,8 @@
     def _check_links(self):
         now = self.clock.seconds()
         for link in list(self.links):
+            if link.is_ready() and link.is_idle(now):
+                continue
             if now - link.last_heard > SILENCE_LIMIT_S:
                 link.transport.abortConnection()
             elif link.is_ready() and now - link.last_sent >= PING_PERIOD_S:
--- /dev/null
+++ b/chervilspindle/wire/peer_test.py
@@ -0,0 +1,160 @@
+"""Tests of peer links: authentication, calls, silence and idle links."""
+
+import pytest
+from twisted.internet import task
+from twisted.internet import testing
+
+from chervilspindle.core import errors
+from chervilspindle.core import timers
+from chervilspindle.wire import messages
+from chervilspindle.wire import peer
+
+ADDRESS = "127.0.0.1:1"
+
+
+class Transport(testing.StringTransport):
+    """Collects bytes; remembers that it was aborted."""
+
+    def setTcpNoDelay(self, enabled):
+        pass
+
+    def abortConnection(self):
+        self.disconnecting = True
+
+
+class End:
+    """One process with one end of a link."""
+
+    def __init__(self, clock, key, dialled):
+        self.clock = clock
+        self.received = []
+        self.lost = []
+        self.network = peer.PeerNetwork(
+            clock, timers.TimerService(clock), key, self.handle
+        )
+        self.network.lost_listeners.append(self.lost.append)
+        self.link = peer.PeerLink(self.network, dialled)
+        self.transport = Transport()
+
+    def handle(self, link, message):
+        self.received.append(message)
+        if isinstance(message, messages.StatusCall):
+            return messages.StatusReply(b"{}")
+        return None
+
+
+class Pair:
+    """Both ends; bytes are carried when the test says so."""
+
+    def __init__(self, first_key=b"k" * 16, second_key=b"k" * 16):
+        self.clock = task.Clock()
+        self.dialler = End(self.clock, first_key, ADDRESS)
+        self.listener = End(self.clock, second_key, "")
+        for end in (self.dialler, self.listener):
+            end.link.makeConnection(end.transport)
+        self.carry()
+
+    def carry(self):
+        """Carry all bytes both ways until nothing more comes."""
+        moved = True
+        while moved:
+            moved = False
+            for here, there in (
+                (self.dialler, self.listener),
+                (self.listener, self.dialler),
+            ):
+                data = here.transport.value()
+                here.transport.clear()
+                if data:
+                    moved = True
+                    there.link.dataReceived(data)
+
+    def pass_time(self, seconds, carry=True):
+        for _ in range(round(seconds * 10)):
+            self.clock.advance(0.1)
+            if carry:
+                self.carry()
+
+
+@pytest.fixture(name="pair")
+def build_pair():
+    return Pair()
+
+
+def test_call_gets_its_reply(pair):
+    replies = []
+    link = pair.dialler.link
+    link.call(messages.StatusCall(), 1.0).addCallback(replies.append)
+    pair.carry()
+    assert replies == [messages.StatusReply(b"{}")]
+
+
+def test_call_without_reply_fails_in_time_and_may_have_run(pair):
+    failures = []
+    link = pair.dialler.link
+    link.call(messages.StatusCall(), 1.0).addErrback(failures.append)
+    pair.pass_time(1.2, carry=False)
+    problem = failures[0].value.problem
+    assert problem.kind is errors.ErrorKind.CONNECTION_LOST
+    assert not problem.not_run
+
+
+def test_other_key_is_refused():
+    pair = Pair(second_key=b"x" * 16)
+    pair.dialler.link.send(messages.StatusCall())
+    pair.carry()
+    assert pair.listener.transport.disconnecting
+    assert pair.listener.received == []
+
+
+@pytest.mark.parametrize("position", (5, 25, -1))
+def test_changed_frame_is_refused(pair, position):
+    pair.dialler.link.send(messages.Leave("session"))
+    data = bytearray(pair.dialler.transport.value())
+    data[position] ^= 1
+    pair.dialler.transport.clear()
+    pair.listener.link.dataReceived(bytes(data))
+    assert pair.listener.transport.disconnecting
+    assert pair.listener.received == []
+
+
+def test_replayed_frame_is_refused(pair):
+    pair.dialler.link.send(messages.Leave("session"))
+    data = pair.dialler.transport.value()
+    pair.listener.link.dataReceived(data)
+    assert len(pair.listener.received) == 1
+    pair.listener.link.dataReceived(data)
+    assert len(pair.listener.received) == 1
+    assert pair.listener.transport.disconnecting
+
+
+def test_link_in_use_that_falls_silent_is_closed(pair):
+    pair.dialler.link.send(messages.Leave("session"))
+    pair.carry()
+    pair.pass_time(5.0)
+    assert not pair.dialler.transport.disconnecting
+    pair.pass_time(3.0, carry=False)
+    assert pair.dialler.transport.disconnecting
+
+
+def test_idle_link_sends_nothing_and_stays(pair):
+    pair.pass_time(30.0)
+    pair.dialler.transport.clear()
+    pair.listener.transport.clear()
+    pair.pass_time(60.0, carry=False)
+    assert pair.dialler.transport.value() == b""
+    assert pair.listener.transport.value() == b""
+    assert not pair.dialler.transport.disconnecting
+    pair.dialler.link.send(messages.Leave("session"))
+    pair.pass_time(5.0)
+    assert len(pair.listener.received) == 1
+    assert not pair.dialler.transport.disconnecting
+
+
+def test_idle_link_that_went_silent_is_found_by_the_next_message(pair):
+    pair.pass_time(60.0)
+    pair.dialler.link.send(messages.Leave("session"))
+    pair.pass_time(1.0, carry=False)
+    assert not pair.dialler.transport.disconnecting
+    pair.pass_time(2.0, carry=False)
+    assert pair.dialler.transport.disconnecting
