Send entries only the rows of the lists that changed

Ruled out: compressing the whole lists (digests don't compress). Change: an accepted change notes which customers and plans differ; a delta carries these rows. An entry that missed versions gets all rows touched since. New: random histories of changes that an entry hears only in part; a bound on the delta's size.

--- a/bench/link_cost.py
+++ b/bench/link_cost.py
@@ -1,25 +1,28 @@
-"""Processor time of a peer call and of an HTTP request, both ends, here.
+"""Processor time of a peer call and an HTTP request, memory of a link.
 
 Both ends run in this process over loopback, with many calls in flight, so
 the processor time of the process is that of caller and callee together.
 """
 
+import gc
 import time
+import tracemalloc
 
 import defopt
 import klein
-import treq
 from twisted.internet import defer
 from twisted.internet import reactor
-from twisted.web import client as web_client
 from twisted.web import server
 
 from chervilspindle.core import timers
+from chervilspindle.wire import endpoint_client
 from chervilspindle.wire import messages
 from chervilspindle.wire import peer
 
 ADDRESS = "127.0.0.1:22950"
 HTTP_PORT = 22951
+LINK_PORT = 22952
+LINKS = 2000
 CALLS = 4000
 WINDOW = 50
 KEY = b"a key for this measurement"
@@ -75,28 +78,43 @@
     reactor.listenTCP(
         HTTP_PORT, server.Site(app.resource()), interface="127.0.0.1"
     )
-    pool = web_client.HTTPConnectionPool(reactor)
-    pool.maxPersistentPerHost = WINDOW
-    client = treq.client.HTTPClient(web_client.Agent(reactor, pool=pool))
-
-    @defer.inlineCallbacks
-    def post():
-        response = yield client.post(
-            f"http://127.0.0.1:{HTTP_PORT}/run", data=b"x" * 200
-        )
-        yield treq.content(response)
-
-    cost = yield run_windowed(post)
+    client = endpoint_client.EndpointClient(
+        reactor, f"127.0.0.1:{HTTP_PORT}", WINDOW
+    )
+    body = b'"' + b"x" * 100 + b'"'
+    cost = yield run_windowed(
+        lambda: client.run_query("x", body, 1, 0, 65536, 1000.0)
+    )
     return cost
 
 
+@defer.inlineCallbacks
+def measure_link_memory():
+    """Measure the memory of one open link, both ends, in bytes."""
+    calling, listening = build_networks()
+    first = LINK_PORT
+    yield listening.listen(f"0.0.0.0:{first}")
+    vm = messages.rows.Vm("a@1", "a", "z", ADDRESS, 1, "ready")
+    heartbeat = messages.Heartbeat(vm, 1, 1, ())
+    gc.collect()
+    tracemalloc.start()
+    for number in range(LINKS):
+        # Each address of the loopback network counts as another VM.
+        address = f"127.1.{number // 250}.{number % 250 + 1}:{first}"
+        yield calling.call(address, heartbeat, 5.0)
+    gc.collect()
+    return tracemalloc.get_traced_memory()[0] / LINKS
+
+
 @defer.inlineCallbacks
 def measure_all():
-    """Measure and print both."""
+    """Measure and print all."""
     cost = yield measure_peer_call()
     print(f"peer call and reply, both ends: {cost:.0f} us")
     cost = yield measure_http_request()
     print(f"HTTP request and answer, both ends: {cost:.0f} us")
+    size = yield measure_link_memory()
+    print(f"memory of an open link, both ends: {size:.0f} bytes")
 
 
 def main():
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -11,8 +11,10 @@
 import sys
 import tempfile
 import time
+import tracemalloc
 
 import defopt
+import immutables
 import msgspec
 
 from chervilspindle.control import changes
@@ -260,6 +262,80 @@
         yield endpoints, (_read_resident() - before) / len(held)
 
 
+def build_lists_command(number, names):
+    """Build a change of the lists, with a row for each customer."""
+    plan = rows.Plan("plan", ("service-*",), 0.5, ("search",))
+    customers = tuple(
+        rows.Customer(name, "plan", "0" * 24, "f" * 64) for name in names
+    )
+    return state_module.ApplyLists(
+        f"change-{number}", "digest", -1, customers, (plan,)
+    )
+
+
+def measure_lists_delta(sizes):
+    """Bytes to each VM for one customer added to the lists."""
+    for count in sizes:
+        names = [f"customer-{n:06d}" for n in range(count)]
+        state = state_module.EMPTY_STATE._replace(version=1)
+        first = build_lists_command(1, names)
+        state = state_module.apply_command(first, state).state
+        feed = changes.ChangeFeed()
+        feed.reset(1)
+        second = build_lists_command(2, [*names, "customer-new"])
+        outcome = state_module.apply_command(second, state._replace(version=2))
+        feed.record(2, outcome.changes)
+        yield count, len(feed.get_delta(outcome.state, 1))
+
+
+def measure_snapshot(sizes):
+    """Encode all tables, as the control loop does every so many entries."""
+    for vms, endpoints in sizes:
+        state = build_tables(vms, endpoints)
+        yield endpoints, measure_us(
+            lambda: state_module.encode_image(state), 3
+        )
+
+
+def build_claims(count):
+    """Build tables that hold so many claims with recorded outcomes."""
+    claims = {}
+    for number in range(count):
+        claim = rows.Claim(
+            f"customer-{number % 100}/key-{number:09d}",
+            f"{number:032x}",
+            f"entry-1~{number:032x}",
+            "done",
+            b"x" * 100 + str(number).encode(),
+            number,
+        )
+        claims[claim.claim_id] = claim
+    return state_module.EMPTY_STATE._replace(
+        claim_by_id=immutables.Map(claims)
+    )
+
+
+def measure_claim_memory(sizes):
+    """Bytes of recorded outcomes of commands, as allocated."""
+    for count in sizes:
+        tracemalloc.start()
+        state = build_claims(count)
+        size = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        assert len(state.claim_by_id) == count
+        yield count, size
+
+
+def measure_claim_expiry(sizes):
+    """Look for claims that are too old, once a minute."""
+    for count in sizes:
+        state = build_claims(count)
+        command = state_module.Expire(0)
+        yield count, measure_us(
+            lambda: state_module.apply_command(command, state), 1
+        )
+
+
 def _read_resident():
     with open("/proc/self/statm", encoding="ascii") as handle:
         return int(handle.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
@@ -267,6 +343,9 @@
 
 SIZES = ((100, 540), (400, 2160), (1000, 5400), (2000, 10800))
 
+LISTS = (100, 1000, 10000)
+CLAIMS = (20000, 50000, 100000)
+
 SLOPES = (
     ("placement pass, nothing to do", "us/endpoint", measure_placement, SIZES),
     ("one VM lost and placed", "us/endpoint", measure_vm_loss, SIZES),
@@ -277,6 +356,10 @@
     ("directory memory", "bytes/endpoint", measure_memory, SIZES),
     ("commit with fsync", "us/command", measure_commit, (1, 10, 50, 100)),
     ("peer message", "us/part", measure_fan_out, (1, 10, 50, 150)),
+    ("one customer added", "bytes/customer", measure_lists_delta, LISTS),
+    ("snapshot of the state", "us/endpoint", measure_snapshot, SIZES),
+    ("claim memory", "bytes/claim", measure_claim_memory, CLAIMS),
+    ("claim expiry pass", "us/claim", measure_claim_expiry, CLAIMS),
 )
 
 
--- a/chervilspindle/config/lists.py
+++ b/chervilspindle/config/lists.py
@@ -52,16 +52,21 @@
 
 
 def describe_lists(lists: rows.Lists) -> dict:
-    """Return the lists as the JSON document that operators edit."""
+    """Return the lists as the JSON document that operators edit.
+
+    Rows are sorted by name, so that all VMs show the same document.
+    """
     return {
-        "customers": [c._asdict() for c in lists.customers_by_name.values()],
+        "customers": [
+            row._asdict() for _, row in sorted(lists.customers_by_name.items())
+        ],
         "plans": [
             {
                 **p._asdict(),
                 "services": list(p.services),
                 "priorities": list(p.priorities),
             }
-            for p in lists.plans_by_name.values()
+            for _, p in sorted(lists.plans_by_name.items())
         ],
     }
 
--- a/chervilspindle/control/changes.py
+++ b/chervilspindle/control/changes.py
@@ -10,6 +10,7 @@
 from chervilspindle.wire import messages
 
 VERSIONS_KEPT = 4096
+KINDS = ("lists", "customer", "plan", "vm", "endpoint", "ownership")
 
 
 class ChangeFeed:
@@ -49,12 +50,7 @@
     def _build(self, state, known_version: int) -> messages.Delta:
         if known_version == 0:
             return build_full(state)
-        keys_by_kind = {
-            "lists": set(),
-            "vm": set(),
-            "endpoint": set(),
-            "ownership": set(),
-        }
+        keys_by_kind = {kind: set() for kind in KINDS}
         for version in reversed(self.changes_by_version):
             if version <= known_version:
                 break
@@ -68,7 +64,14 @@
     return messages.Delta(
         version=state.version,
         full=True,
-        lists=state.lists,
+        lists=messages.ListsDelta(
+            state.lists.revision,
+            True,
+            tuple(state.lists.customers_by_name.values()),
+            tuple(state.lists.plans_by_name.values()),
+            (),
+            (),
+        ),
         vms=tuple(state.vm_by_session.values()),
         endpoints=tuple(state.endpoint_by_id.values()),
         ownerships=tuple(state.ownership_by_id.values()),
@@ -85,7 +88,7 @@
     return messages.Delta(
         version=state.version,
         full=False,
-        lists=state.lists if keys_by_kind["lists"] else None,
+        lists=_build_lists(state.lists, keys_by_kind),
         vms=vms,
         endpoints=rows,
         ownerships=ownerships,
@@ -94,6 +97,18 @@
     )
 
 
+def _build_lists(lists, keys_by_kind):
+    if not keys_by_kind["lists"]:
+        return None
+    customers, gone_customers = _split(
+        lists.customers_by_name, keys_by_kind["customer"]
+    )
+    plans, gone_plans = _split(lists.plans_by_name, keys_by_kind["plan"])
+    return messages.ListsDelta(
+        lists.revision, False, customers, plans, gone_customers, gone_plans
+    )
+
+
 def _split(table, keys):
     present = tuple(table[key] for key in sorted(keys) if key in table)
     gone = tuple(key for key in sorted(keys) if key not in table)
--- a/chervilspindle/control/state.py
+++ b/chervilspindle/control/state.py
@@ -134,7 +134,7 @@
 class Change(typing.NamedTuple):
     """Names a row that a command touched, for the deltas to entries."""
 
-    kind: str  # "lists", "vm", "endpoint" or "ownership"
+    kind: str  # one of changes.KINDS
     key: str
 
 
@@ -286,9 +286,22 @@
         {p.name: p for p in command.plans},
     )
     result = ChangeResult(command.digest, True, lists.revision, "")
+    touched = (
+        Change("lists", ""),
+        *_list_changes(
+            "customer", state.lists.customers_by_name, lists.customers_by_name
+        ),
+        *_list_changes("plan", state.lists.plans_by_name, lists.plans_by_name),
+    )
     state = _remember(state, command.change_id, result)
-    state = state._replace(lists=lists)
-    return Outcome(state, result, (Change("lists", ""),))
+    return Outcome(state._replace(lists=lists), result, touched)
+
+
+def _list_changes(kind, old_by_name, new_by_name):
+    """Return which rows differ between two tables."""
+    names = [n for n, row in new_by_name.items() if old_by_name.get(n) != row]
+    names += [n for n in old_by_name if n not in new_by_name]
+    return tuple(Change(kind, name) for name in names)
 
 
 @apply_command.register
--- a/chervilspindle/control/state_test.py
+++ b/chervilspindle/control/state_test.py
@@ -7,6 +7,7 @@
 from chervilspindle.control import placement
 from chervilspindle.control import state as state_module
 from chervilspindle.core import rows
+from chervilspindle.query import directory
 from chervilspindle.wire import messages
 
 PLAN = rows.Plan("p", ("s-*",), 0.5, ("high", "low"))
@@ -348,3 +349,66 @@
     loads = placement.PlacementIndex(state).count_loads(state)
     if services * 2 >= vms:
         assert min(loads.values()) > 0
+
+
+NAMES = strategies.sampled_from(("a", "b", "c", "d"))
+
+
+def build_lists_change(number, names, share):
+    customers = tuple(
+        rows.Customer(n, "p", "00", f"{share:.1f}") for n in sorted(names)
+    )
+    plans = tuple(
+        rows.Plan(f"p-{n}", ("s-*",), share, ("high",)) for n in sorted(names)
+    )
+    return state_module.ApplyLists(
+        f"change-{number}", "d", -1, customers, plans
+    )
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.frozensets(NAMES),
+            strategies.sampled_from((0.1, 0.2)),
+            strategies.booleans(),
+        ),
+        min_size=1,
+        max_size=12,
+    )
+)
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+def test_rows_of_the_lists_add_up_to_the_lists(history):
+    """An entry that skips some versions ends up with the same lists."""
+    state = state_module.EMPTY_STATE
+    feed = changes.ChangeFeed()
+    entry = directory.Directory()
+    for number, (names, share, is_heard) in enumerate(history):
+        command = build_lists_change(number, names, share)
+        outcome = state_module.apply_command(
+            command, state._replace(version=state.version + 1)
+        )
+        state = outcome.state
+        feed.record(state.version, outcome.changes)
+        if is_heard:
+            data = feed.get_delta(state, entry.version)
+            assert entry.apply_delta(messages.decode_delta(data))
+            assert entry.lists == state.lists
+
+
+def test_delta_of_one_customer_does_not_grow_with_the_lists():
+    sizes = []
+    for count in (10, 5000):
+        names = [f"c{n}" for n in range(count)]
+        state, _ = apply_all(
+            state_module.EMPTY_STATE, build_lists_change(1, names, 0.1)
+        )
+        feed = changes.ChangeFeed()
+        feed.reset(state.version)
+        outcome = state_module.apply_command(
+            build_lists_change(2, [*names, "new"], 0.1),
+            state._replace(version=state.version + 1),
+        )
+        feed.record(state.version + 1, outcome.changes)
+        sizes.append(len(feed.get_delta(outcome.state, state.version)))
+    assert sizes[1] < sizes[0] + 20
--- a/chervilspindle/query/directory.py
+++ b/chervilspindle/query/directory.py
@@ -62,7 +62,7 @@
             self._clear()
         self.version = delta.version
         if delta.lists is not None:
-            self.lists = delta.lists
+            self.lists = merge_lists(self.lists, delta.lists)
         self._merge(delta, touched)
         if touched or delta.vms or delta.gone_vms or delta.lists:
             self.plan_by_query.clear()
@@ -193,5 +193,18 @@
             self.ids_by_service[known.service].pop(endpoint_id, None)
 
 
+def merge_lists(lists: rows.Lists, delta) -> rows.Lists:
+    """Return the lists with the rows of a `ListsDelta` in force."""
+    customers = {} if delta.full else dict(lists.customers_by_name)
+    plans = {} if delta.full else dict(lists.plans_by_name)
+    customers.update((row.name, row) for row in delta.customers)
+    plans.update((row.name, row) for row in delta.plans)
+    for name in delta.gone_customers:
+        customers.pop(name, None)
+    for name in delta.gone_plans:
+        plans.pop(name, None)
+    return rows.Lists(delta.revision, customers, plans)
+
+
 def _is_pattern(text: str) -> bool:
     return any(c in text for c in "*?[")
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -8,6 +8,27 @@
 from chervilspindle.core import rows
 
 
+class ListsDelta(typing.NamedTuple):
+    """Rows of the operators' lists that changed.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the lists after this delta.
+    full : bool
+        Whether it replaces both lists.
+    customers, plans : tuple
+    gone_customers, gone_plans : tuple of str
+    """
+
+    revision: int
+    full: bool
+    customers: tuple[rows.Customer, ...]
+    plans: tuple[rows.Plan, ...]
+    gone_customers: tuple[str, ...]
+    gone_plans: tuple[str, ...]
+
+
 class Delta(typing.NamedTuple):
     """Rows that changed since the version that an entry knows.
 
@@ -17,14 +38,14 @@
         Version of the tables after this delta.
     full : bool
         Whether it replaces all that the entry holds.
-    lists : rows.Lists or None
+    lists : ListsDelta or None
     vms, endpoints, ownerships : tuple
     gone_vms, gone_endpoints : tuple of str
     """
 
     version: int
     full: bool
-    lists: rows.Lists | None
+    lists: ListsDelta | None
     vms: tuple[rows.Vm, ...]
     endpoints: tuple[rows.Endpoint, ...]
     ownerships: tuple[rows.Ownership, ...]
