Limit the requests a second of a plan's customers

A plan may name a rate for each of its customers over all VMs; each VM keeps a token bucket with its even part, since the balancer spreads callers. Ruled out: counting at one place (a message for each request), and sharing counts with heartbeats (a second late, and no use at 3,900 VMs).

--- a/chervilspindle/config/lists.py
+++ b/chervilspindle/config/lists.py
@@ -10,6 +10,7 @@
 
 MAX_CUSTOMERS = 100000
 MAX_PLANS = 10000
+MAX_RATE = 1000000  # requests a second
 
 
 class ParsedLists(typing.NamedTuple):
@@ -115,6 +116,8 @@
         place = f"plans[{index}]"
         if not 0 < row["share"] <= 1:
             yield f"{place}.share", "must be in (0, 1]"
+        if not 0 <= row.get("rate", 0) <= MAX_RATE:
+            yield f"{place}.rate", f"must be in 0..{MAX_RATE}"
         for field in ("services", "priorities"):
             values = row[field]
             if not values:
@@ -163,9 +166,12 @@
         "services": list,
         "share": (int, float),
         "priorities": list,
+        "rate": (int, float),
     },
 }
 
+_OPTIONAL_FIELDS = frozenset({"rate"})
+
 
 def match_services(patterns, names) -> tuple[str, ...]:
     """Return the names that match any shell-style pattern, sorted."""
@@ -182,7 +188,8 @@
         return
     for name, kind in fields.items():
         if name not in row:
-            yield f"{place}.{name}", "missing"
+            if name not in _OPTIONAL_FIELDS:
+                yield f"{place}.{name}", "missing"
         elif not isinstance(row[name], kind) or isinstance(row[name], bool):
             yield f"{place}.{name}", "has the wrong type"
     for name in row:
@@ -202,6 +209,7 @@
         tuple(row["services"]),
         float(row["share"]),
         tuple(row["priorities"]),
+        float(row.get("rate", 0.0)),
     )
 
 
--- a/chervilspindle/config/lists_test.py
+++ b/chervilspindle/config/lists_test.py
@@ -44,6 +44,8 @@
         (("customers", 0), 7, "customers[0]"),
         (("plans", 0, "share"), 1.5, "plans[0].share"),
         (("plans", 0, "share"), "all", "plans[0].share"),
+        (("plans", 0, "rate"), -1, "plans[0].rate"),
+        (("plans", 0, "rate"), "fast", "plans[0].rate"),
         (("plans", 2, "services"), [], "plans[2].services"),
         (("plans", 2, "services"), [[]], "plans[2].services"),
         (("plans", 0, "priorities"), ["a", "a"], "plans[0].priorities"),
--- a/chervilspindle/core/rows.py
+++ b/chervilspindle/core/rows.py
@@ -21,12 +21,15 @@
         Weight of each customer of the plan in slot time, in (0, 1].
     priorities : tuple of str
         Names of priorities, the most urgent first.
+    rate : float
+        Requests a second that each customer may send; 0 for no limit.
     """
 
     name: str
     services: tuple[str, ...]
     share: float
     priorities: tuple[str, ...]
+    rate: float = 0.0
 
 
 class Customer(typing.NamedTuple):
--- a/chervilspindle/query/directory.py
+++ b/chervilspindle/query/directory.py
@@ -37,6 +37,7 @@
         self.version = 0
         self.lists = EMPTY_LISTS
         self.vm_by_session = {}
+        self.ready_vms = 0
         self.endpoint_by_id = {}
         self.ownership_by_id = {}
         self.ids_by_service = {}
@@ -158,6 +159,9 @@
             self.vm_by_session[vm.session] = vm
         for session in delta.gone_vms:
             self.vm_by_session.pop(session, None)
+        if delta.vms or delta.gone_vms or delta.full:
+            states = [vm.state for vm in self.vm_by_session.values()]
+            self.ready_vms = states.count("ready")
         for endpoint in delta.endpoints:
             self._put_endpoint(endpoint)
             touched.add(endpoint.endpoint_id)
--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -11,6 +11,7 @@
 from chervilspindle.core import lifecycle
 from chervilspindle.core import logs
 from chervilspindle.core import rows
+from chervilspindle.policy import rates
 from chervilspindle.query import commands
 from chervilspindle.query import directory as directory_module
 from chervilspindle.query import explain
@@ -127,6 +128,7 @@
         )
         self.local_target = LocalTarget(self.gatherer)
         self.loads_by_session = {}
+        self.bucket_by_customer = {}
         self.in_flight = 0
         network.lost_listeners.append(self.gatherer.lose_owner)
 
@@ -308,7 +310,32 @@
                 "this VM has no lease from control",
                 request_id=request_id,
             )
-        return requests.authenticate(header, self.directory.lists)
+        grant = requests.authenticate(header, self.directory.lists)
+        self._check_rate(grant, request_id)
+        return grant
+
+    def _check_rate(self, grant, request_id):
+        rate = grant.plan.rate
+        if not rate:
+            return
+        vms = self.directory.ready_vms
+        buckets = rates.forget_oldest(self.bucket_by_customer)
+        verdict = rates.take(
+            buckets.get(grant.customer), rate, max(1, vms), self.read_clock()
+        )
+        buckets[grant.customer] = verdict.bucket
+        self.bucket_by_customer = buckets
+        if verdict.granted:
+            return
+        logs.log_decision(
+            "over-rate", request_id=request_id, customer=grant.customer
+        )
+        raise errors.build_error(
+            errors.ErrorKind.OVER_PLAN,
+            f"more than the plan's {rate:g} requests a second",
+            retry_after_ms=verdict.retry_after_ms,
+            request_id=request_id,
+        )
 
     def _build_query(self, request_id, grant, body):
         requests.check_deadline(body.deadline_ms)
--- a/features/http_api_test.py
+++ b/features/http_api_test.py
@@ -101,6 +101,25 @@
     assert body["not_run"] is True
 
 
+def test_customer_over_its_rate_is_told_when_to_come_back(world):
+    world.rate_by_name[world_module.CUSTOMER] = 6.0
+    world.must_apply("with a rate")
+    world.advance(2.0)
+    codes = []
+    for _ in range(8):
+        response, body = send(world, "POST", "/v1/query", QUERY)
+        codes.append(response.code)
+    assert codes[:4] == [200] * 4
+    assert response.code == 429, codes
+    assert body["kind"] == "over_plan"
+    assert body["not_run"] is True
+    assert 0 < body["retry_after_ms"] <= 500
+    other = world.token_by_name[world_module.OTHER_CUSTOMER]
+    assert send(world, "POST", "/v1/query", QUERY, other)[0].code == 200
+    world.advance(body["retry_after_ms"] / 1000.0)
+    assert send(world, "POST", "/v1/query", QUERY)[0].code == 200
+
+
 def test_unknown_path(world):
     response, body = send(world, "GET", "/v2/query")
     assert response.code == 404
--- a/features/world.py
+++ b/features/world.py
@@ -205,6 +205,7 @@
         self.revisions = []
         self.in_force_log = []
         self.token_by_name = {}
+        self.rate_by_name = {}
         self.lists_document = None
         self.revision_floor = {}
         self.failures = []
@@ -523,6 +524,7 @@
                     "services": ["portal-*"],
                     "share": shares.get(name, 0.5),
                     "priorities": ["lookup", "search", "archive"],
+                    "rate": self.rate_by_name.get(name, 0),
                 }
             )
         return {"customers": customers, "plans": plans}
