Serve on while the balancer notices a shutdown; load tool as a balancer

Change: it serves on for 1.5 s, hands over meanwhile, and refuses after that. The test of the refusal waits for that time and checks the time before. The load tool asks /readyz each 0.25 s and sends callers to ready entries, as the platform's balancer does; before, it sent callers to killed entries. Stand-ins can crash and come back cold.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -88,17 +88,28 @@
             row["endpoint"]: row["address"]
             for row in deployment.documents.endpoints
         },
+        {
+            row["endpoint"]: row["zone"]
+            for row in deployment.documents.endpoints
+        },
     ]
 
 
 def send_signals(deployment, scenario, start):
-    """Send signals to processes; a killed entry is started again."""
+    """Send signals to processes.
+
+    START starts a killed one again, RESTART stops one gracefully first.
+    """
     for at_s, name, signal_name in sorted(scenario.signals):
         time.sleep(max(0.0, start + at_s - time.monotonic()))
         if signal_name == "START":
             deployment.start_vm(name)
         elif signal_name == "SIGKILL":
             deployment.kill(name)
+        elif signal_name == "RESTART":
+            deployment.signal(name, signal.SIGTERM)
+            deployment.process_by_name.pop(name).wait()
+            deployment.start_vm(name)
         else:
             deployment.signal(name, getattr(signal, signal_name))
 
--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -25,7 +25,7 @@
 FORWARD_S = 0.1
 STATE_S = 1.0
 DRAIN_CHECK_S = 0.05
-READY_LINGER_S = 0.5
+READY_LINGER_S = 1.5
 EXPLAIN_TIMEOUT_S = 1.0
 STATUS_TIMEOUT_S = 2.0
 APPLY_TIMEOUT_S = 4.0
@@ -130,6 +130,7 @@
         self.loads_by_session = {}
         self.bucket_by_customer = {}
         self.in_flight = 0
+        self.refuses = False
         network.lost_listeners.append(self.gatherer.lose_owner)
 
     def start(self):
@@ -266,13 +267,15 @@
 
     @defer.inlineCallbacks
     def drain(self):
-        """Stop admitting, hand over endpoints, end what is in flight."""
+        """Hand over endpoints, stop admitting, end what is in flight."""
         self.lifecycle.drain()
         logs.log_decision("drain", session=self.session.vm.session)
         self.session.set_state("draining")
         due = self.timers.clock.seconds() + self.settings.drain_seconds
-        # The balancer sees the failing readiness check before the port goes.
+        # Callers are served until the balancer has seen the failing
+        # readiness check and sends no more of them.
         yield self._pause(READY_LINGER_S)
+        self.refuses = True
         while self.timers.clock.seconds() < due and self._is_busy():
             yield self._pause(DRAIN_CHECK_S)
         yield self.session.leave()
@@ -298,7 +301,7 @@
         )
 
     def _admit(self, header, request_id):
-        if self.lifecycle.get_state() == "draining":
+        if self.refuses:
             raise errors.build_error(
                 errors.ErrorKind.DRAINING,
                 "this VM is shutting down",
--- a/chervilspindle/tools/endpoint.py
+++ b/chervilspindle/tools/endpoint.py
@@ -20,6 +20,7 @@
 import treq.client
 from twisted.internet import defer
 from twisted.internet import endpoints as internet_endpoints
+from twisted.internet import task
 from twisted.web import client as web_client
 from twisted.web import http
 from twisted.web import server
@@ -32,6 +33,7 @@
 ANNOUNCE_S = 1.0
 ANNOUNCE_TIMEOUT_S = 0.8
 RESULTS_KEPT = 2000
+RESTART_DELAY_S = 0.02  # lets the answer to the change out first
 
 
 class EndpointConfig(msgspec.Struct, frozen=True):
@@ -223,6 +225,22 @@
             channel.transport.abortConnection()
         return defer.maybeDeferred(self.port.stopListening)
 
+    @defer.inlineCallbacks
+    def restart(self, down_ms: float, cold_ms: float):
+        """Crash, and come back as a new incarnation that is cold at first."""
+        yield self.stop()
+        for run in list(self.run_by_id.values()):
+            if run.timer.active():
+                run.timer.cancel()
+        self.run_by_id.clear()
+        self.result_by_id.clear()
+        yield task.deferLater(self.reactor, down_ms / 1000.0)
+        self.incarnation = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.config = msgspec.structs.replace(self.config, cold_ms=cold_ms)
+        yield self.start()
+
     def drain(self):
         """Announce that this endpoint leaves."""
         self.state = "draining"
@@ -292,7 +310,12 @@
 
     @app.route("/stand-in", methods=["POST"])
     def change(self, request):
-        """Switch faults: ``faults``, ``drain``, ``silence``, ``holdings``."""
+        """Switch faults.
+
+        ``faults`` (of `Faults`), ``drain``, ``silence``, ``holdings``, and
+        ``restart``: milliseconds until it is up again, then cold for as long
+        as ``cold_ms`` says.
+        """
         body = json.loads(request.content.read())
         if "faults" in body:
             self.faults = msgspec.convert(body["faults"], Faults)
@@ -302,6 +325,13 @@
             self.silence()
         if "holdings" in body:
             self.set_holdings(body["holdings"])
+        if "restart" in body:
+            self.reactor.callLater(
+                RESTART_DELAY_S,
+                self.restart,
+                float(body["restart"]),
+                float(body.get("cold_ms", 0.0)),
+            )
         return _reply(request, 200, {"changed": True})
 
     def _warm_up(self):
--- a/chervilspindle/tools/load.py
+++ b/chervilspindle/tools/load.py
@@ -26,6 +26,8 @@
 SIGNIFICANT_FIGURES = 3
 GRACE_S = 1.0
 CONNECTIONS = 400
+READINESS_S = 0.25
+READINESS_TIMEOUT_S = 0.5
 
 _CAUSE = re.compile(
     r"^chervilspindle_(?:extra_load|endpoint_events)_total"
@@ -53,12 +55,14 @@
 class Change(msgspec.Struct, forbid_unknown_fields=True):
     """A change of stand-ins whose name matches, at a time of the run.
 
-    `body` is what a stand-in takes; see `endpoint.StandIn.change`.
+    `zone` narrows it to one availability zone; `body` is what a stand-in
+    takes; see `endpoint.StandIn.change`.
     """
 
     at_s: float
     endpoints: str
     body: dict
+    zone: str = ""
 
 
 class Scenario(msgspec.Struct, forbid_unknown_fields=True):
@@ -80,11 +84,12 @@
 
 
 class Target(typing.NamedTuple):
-    """Where to send: entries, tokens by customer, stand-in addresses."""
+    """Where to send: entries, tokens by customer, stand-ins and zones."""
 
     entries: tuple[str, ...]
     token_by_name: dict[str, str]
     address_by_endpoint: dict[str, str]
+    zone_by_endpoint: dict[str, str] = {}
 
 
 class Tally:
@@ -155,7 +160,7 @@
             web_client.Agent(reactor, pool=pool)
         )
         self.tally_by_key = {}
-        self.open = 0
+        self.ready = list(target.entries)
         self.commands = 0
         self.seed = seed
 
@@ -168,6 +173,9 @@
         Deferred of dict
             The report.
         """
+        checks = task.LoopingCall(self._check_readiness)
+        checks.clock = self.reactor
+        checks.start(READINESS_S)
         yield self._send_all(self.scenario.warmup_s)
         self.tally_by_key = {}
         before = yield self._read_stand_ins()
@@ -177,6 +185,7 @@
         yield self._send_all(self.scenario.duration_s)
         after = yield self._read_stand_ins()
         causes_after = yield self._read_causes()
+        checks.stop()
         report = self._report(before, after)
         report["causes"] = {
             name: value - causes_before.get(name, 0.0)
@@ -210,7 +219,7 @@
         tally = self.tally_by_key.setdefault(key, Tally())
         tally.sent += 1
         self.commands += 1
-        address = self.random.choice(self.target.entries)
+        address = self.random.choice(self.ready)
         token = self.target.token_by_name[traffic.customer]
         path, body = self._build(traffic)
         headers = {"Authorization": f"Bearer {token}"}
@@ -225,6 +234,29 @@
         deferred.addCallback(self._read, traffic, tally, due)
         deferred.addErrback(self._fail, tally)
 
+    def _check_readiness(self):
+        """Ask each entry, as the platform's balancer does."""
+        for address in self.target.entries:
+            deferred = self.client.get(
+                f"http://{address}/readyz", timeout=READINESS_TIMEOUT_S
+            )
+            deferred.addCallbacks(
+                self._note_readiness,
+                lambda _, address: self._set_ready(address, False),
+                callbackArgs=(address,),
+                errbackArgs=(address,),
+            )
+
+    def _note_readiness(self, response, address):
+        self._set_ready(address, response.code == 200)
+        return treq.content(response)
+
+    def _set_ready(self, address, is_ready):
+        if is_ready and address not in self.ready:
+            self.ready.append(address)
+        elif not is_ready and address in self.ready and len(self.ready) > 1:
+            self.ready.remove(address)
+
     def _build(self, traffic):
         common = {
             "priority": traffic.priority,
@@ -298,6 +330,9 @@
     def _change(self, change):
         data = json.dumps(change.body).encode()
         for name, address in self.target.address_by_endpoint.items():
+            zone = self.target.zone_by_endpoint.get(name, "")
+            if change.zone not in ("", zone):
+                continue
             if fnmatch.fnmatchcase(name, change.endpoints):
                 self.client.post(
                     f"http://{address}/stand-in", data=data
--- a/features/http_api_test.py
+++ b/features/http_api_test.py
@@ -5,6 +5,7 @@
 import pytest
 import treq.testing
 
+from chervilspindle.query import entry as entry_module
 from chervilspindle.wire import http_api
 from features import workload
 from features import world as world_module
@@ -160,6 +161,10 @@
 def test_draining_entry_refuses_as_not_run(world):
     entry = world.vm_by_name["entry-1"].entry
     entry.drain()
+    # Until the balancer can know, callers are served.
+    assert send(world, "GET", "/readyz")[0].code == 503
+    assert send(world, "POST", "/v1/query", QUERY)[0].code == 200
+    world.advance(entry_module.READY_LINGER_S)
     response, body = send(world, "POST", "/v1/query", QUERY)
     assert response.code == 503
     assert body["kind"] == "draining"
