Own endpoints from VMs of their own zone

A lost zone took one replica's endpoint and the other replica's owner, until its lease ended 3.3 s later. Ruled out: hedges (the budget was not spent), slow detection of the killed VM (its links break at once, missing as connection_lost). Change: an owner sits in its endpoint's zone where that has a VM; endpoints come home when a VM of their zone starts; load is evened within a zone.

--- a/chervilspindle/control/leader.py
+++ b/chervilspindle/control/leader.py
@@ -42,6 +42,7 @@
         self.revision_by_session = {}
         self.pending_assign = False
         self.move_due_ms = -math.inf
+        self.even_changes = None
         self.expire_due_ms = -math.inf
         node.leader_listeners.append(self._start_term)
         timers.subscribe("leader-tend", TEND_PERIOD_S, self.tend)
@@ -99,13 +100,22 @@
         assignments = placement.plan_assignments(tables, self.node.placement)
         if not assignments and now >= self.move_due_ms:
             self.move_due_ms = now + MOVE_PERIOD_MS
-            assignments = placement.plan_moves(tables, self.node.placement)
+            assignments = self._plan_moves()
         if not assignments:
             return
         self.pending_assign = True
         deferred = self.node.propose(state_module.Assign(assignments))
         deferred.addBoth(self._finish_assign)
 
+    def _plan_moves(self):
+        """Plan moves, unless nothing changed since there were none."""
+        index = self.node.placement
+        if self.even_changes == (index, index.changes_seen):
+            return ()
+        moves = placement.plan_moves(self.node.tables, index)
+        self.even_changes = None if moves else (index, index.changes_seen)
+        return moves
+
     def _finish_assign(self, _):
         self.pending_assign = False
 
--- a/chervilspindle/control/placement.py
+++ b/chervilspindle/control/placement.py
@@ -1,8 +1,10 @@
 """Chooses the owner of each endpoint.
 
-Owners of the replicas of one service sit on different VMs and, where that
-is possible, in different zones, so that losing a VM leaves every shard with
-an owned replica. Load is evened by counts of endpoints.
+An endpoint's owner sits in the endpoint's own availability zone, so that a
+lost zone takes owners and endpoints of the same replicas; where the zone has
+no VM, any other may own it. Owners of the replicas of one service sit on
+different VMs and, as far as possible, in different zones. Load is evened by
+counts of endpoints over the VMs that an endpoint may go to.
 """
 
 import heapq
@@ -23,12 +25,91 @@
     session: str
 
 
+class Pools:
+    """Sessions that take endpoints, by zone and all, least loaded first.
+
+    Counts of the heaps may be out of date; they are put right when they
+    come up.
+    """
+
+    def __init__(self, state, loads):
+        self.state = state
+        self.loads = loads
+        self.heap_by_zone = {}
+        for session, count in loads.items():
+            zone = state.vm_by_session[session].zone
+            load = SessionLoad(count, session)
+            self.heap_by_zone.setdefault(zone, []).append(load)
+        for heap in self.heap_by_zone.values():
+            heapq.heapify(heap)
+        self.heap = [SessionLoad(c, s) for s, c in loads.items()]
+        heapq.heapify(self.heap)
+
+    def has_zone(self, zone) -> bool:
+        """Tell whether a zone has sessions that take endpoints."""
+        return zone in self.heap_by_zone
+
+    def choose(self, zone, siblings) -> str:
+        """Return the best session for an endpoint, '' if there is none.
+
+        Parameters
+        ----------
+        zone : str
+            Of the endpoint.
+        siblings : list of str
+            Sessions that own its other replicas.
+        """
+        home = self.heap_by_zone.get(zone)
+        if home:
+            best = self._take_best(home, siblings)
+            if best not in siblings:
+                return best
+        return self._take_best(self.heap, siblings) if self.heap else ""
+
+    def move(self, source, target):
+        """Count an endpoint from one session to another."""
+        if source in self.loads:
+            self.loads[source] -= 1
+        self.loads[target] += 1
+
+    def list_least(self):
+        """Return the least load of each zone."""
+        return {
+            zone: min(self.loads[load.session] for load in heap)
+            for zone, heap in self.heap_by_zone.items()
+        }
+
+    def _take_best(self, heap, siblings):
+        candidates = []
+        while heap and len(candidates) < CANDIDATES:
+            load = heapq.heappop(heap)
+            count = self.loads[load.session]
+            if count == load.count:
+                candidates.append(load)
+            else:
+                heapq.heappush(heap, SessionLoad(count, load.session))
+        for load in candidates:
+            heapq.heappush(heap, load)
+        zones = {
+            self.state.vm_by_session[s].zone
+            for s in siblings
+            if s in self.state.vm_by_session
+        }
+
+        def rank(load):
+            zone = self.state.vm_by_session[load.session].zone
+            return (load.session in siblings, zone in zones, load)
+
+        return min(candidates, key=rank).session
+
+
 class PlacementIndex:
     """What placement needs to know, kept current row by row.
 
     A pass looks only at endpoints without a settled owner, so that its cost
     follows what changed and not the size of the deployment. An endpoint is
-    moving while its owner before still has to hand it over.
+    moving while its owner before still has to hand it over, and foreign while
+    its owner sits in another zone.
     """
 
     def __init__(self, state):
@@ -37,6 +118,8 @@
         self.service_by_id = {}
         self.unsettled_ids = set()
         self.moving_ids = set()
+        self.foreign_ids = set()
+        self.changes_seen = 0
         for endpoint_id in state.endpoint_by_id:
             self._refresh(state, endpoint_id)
 
@@ -44,8 +127,10 @@
         """Take in the rows that a version touched."""
         for change in changes:
             if change.kind in ("endpoint", "ownership"):
+                self.changes_seen += 1
                 self._refresh(state, change.key)
             elif change.kind == "vm":
+                self.changes_seen += 1
                 self._refresh_session(state, change.key)
 
     def count_loads(self, state):
@@ -91,10 +176,13 @@
         is_settled = vm is not None and vm.state == "ready"
         if not is_settled and endpoint.state != "lost":
             self.unsettled_ids.add(endpoint_id)
+        elif is_settled and vm.zone != endpoint.zone:
+            self.foreign_ids.add(endpoint_id)
 
     def _forget(self, endpoint_id):
         self.unsettled_ids.discard(endpoint_id)
         self.moving_ids.discard(endpoint_id)
+        self.foreign_ids.discard(endpoint_id)
         service = self.service_by_id.pop(endpoint_id, None)
         owners = self.owner_by_id_by_service.get(service, {})
         session = owners.pop(endpoint_id, None)
@@ -120,57 +208,24 @@
     """
     if not index.unsettled_ids:
         return ()
-    loads = index.count_loads(state)
-    heap = [SessionLoad(count, session) for session, count in loads.items()]
-    heapq.heapify(heap)
+    pools = Pools(state, index.count_loads(state))
     granted_by_service = {}
     grants = []
     for endpoint_id in sorted(index.unsettled_ids):
-        if not heap:
-            break
         granted = granted_by_service.setdefault(
             index.service_by_id[endpoint_id], []
         )
         siblings = index.list_siblings(endpoint_id) + granted
-        endpoint = state.endpoint_by_id[endpoint_id]
-        session = _choose_session(state, endpoint, siblings, heap)
+        zone = state.endpoint_by_id[endpoint_id].zone
+        session = pools.choose(zone, siblings)
+        if not session:
+            break
         granted.append(session)
+        pools.move("", session)
         grants.append(_grant(state, endpoint_id, session))
     return tuple(grants)
 
 
-def _choose_session(state, endpoint, siblings, heap):
-    """Take the best of the least loaded sessions and count it up."""
-    size = min(CANDIDATES, len(heap))
-    candidates = [heapq.heappop(heap) for _ in range(size)]
-    best = min(candidates, key=_build_rank(state, endpoint, siblings))
-    for load in candidates:
-        count = load.count + (load is best)
-        heapq.heappush(heap, SessionLoad(count, load.session))
-    return best.session
-
-
-def _build_rank(state, endpoint, siblings):
-    """Return the order of preference of sessions for an endpoint."""
-    zones = {
-        state.vm_by_session[s].zone
-        for s in siblings
-        if s in state.vm_by_session
-    }
-
-    def rank(load):
-        zone = state.vm_by_session[load.session].zone
-        return (
-            load.session in siblings,
-            zone in zones,
-            load.count,
-            zone != endpoint.zone,
-            load.session,
-        )
-
-    return rank
-
-
 def _grant(state, endpoint_id, session):
     ownership = state.ownership_by_id.get(endpoint_id)
     epoch = ownership.epoch if ownership else 0
@@ -178,50 +233,89 @@
 
 
 def plan_moves(state, index):
-    """Return grants that even out the load, some at a time.
+    """Return grants that bring endpoints home and even out the load.
 
-    At most one endpoint of a service moves at once, so that gatherers which
-    have not heard of the new owner yet find another replica.
+    They are some at a time. At most one endpoint of a service moves at once,
+    so that gatherers which have not heard of the new owner yet find another
+    replica.
     """
     loads = index.count_loads(state)
     if len(loads) < 2 or index.unsettled_ids:
         return ()
     room = max(LEAST_MOVES, len(loads) // SESSIONS_PER_MOVE)
     room -= len(index.moving_ids)
-    least = min(loads.values())
-    services = {index.service_by_id[i] for i in index.moving_ids}
-    moves = []
-    for session in sorted(loads, key=lambda s: (-loads[s], s)):
-        spread = loads[session] - least
-        if spread <= MAX_SPREAD or len(moves) >= room:
-            break
-        limit = min(room - len(moves), max(1, spread // 2))
-        moves += _plan_session_moves(
-            state, index, loads, session, limit, services
-        )
-    return tuple(moves)
+    plan = MovePlan(state, index, Pools(state, loads), room)
+    for endpoint_id in sorted(index.foreign_ids):
+        zone = state.endpoint_by_id[endpoint_id].zone
+        if plan.pools.has_zone(zone):
+            plan.consider(endpoint_id, True)
+    for endpoint_id in _list_movable(state, index, plan.pools):
+        plan.consider(endpoint_id, False)
+    return tuple(plan.moves)
 
 
-def _plan_session_moves(state, index, loads, session, limit, services):
-    """Return moves of one session's endpoints, at most `limit`.
+def _list_movable(state, index, pools):
+    """Return the endpoints that a fuller session could give away.
 
-    `loads` and `services` take in what is planned.
+    Within a zone a session compares with the least loaded one there; foreign
+    endpoints may go anywhere, so for them it compares with all.
     """
-    moves = []
-    for endpoint_id in sorted(index.ids_by_session[session]):
-        service = index.service_by_id[endpoint_id]
-        if service in services or not _is_covered(state, index, endpoint_id):
-            continue
-        better = _find_better(state, index, loads, endpoint_id)
-        if better == session:
-            continue
-        loads[session] -= 1
-        loads[better] += 1
-        services.add(service)
-        moves.append(_grant(state, endpoint_id, better))
-        if len(moves) >= limit:
+    least_by_zone = pools.list_least()
+    least = min(least_by_zone.values())
+    movable = []
+    for session in sorted(pools.loads, key=lambda s: (-pools.loads[s], s)):
+        count = pools.loads[session]
+        if count - least <= MAX_SPREAD:
             break
-    return moves
+        ids = index.ids_by_session[session]
+        zone = state.vm_by_session[session].zone
+        if count - least_by_zone[zone] <= MAX_SPREAD:
+            ids = ids & index.foreign_ids
+        movable.extend(sorted(ids))
+    return movable
+
+
+class MovePlan:
+    """Moves that are planned in one round, and the loads that they leave."""
+
+    def __init__(self, state, index, pools, room):
+        self.state = state
+        self.index = index
+        self.pools = pools
+        self.room = room
+        self.moves = []
+        self.services = {index.service_by_id[i] for i in index.moving_ids}
+
+    def consider(self, endpoint_id, goes_home: bool):
+        """Move an endpoint if that brings it home or evens out the load."""
+        if len(self.moves) >= self.room:
+            return
+        service = self.index.service_by_id[endpoint_id]
+        if service in self.services:
+            return
+        endpoint = self.state.endpoint_by_id[endpoint_id]
+        own = self.state.ownership_by_id[endpoint_id].session
+        siblings = self.index.list_siblings(endpoint_id)
+        target = self.pools.choose(endpoint.zone, siblings)
+        if not self._is_better(endpoint, own, target, siblings, goes_home):
+            return
+        if not _is_covered(self.state, self.index, endpoint_id):
+            return
+        self.pools.move(own, target)
+        self.services.add(service)
+        self.moves.append(_grant(self.state, endpoint_id, target))
+
+    def _is_better(self, endpoint, own, target, siblings, goes_home):
+        if target in ("", own, *siblings):
+            return False
+        zone = self.state.vm_by_session[target].zone
+        own_zone = self.state.vm_by_session[own].zone
+        if goes_home:
+            return zone == endpoint.zone
+        if own_zone == endpoint.zone != zone:
+            return False
+        spread = self.pools.loads[own] - self.pools.loads[target]
+        return spread > MAX_SPREAD
 
 
 def _is_covered(state, index, endpoint_id):
@@ -234,23 +328,3 @@
         if set(endpoint.holdings) <= set(other.holdings):
             return True
     return False
-
-
-def _find_better(state, index, loads, endpoint_id):
-    """Return the session that should own an endpoint, its own if none is.
-
-    An endpoint whose replicas rule out all less loaded sessions would
-    otherwise move to and fro for ever.
-    """
-    endpoint = state.endpoint_by_id[endpoint_id]
-    own = state.ownership_by_id[endpoint_id].session
-    candidates = heapq.nsmallest(
-        CANDIDATES,
-        (
-            SessionLoad(count - (session == own), session)
-            for session, count in loads.items()
-        ),
-    )
-    siblings = index.list_siblings(endpoint_id)
-    rank = _build_rank(state, endpoint, siblings)
-    return min(candidates, key=rank).session
