Fault matrix of a repair, and pairs of faults

A second disk lost before the repair has ended leaves two of three identities gone: the story can't recover by design (a disk that is gone may have promised), which its own test states: nobody leads, entries refuse as not run.

--- a/features/workload.py
+++ b/features/workload.py
@@ -159,8 +159,8 @@
     endpoint.announce()
 
 
-def run_story(world, fault=None):
-    """Run the story of the fault matrix: work, changes, one fault, repair.
+def run_story(world, *injected):
+    """Run the story of the fault matrix: work, changes, faults, repairs.
 
     The story has each step of the path: a snapshot change and repartition,
     an endpoint that drains, a lost control leader, and a graceful restart
@@ -169,8 +169,7 @@
     start_services(world)
     workload = Workload(world)
     workload.start()
-    if fault is not None:
-        world.faults.append(fault)
+    world.faults.extend(injected)
     start_straggling(world)
     world.advance(1.0)
     change_snapshot(world)
