--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -5,6 +5,7 @@
 Prints one JSON line for each point and a table of the fitted slopes.
 """
 
+import itertools
 import json
 import os
 import statistics
@@ -18,6 +19,7 @@
 import msgspec
 
 from chervilspindle.control import changes
+from chervilspindle.control import node
 from chervilspindle.control import placement
 from chervilspindle.control import raft
 from chervilspindle.control import raft_messages
@@ -297,6 +299,32 @@
         )
 
 
+def measure_longest_turn(sizes):
+    """Longest time that writing a snapshot holds the loop, in elapsed us."""
+    for claims in sizes:
+        state = build_tables(3900, 21000)._replace(
+            claim_by_id=build_claims(claims).claim_by_id
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            storage = storage_module.Storage(folder)
+            storage.recover()
+            writer = storage.begin_snapshot(
+                raft_messages.SnapshotMark(1, 1, ())
+            )
+            source = state_module.split_image(state)
+            longest = 0.0
+            while True:
+                started = time.perf_counter()
+                parts = tuple(itertools.islice(source, node.PARTS_PER_SLICE))
+                if not parts:
+                    break
+                writer.add(parts)
+                longest = max(longest, time.perf_counter() - started)
+            writer.abandon()
+            storage.close()
+        yield claims, longest * 1e6
+
+
 def build_claims(count):
     """Build tables that hold so many claims with recorded outcomes."""
     claims = {}
@@ -358,6 +386,7 @@
     ("peer message", "us/part", measure_fan_out, (1, 10, 50, 150)),
     ("one customer added", "bytes/customer", measure_lists_delta, LISTS),
     ("snapshot of the state", "us/endpoint", measure_snapshot, SIZES),
+    ("longest turn", "us/claim", measure_longest_turn, CLAIMS),
     ("claim memory", "bytes/claim", measure_claim_memory, CLAIMS),
     ("claim expiry pass", "us/claim", measure_claim_expiry, CLAIMS),
 )
--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -4,6 +4,7 @@
 fsync, and only then are messages sent and committed commands applied.
 """
 
+import itertools
 import logging
 import random
 import typing
@@ -26,6 +27,7 @@
 JOIN_PERIOD_MS = 1000.0
 SNAPSHOT_ENTRIES = 2000
 PROPOSAL_TIMEOUT_MS = 3000.0
+PARTS_PER_SLICE = 4
 
 
 class Proposal(typing.NamedTuple):
@@ -43,6 +45,14 @@
     proposals: tuple[Proposal, ...]
 
 
+class SnapshotBuild(typing.NamedTuple):
+    """A snapshot that is being written, and the parts it has so far."""
+
+    writer: storage_module.SnapshotWriter
+    source: typing.Iterator[bytes]
+    parts: list[bytes]
+
+
 class ControlNode:
     """One member of the control group.
 
@@ -91,6 +101,7 @@
         self.tables = state_module.EMPTY_STATE
         self.applied_index = 0
         self.snapshot = storage_module.EMPTY_SNAPSHOT
+        self.building = None
         self.feed = changes.ChangeFeed()
         self.placement = placement.PlacementIndex(self.tables)
         self.proposals = []
@@ -133,6 +144,8 @@
     def stop(self):
         """Stop timers and close the disk."""
         self.timers.cancel("control-tick")
+        self._abandon_snapshot()
+        self.failed = True
         self.storage.close()
 
     def initialise(self):
@@ -298,7 +311,8 @@
             return
         if isinstance(message, raft_messages.Install):
             message = message._replace(
-                mark=self.snapshot.mark, data=self.snapshot.data
+                mark=self.snapshot.mark,
+                data=state_module.join_parts(self.snapshot.parts),
             )
         data = raft_messages.encode_envelope(
             self.identity.group, self.identity.member_id, message
@@ -316,7 +330,9 @@
 
     def _load_tables(self, snapshot):
         self.snapshot = snapshot
-        self.tables = state_module.decode_image(snapshot.data)
+        self.tables = state_module.decode_image(
+            state_module.join_parts(snapshot.parts)
+        )
         self.applied_index = snapshot.mark.index
         self.feed.reset(self.tables.version)
         self.placement = placement.PlacementIndex(self.tables)
@@ -334,7 +350,9 @@
             state = raft.adopt_snapshot(
                 self.raft, mark, now, self.random.random()
             )
-            snapshot = storage_module.SnapshotFile(mark, message.data)
+            parts = state_module.split_parts(message.data)
+            snapshot = storage_module.SnapshotFile(mark, parts)
+            self._abandon_snapshot()
             try:
                 self.storage.save_snapshot(snapshot, state)
             except storage_module.StorageError:
@@ -387,6 +405,9 @@
                 _fail_unknown(waiting)
 
     def _maybe_snapshot(self):
+        """Begin a snapshot if the log has grown long."""
+        if self.building is not None:
+            return
         entries = self.applied_index - self.raft.snapshot_index
         large = self.storage.log_bytes > storage_module.REWRITE_BYTES
         if entries < SNAPSHOT_ENTRIES and not (large and entries > 0):
@@ -397,17 +418,48 @@
             state.snapshot_term,
             tuple(tuple(m) for m in state.snapshot_members),
         )
-        data = state_module.encode_image(self.tables)
-        snapshot = storage_module.SnapshotFile(mark, data)
         try:
-            self.storage.save_snapshot(snapshot, state)
+            writer = self.storage.begin_snapshot(mark)
         except storage_module.StorageError:
             self._fail()
             return
+        source = state_module.split_image(self.tables)
+        self.building = SnapshotBuild(writer, source, [])
+        self._plan_slice()
+
+    def _plan_slice(self):
+        self.timers.call_later(0, self._build_slice, self.building)
+
+    def _build_slice(self, build):
+        """Encode and write some more rows; the log goes on meanwhile."""
+        if self.failed or self.building is not build:
+            return
+        parts = tuple(itertools.islice(build.source, PARTS_PER_SLICE))
+        try:
+            if parts:
+                build.writer.add(parts)
+                build.parts.extend(parts)
+                self._plan_slice()
+            else:
+                self._finish_snapshot(build)
+        except storage_module.StorageError:
+            self._fail()
+
+    def _finish_snapshot(self, build):
+        self.building = None
+        mark = build.writer.mark
+        state = raft.compact(self.raft, mark.index)
+        # What was promised since the last turn is in the new log too.
+        build.writer.finish(state)
         self.raft = self.persisted = state
-        self.snapshot = snapshot
+        self.snapshot = storage_module.SnapshotFile(mark, tuple(build.parts))
         LOGGER.info("control snapshot", extra={"index": mark.index})
 
+    def _abandon_snapshot(self):
+        if self.building is not None:
+            self.building.writer.abandon()
+            self.building = None
+
     def _ask_to_join(self):
         known = {m.member_id for m in self.raft.members}
         if self.identity.member_id in known:
--- a/chervilspindle/control/state.py
+++ b/chervilspindle/control/state.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import itertools
 import typing
 
 import immutables
@@ -12,6 +13,7 @@
 
 from chervilspindle.core import rows
 
+ROWS_PER_PART = 500
 CHANGE_IDS_KEPT = 5000
 CLAIM_KEPT_MS = 24 * 3600 * 1000
 LOST_ENDPOINT_KEPT_MS = 3600 * 1000
@@ -160,17 +162,18 @@
     changes: tuple[Change, ...] = ()
 
 
-class StateImage(typing.NamedTuple):
-    """The tables as a snapshot stores them."""
+class ImageHead(typing.NamedTuple):
+    """First part of an image of the tables."""
 
     version: int
-    lists: rows.Lists
-    change_results: tuple[tuple[str, ChangeResult], ...]
-    vms: tuple[rows.Vm, ...]
-    endpoints: tuple[rows.Endpoint, ...]
-    lost_at: tuple[tuple[str, int], ...]
-    ownerships: tuple[rows.Ownership, ...]
-    claims: tuple[rows.Claim, ...]
+    revision: int
+
+
+class ImagePart(typing.NamedTuple):
+    """Some rows of one table, as a snapshot stores them."""
+
+    table: str
+    rows: msgspec.Raw
 
 
 EMPTY_STATE = ControlState(
@@ -223,47 +226,114 @@
     )
 
 
+def split_image(state: ControlState):
+    """Yield all tables as parts of a snapshot, a limited number of rows each.
+
+    The tables are immutable, so that the parts may be taken one by one while
+    newer tables are already in use.
+
+    Returns
+    -------
+    iterator of bytes
+    """
+    head = ImageHead(state.version, state.lists.revision)
+    yield _encode_part("head", head)
+    for table, found in (
+        ("customers", state.lists.customers_by_name.values()),
+        ("plans", state.lists.plans_by_name.values()),
+        ("changes", _list_change_results(state)),
+        ("vms", state.vm_by_session.values()),
+        ("endpoints", state.endpoint_by_id.values()),
+        ("lost_at", state.lost_at_by_id.items()),
+        ("ownerships", state.ownership_by_id.values()),
+        ("claims", state.claim_by_id.values()),
+    ):
+        source = iter(found)
+        while part := tuple(itertools.islice(source, ROWS_PER_PART)):
+            yield _encode_part(table, part)
+
+
+def join_parts(parts) -> bytes:
+    """Join the parts of a snapshot to one image."""
+    return _ENCODER.encode(tuple(parts))
+
+
+def split_parts(data: bytes) -> tuple[bytes, ...]:
+    """Return the parts of an image."""
+    return _PARTS.decode(data) if data else ()
+
+
 def encode_image(state: ControlState) -> bytes:
     """Encode all tables for a snapshot."""
-    ordered = tuple(
-        (change_id, state.change_results[change_id])
-        for change_id in state.change_order
-    )
-    image = StateImage(
-        state.version,
-        state.lists,
-        ordered,
-        tuple(state.vm_by_session.values()),
-        tuple(state.endpoint_by_id.values()),
-        tuple(state.lost_at_by_id.items()),
-        tuple(state.ownership_by_id.values()),
-        tuple(state.claim_by_id.values()),
-    )
-    return _ENCODER.encode(image)
+    return join_parts(split_image(state))
 
 
 def decode_image(data: bytes) -> ControlState:
     """Rebuild the tables from a snapshot; empty bytes give empty tables."""
     if not data:
         return EMPTY_STATE
-    image = msgspec.msgpack.decode(data, type=StateImage)
+    rows_by_table = {name: [] for name in _ROWS_BY_TABLE}
+    head = ImageHead(0, 0)
+    for encoded in split_parts(data):
+        part = _PART.decode(encoded)
+        if part.table == "head":
+            head = _HEAD.decode(part.rows)
+        else:
+            decoder = _ROWS_BY_TABLE[part.table]
+            rows_by_table[part.table].extend(decoder.decode(part.rows))
+    return _build_state(head, rows_by_table)
+
+
+def _build_state(head, found) -> ControlState:
+    lists = rows.Lists(
+        head.revision,
+        {c.name: c for c in found["customers"]},
+        {p.name: p for p in found["plans"]},
+    )
     return ControlState(
-        version=image.version,
-        lists=image.lists,
-        change_results=immutables.Map(image.change_results),
-        change_order=tuple(key for key, _ in image.change_results),
-        vm_by_session=immutables.Map((v.session, v) for v in image.vms),
+        version=head.version,
+        lists=lists,
+        change_results=immutables.Map(found["changes"]),
+        change_order=tuple(key for key, _ in found["changes"]),
+        vm_by_session=immutables.Map((v.session, v) for v in found["vms"]),
         endpoint_by_id=immutables.Map(
-            (e.endpoint_id, e) for e in image.endpoints
+            (e.endpoint_id, e) for e in found["endpoints"]
         ),
-        lost_at_by_id=immutables.Map(image.lost_at),
+        lost_at_by_id=immutables.Map(found["lost_at"]),
         ownership_by_id=immutables.Map(
-            (o.endpoint_id, o) for o in image.ownerships
+            (o.endpoint_id, o) for o in found["ownerships"]
         ),
-        claim_by_id=immutables.Map((c.claim_id, c) for c in image.claims),
+        claim_by_id=immutables.Map((c.claim_id, c) for c in found["claims"]),
     )
 
 
+def _list_change_results(state):
+    return ((key, state.change_results[key]) for key in state.change_order)
+
+
+def _encode_part(table, content) -> bytes:
+    encoded = msgspec.Raw(_ENCODER.encode(content))
+    return _ENCODER.encode(ImagePart(table, encoded))
+
+
+_PARTS = msgspec.msgpack.Decoder(tuple[bytes, ...])
+_PART = msgspec.msgpack.Decoder(ImagePart)
+_HEAD = msgspec.msgpack.Decoder(ImageHead)
+_ROWS_BY_TABLE = {
+    name: msgspec.msgpack.Decoder(tuple[kind, ...])
+    for name, kind in (
+        ("customers", rows.Customer),
+        ("plans", rows.Plan),
+        ("changes", tuple[str, ChangeResult]),
+        ("vms", rows.Vm),
+        ("endpoints", rows.Endpoint),
+        ("lost_at", tuple[str, int]),
+        ("ownerships", rows.Ownership),
+        ("claims", rows.Claim),
+    )
+}
+
+
 @functools.singledispatch
 def apply_command(command, state: ControlState) -> Outcome:
     """Apply one command; a command that no longer fits changes nothing."""
--- a/chervilspindle/control/storage.py
+++ b/chervilspindle/control/storage.py
@@ -7,6 +7,7 @@
 so that the process stops instead of promising what it may not hold.
 """
 
+import contextlib
 import os
 import struct
 import typing
@@ -49,10 +50,16 @@
 
 
 class SnapshotFile(typing.NamedTuple):
-    """Content of a snapshot file."""
+    """Content of a snapshot file: what it covers, and parts of the tables."""
 
     mark: messages.SnapshotMark
-    data: bytes
+    parts: tuple[bytes, ...]
+
+
+class SnapshotEnd(typing.NamedTuple):
+    """Last record of a whole snapshot file."""
+
+    parts: int
 
 
 class Recovered(typing.NamedTuple):
@@ -64,13 +71,13 @@
     torn_bytes: int
 
 
-EMPTY_SNAPSHOT = SnapshotFile(messages.SnapshotMark(0, 0, ()), b"")
+EMPTY_SNAPSHOT = SnapshotFile(messages.SnapshotMark(0, 0, ()), ())
 
 _ENCODER = msgspec.msgpack.Encoder()
 _RECORD = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
 _HARD = msgspec.msgpack.Decoder(HardRecord)
 _APPEND = msgspec.msgpack.Decoder(AppendRecord)
-_SNAPSHOT = msgspec.msgpack.Decoder(SnapshotFile)
+_MARK = msgspec.msgpack.Decoder(messages.SnapshotMark)
 
 
 class Storage:
@@ -126,9 +133,23 @@
 
     def save_snapshot(self, snapshot: SnapshotFile, state):
         """Write a snapshot, then a log that starts after it."""
-        self._replace(SNAPSHOT_FILE, _frame(_ENCODER.encode(snapshot)))
+        writer = self.begin_snapshot(snapshot.mark)
+        writer.add(snapshot.parts)
+        writer.finish(state)
+
+    def begin_snapshot(self, mark: messages.SnapshotMark):
+        """Begin to write a snapshot part by part.
+
+        Returns
+        -------
+        SnapshotWriter
+        """
+        return SnapshotWriter(self, mark)
+
+    def start_log_after(self, mark: messages.SnapshotMark, state):
+        """Replace the log by one that starts after a snapshot."""
         hard = _pack(HardRecord(state.term, state.voted_for))
-        kept = tuple(e for e in state.log if e.index > snapshot.mark.index)
+        kept = tuple(e for e in state.log if e.index > mark.index)
         body = hard + _pack(AppendRecord(kept))
         self._replace(LOG_FILE, body)
         if self.handle is not None:
@@ -146,9 +167,12 @@
         if not data:
             return EMPTY_SNAPSHOT
         records, valid = split_records(data)
-        if len(records) != 1 or valid != len(data):
+        if len(records) < 2 or valid != len(data):
             raise StorageError(f"damaged snapshot in {self.folder}")
-        return _SNAPSHOT.decode(records[0])
+        parts = tuple(records[1:-1])
+        if records[-1] != _ENCODER.encode(SnapshotEnd(len(parts))):
+            raise StorageError(f"cut off snapshot in {self.folder}")
+        return SnapshotFile(_MARK.decode(records[0]), parts)
 
     def _open(self, path: str, size: int):
         flags = os.O_RDWR | os.O_CREAT
@@ -160,17 +184,13 @@
         self.log_bytes = size
 
     def _append(self, data: bytes):
-        if self.failed:
-            raise StorageError("storage failed before")
-        try:
-            self._write_all(self.handle, data)
+        with self.guard():
+            self.write_all(self.handle, data)
             self.fsync(self.handle)
-        except OSError as error:
-            self.failed = True
-            raise StorageError(f"write to {self.folder}: {error}") from error
         self.log_bytes += len(data)
 
-    def _write_all(self, handle: int, data: bytes):
+    def write_all(self, handle: int, data: bytes):
+        """Write all bytes."""
         view = memoryview(data)
         while view:
             written = self.write(handle, view)
@@ -178,17 +198,27 @@
 
     def _replace(self, name: str, data: bytes):
         path = os.path.join(self.folder, name)
-        try:
-            handle = os.open(
-                path + ".new", os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600
-            )
+        with self.guard():
+            handle = open_new(path)
             try:
-                self._write_all(handle, data)
+                self.write_all(handle, data)
                 self.fsync(handle)
             finally:
                 os.close(handle)
-            os.replace(path + ".new", path)
-            self._sync_folder()
+            self.put_in_place(path)
+
+    def put_in_place(self, path: str):
+        """Give a file that was written whole its name."""
+        os.replace(path + ".new", path)
+        self._sync_folder()
+
+    @contextlib.contextmanager
+    def guard(self):
+        """Turn a failure of the disk into a `StorageError`, for good."""
+        if self.failed:
+            raise StorageError("storage failed before")
+        try:
+            yield
         except OSError as error:
             self.failed = True
             raise StorageError(f"write to {self.folder}: {error}") from error
@@ -201,6 +231,58 @@
             os.close(handle)
 
 
+class SnapshotWriter:
+    """Writes a snapshot part by part, each synced, and names it at the end.
+
+    The file counts only once it is whole and in place; until then the old
+    snapshot and the log stand.
+    """
+
+    def __init__(self, storage: Storage, mark: messages.SnapshotMark):
+        self.storage = storage
+        self.mark = mark
+        self.path = os.path.join(storage.folder, SNAPSHOT_FILE)
+        self.count = 0
+        with storage.guard():
+            self.handle = open_new(self.path)
+            storage.write_all(self.handle, _frame(_ENCODER.encode(mark)))
+
+    def add(self, parts):
+        """Write and sync some parts.
+
+        Raises
+        ------
+        StorageError
+        """
+        data = b"".join(_frame(part) for part in parts)
+        self.count += len(parts)
+        with self.storage.guard():
+            self.storage.write_all(self.handle, data)
+            self.storage.fsync(self.handle)
+
+    def finish(self, state):
+        """Put the snapshot in place, then a log that starts after it."""
+        end = _frame(_ENCODER.encode(SnapshotEnd(self.count)))
+        with self.storage.guard():
+            self.storage.write_all(self.handle, end)
+            self.storage.fsync(self.handle)
+            self.abandon()
+            self.storage.put_in_place(self.path)
+        self.storage.start_log_after(self.mark, state)
+
+    def abandon(self):
+        """Close the file; what was written of it counts for nothing."""
+        if self.handle is not None:
+            os.close(self.handle)
+            self.handle = None
+
+
+def open_new(path: str) -> int:
+    """Open the file that will replace another one."""
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+    return os.open(path + ".new", flags, 0o600)
+
+
 def split_records(data: bytes):
     """Split a file into records.
 
--- a/chervilspindle/control/storage_test.py
+++ b/chervilspindle/control/storage_test.py
@@ -89,7 +89,9 @@
     storage, _ = open_storage(tmp_path)
     state = build_state(5)._replace(commit_index=5)
     mark = messages.SnapshotMark(5, 1, ())
-    storage.save_snapshot(storage_module.SnapshotFile(mark, b"x" * 50), state)
+    storage.save_snapshot(
+        storage_module.SnapshotFile(mark, (b"x" * 50,)), state
+    )
     storage.close()
     path = tmp_path / "snapshot"
     path.write_bytes(path.read_bytes()[:-1] + b"?")
@@ -104,11 +106,11 @@
     compacted = raft.compact(state, 5)
     mark = messages.SnapshotMark(5, 1, ())
     storage.save_snapshot(
-        storage_module.SnapshotFile(mark, b"tables"), compacted
+        storage_module.SnapshotFile(mark, (b"ta", b"bles")), compacted
     )
     storage.close()
     _, recovered = open_storage(tmp_path)
-    assert recovered.snapshot.data == b"tables"
+    assert recovered.snapshot.parts == (b"ta", b"bles")
     assert [e.index for e in recovered.log] == [6, 7, 8]
 
 
@@ -145,3 +147,53 @@
     write(tmp_path, build_state(2))
     with pytest.raises(storage_module.StorageError):
         storage_module.create_identity(str(tmp_path), "g", "vm")
+
+
+def begin_snapshot(storage, state, index=5):
+    mark = messages.SnapshotMark(index, 1, ())
+    writer = storage.begin_snapshot(mark)
+    writer.add((b"first", b"second"))
+    return writer
+
+
+def test_unfinished_snapshot_counts_for_nothing(tmp_path):
+    storage, _ = open_storage(tmp_path)
+    state = build_state(8)._replace(commit_index=5)
+    storage.persist(build_state(term=0), state)
+    begin_snapshot(storage, state)
+    # The log goes on while the snapshot is written, then the VM crashes.
+    longer = build_state(9)._replace(commit_index=5)
+    storage.persist(state, longer)
+    storage.close()
+    _, recovered = open_storage(tmp_path)
+    assert recovered.snapshot == storage_module.EMPTY_SNAPSHOT
+    assert len(recovered.log) == 9
+
+
+def test_entries_written_during_a_snapshot_follow_it(tmp_path):
+    storage, _ = open_storage(tmp_path)
+    state = build_state(8)._replace(commit_index=5)
+    storage.persist(build_state(term=0), state)
+    writer = begin_snapshot(storage, state)
+    longer = build_state(9)._replace(commit_index=9)
+    storage.persist(state, longer)
+    writer.finish(raft.compact(longer, 5))
+    storage.close()
+    _, recovered = open_storage(tmp_path)
+    assert recovered.snapshot.parts == (b"first", b"second")
+    assert [e.index for e in recovered.log] == [6, 7, 8, 9]
+
+
+def test_snapshot_without_its_end_is_refused(tmp_path):
+    storage, _ = open_storage(tmp_path)
+    state = build_state(8)._replace(commit_index=5)
+    storage.persist(build_state(term=0), state)
+    begin_snapshot(storage, state).finish(raft.compact(state, 5))
+    storage.close()
+    path = tmp_path / "snapshot"
+    data = path.read_bytes()
+    records, _ = storage_module.split_records(data)
+    last = storage_module.HEADER.size + len(records[-1])
+    path.write_bytes(data[:-last])
+    with pytest.raises(storage_module.StorageError):
+        open_storage(tmp_path)
