Send a command on to another replica if it was never dispatched

Found again on the fake clock: with a killed entry 2 of 20 commands were refused before its lease ended, none with this change. Ruled out: resending what may have been dispatched; only an owner's word that it never dispatched, or a link that can't be reached, sends a command on, in the same attempt under the same claim.

--- a/chervilspindle/control/leader.py
+++ b/chervilspindle/control/leader.py
@@ -196,6 +196,7 @@
         "snapshots": sorted({h.snapshot for h in endpoint.holdings}),
         "owner": ownership.session if ownership else "",
         "epoch": ownership.epoch if ownership else 0,
+        "handed_over_by": ownership.previous if ownership else "",
     }
 
 
--- a/chervilspindle/query/commands.py
+++ b/chervilspindle/query/commands.py
@@ -22,6 +22,7 @@
 RESOLVE_TIMEOUT_S = 60.0
 LATE_REPLY_S = 5.0
 IN_PROGRESS_MS = 35000
+MAX_SENDS = 4
 
 
 class CommandRequest(typing.NamedTuple):
@@ -92,10 +93,12 @@
 
     @defer.inlineCallbacks
     def _send(self, request, endpoint_id, due):
-        """Send a claimed command to the owner, or to the one after it.
+        """Send a claimed command to an owner, or to another one after it.
 
-        It is sent on only if the owner says that it never dispatched it.
+        It is sent on only if the owner says that it never dispatched it, or
+        if nothing was sent since the owner can't be reached.
         """
+        tried = []
         while True:
             remaining_s = due - self.timers.clock.seconds()
             route = self.directory.get_route(endpoint_id)
@@ -104,23 +107,32 @@
                 return messages.CommandReply(
                     kind, False, 0, messages.EMPTY_VALUE
                 )
+            tried.append(endpoint_id)
             reply = yield self._dispatch(
                 request, endpoint_id, route, remaining_s
             )
-            if reply.status != errors.ErrorKind.NOT_OWNER.value:
+            if reply.dispatched or reply.status not in _ELSEWHERE:
                 return reply
-            if not self.directory.reroute(endpoint_id, route.epoch):
+            if len(tried) >= MAX_SENDS:
+                return reply
+            if self.directory.reroute(endpoint_id, route.epoch):
+                continue
+            left = [i for i in self._list_replicas(request) if i not in tried]
+            endpoint_id = self.choose_endpoint(left)
+            if endpoint_id is None:
                 return reply
 
     def _choose(self, request):
-        slot = directory_module.hash_key(request.key)
-        plan = self.directory.plan_query((request.service,), slot)
-        ids = plan.shards[0].endpoint_ids if plan.shards else ()
-        endpoint_id = self.choose_endpoint(ids)
+        endpoint_id = self.choose_endpoint(self._list_replicas(request))
         if endpoint_id is None:
             raise self._build_not_run(request, errors.ErrorKind.NO_ENDPOINT)
         return endpoint_id
 
+    def _list_replicas(self, request):
+        slot = directory_module.hash_key(request.key)
+        plan = self.directory.plan_query((request.service,), slot)
+        return plan.shards[0].endpoint_ids if plan.shards else ()
+
     @defer.inlineCallbacks
     def _claim(self, request, claim):
         try:
@@ -306,6 +318,17 @@
         )
 
 
+_ELSEWHERE = frozenset(
+    kind.value
+    for kind in (
+        errors.ErrorKind.NOT_OWNER,
+        errors.ErrorKind.NO_ENDPOINT,
+        errors.ErrorKind.NO_LEASE,
+        errors.ErrorKind.DRAINING,
+    )
+)
+
+
 def build_claim_id(request: CommandRequest) -> str:
     """Return the key under which a request is claimed."""
     return f"{request.customer}/{request.idempotency_key}"
--- a/features/decisions_test.py
+++ b/features/decisions_test.py
@@ -182,3 +182,18 @@
         if not vm.process.killed and vm.entry.is_ready()
     ]
     return world.random.choice(ready)
+
+
+def test_command_goes_to_another_replica_if_it_was_never_dispatched(world):
+    """A lost owner costs no command while another replica is owned."""
+    world.vm_by_name["entry-2"].kill()
+    entry = world.vm_by_name["entry-1"]
+    outcomes = []
+    for number in range(20):
+        outcomes.append(world.command(f"late-{number}", entry))
+        world.advance(0.1)
+    world.advance(1.0)
+    promises.check_all(world)
+    refused = [o.problem for o in outcomes if o.problem and o.problem.not_run]
+    assert refused == []
+    assert sum(1 for o in outcomes if o.answer) >= 18
