Hedge a part only while most others of its query are answered

Ruled out: a larger share of extra load (the target allows 10 %, the users weigh it), a larger burst (the pause would spend that too). The making of answers moves out of gather.py, unchanged.

--- a/chervilspindle/policy/hedging.py
+++ b/chervilspindle/policy/hedging.py
@@ -1,11 +1,13 @@
 """When to hedge, and the budget for extra load on endpoints.
 
 A part that is late against recent times of its service is sent to another
-replica as well (Dean and Barroso, "The Tail at Scale",
-2013). First sends fill the budgets that hedges and retries draw on, so the
-extra load stays a fixed share even when every request is late. Retries have
-a budget of their own: they follow a loss, when the first send is no load
-any more, and coverage depends on them.
+replica as well (Dean and Barroso, "The Tail at Scale", 2013), at first
+only while most others of its query are answered: when all are late, none is a
+straggler.
+First sends fill the budgets that hedges and retries draw on, so the extra
+load stays a fixed share even when every request is late. Retries have a
+budget of their own: they follow a loss, when the first send is no load any
+more, and coverage depends on them.
 """
 
 import typing
@@ -19,6 +21,10 @@
 TYPICAL_SMOOTHING = 0.05
 MAX_LATE_RATIO = 3.0
 HEDGE_BURST = 10.0
+LEAST_COMPARED = 4  # shards
+MAX_UNSETTLED_SHARE = 0.5
+CERTAIN_RATIO = 2.5
+RECHECK_MS = 10.0
 RETRY_SHARE = 0.1
 RETRY_BURST = 200.0
 
@@ -121,6 +127,25 @@
     return min(MAX_LATE_RATIO, sorted(ratios)[rank])
 
 
+def is_straggler(shards: int, unsettled: int, late: float) -> bool:
+    """Tell whether a late part is late against the others of its query.
+
+    When most parts of a query are late, their common way is slow, such as a
+    VM that paused for a moment, and a hedge of each would only add load.
+
+    Parameters
+    ----------
+    shards, unsettled : int
+        Shards of the query, and how many of them have no answer yet.
+    late : float
+        Time since the part was first sent, over the delay after which it
+        counts as late; from some multiple on it is hedged in any case.
+    """
+    if shards < LEAST_COMPARED or late >= CERTAIN_RATIO:
+        return True
+    return unsettled <= shards * MAX_UNSETTLED_SHARE
+
+
 def get_delay_ms(state: Lateness, service: str) -> float:
     """Return after how long a part of a service is late, in ms."""
     typical = state.typical_ms_by_service.get(service)
--- a/chervilspindle/policy/policy_test.py
+++ b/chervilspindle/policy/policy_test.py
@@ -151,3 +151,12 @@
     for now in range(10):
         state = limits.note_success(state, 10.0, 100.0 + now)
     assert state.service_ms < 200.0
+
+
+def test_part_is_late_only_against_the_others_of_its_query():
+    assert hedging.is_straggler(10, 1, 1.0)
+    assert hedging.is_straggler(10, 5, 1.0)
+    assert not hedging.is_straggler(10, 6, 1.0)
+    assert hedging.is_straggler(10, 6, hedging.CERTAIN_RATIO)
+    assert hedging.is_straggler(1, 1, 1.0)
+    assert hedging.is_straggler(2, 2, 1.0)
--- a/chervilspindle/query/gather.py
+++ b/chervilspindle/query/gather.py
@@ -15,7 +15,7 @@
 from chervilspindle.policy import admission
 from chervilspindle.policy import hedging
 from chervilspindle.policy import replicas
-from chervilspindle.query import coverage
+from chervilspindle.query import answers
 from chervilspindle.query import directory as directory_module
 from chervilspindle.query import running
 from chervilspindle.wire import messages
@@ -309,6 +309,12 @@
         """
         if shard.settled or len(shard.tried) >= MAX_SENDS:
             return
+        if not self._is_straggler(query, shard):
+            item = (query.attempt, shard.index)
+            due = self.read_clock() + hedging.RECHECK_MS
+            kind = "rescue" if is_rescue else "hedge"
+            self._schedule(due, kind, query, item)
+            return
         endpoint_id = self._choose_hedge(shard)
         if endpoint_id is None:
             return
@@ -320,6 +326,11 @@
         self.metrics.count_extra(reason)
         self._send_parts(query, [(shard, endpoint_id)], reason)
 
+    def _is_straggler(self, query, shard):
+        delay = hedging.get_delay_ms(self.lateness, shard.plan.service)
+        late = (self.read_clock() - shard.sent_ms) / delay
+        return hedging.is_straggler(len(query.shards), query.open_count, late)
+
     def _spend_hedge(self, is_rescue):
         if is_rescue:
             self.rescue_budget, granted = hedging.spend(self.rescue_budget)
@@ -558,24 +569,11 @@
                 shard.reason = deadline
                 self._mark_failed(shard)
         self._cancel_parts(query, query.shards)
-        missing = query.plan.missing + tuple(
-            coverage.Missing(s.plan.service, s.plan.low, s.plan.high, s.reason)
-            for s in query.shards
-            if s.value is None
-        )
-        results = tuple(
-            (
-                s.plan.service,
-                coverage.name_shard(s.plan.low, s.plan.high),
-                s.value,
-            )
-            for s in query.shards
-            if s.value is not None
-        )
+        missing = answers.list_missing(query)
+        results = answers.list_results(query)
         self._note_answer(query, results, missing)
         if missing and (not results or not request.partial):
-            error = self._build_failure(query, missing)
-            query.deferred.errback(error)
+            query.deferred.errback(answers.build_failure(query, missing))
             return
         answer = running.Answer(
             request.request_id, query.plan.snapshot, results, missing
@@ -604,24 +602,6 @@
             elapsed_ms=round(self.read_clock() - query.started_ms, 2),
         )
 
-    def _build_failure(self, query, missing):
-        ran = query.ran_before or any(
-            s.may_have_run or s.value is not None for s in query.shards
-        )
-        retry_after = max((s.retry_after_ms for s in query.shards), default=0)
-        reasons = {row.reason for row in missing}
-        kind = errors.ErrorKind.INCOMPLETE
-        if len(reasons) == 1:
-            kind = errors.ErrorKind(next(iter(reasons)))
-        return errors.build_error(
-            kind,
-            f"{len(missing)} shards are missing: "
-            + ", ".join(sorted(reasons)),
-            not_run=not ran,
-            retry_after_ms=retry_after,
-            request_id=query.request.request_id,
-        )
-
     def _count_parts(self, request, count):
         self.parts_in_flight += count
         left = self.parts_by_customer.get(request.customer, 0) + count
