--- /dev/null
+++ b/chervilspindle/query/health.py
@@ -0,0 +1,165 @@
+"""Watches the endpoints of an owner: silent links, stalls, lost endpoints.
+
+A request that is late is asked after on a fresh connection. What comes back
+tells a slow endpoint from a connection that something between the two ends
+has lost track of. An endpoint that answers no probe is suspect and gets no
+work until it does; one that takes requests and ends none is paused; one that
+announces itself no more is reported as lost.
+"""
+
+import logging
+
+from chervilspindle.core import errors
+from chervilspindle.core import logs
+from chervilspindle.policy import limits
+from chervilspindle.query import owned as owned_module
+from chervilspindle.wire import messages
+
+LOGGER = logging.getLogger(__name__)
+
+LOST_AFTER_MS = 3500.0
+SUSPECT_RATIO = 4.0
+SUSPECT_MIN_MS = 60.0
+PROBE_BACKOFF = 3.0
+PROBE_MAX_MS = 1000.0
+SUSPECT_PROBE_MS = 500.0
+
+
+class HealthWatch:
+    """Checks of the endpoints of one owner.
+
+    Parameters
+    ----------
+    owner : Owner
+    """
+
+    def __init__(self, owner):
+        self.owner = owner
+
+    def get_suspect_ms(self, owned) -> float:
+        """Return after how long a request at an endpoint is asked after."""
+        return max(SUSPECT_MIN_MS, SUSPECT_RATIO * owned.limit.service_ms)
+
+    def probe(self, owned, work):
+        """Ask on a fresh connection whether a late request is running."""
+        work.probing = True
+        self.owner.metrics.count_probe()
+        deferred = owned.client.probe(work.run_id)
+        deferred.addCallback(self._probed, owned, work)
+        deferred.addErrback(_log_failure)
+
+    def _probed(self, state, owned, work):
+        work.probing = False
+        now = self.owner.read_clock()
+        if work.state != owned_module.RUNNING:
+            return
+        late = now - work.started_ms
+        work.probe_ms = now + min(PROBE_MAX_MS, PROBE_BACKOFF * late)
+        self._note_probe(owned, state is not None)
+        if state is None:
+            # The slot stays taken; the gatherer may try elsewhere.
+            self._answer_lost(owned, work)
+            return
+        if state.state == "running":
+            return
+        logs.log_decision(
+            "connection-silent",
+            request_id=work.job.request_id,
+            endpoint=owned.row.endpoint_id,
+            run_state=state.state,
+        )
+        self.owner.metrics.count_silent()
+        if state.state == "finished" and state.result is not None:
+            self.owner.answer(
+                owned,
+                work,
+                _read_status(work.job, state.result),
+                True,
+                0,
+                late,
+                bytes(state.result.value),
+            )
+        work.call.cancel()
+
+    def _answer_lost(self, owned, work):
+        kind = errors.ErrorKind.CONNECTION_LOST
+        if work.job.key is not None:
+            kind = errors.ErrorKind.OUTCOME_UNKNOWN
+        self.owner.answer(
+            owned, work, kind.value, True, 0, 0.0, messages.EMPTY_VALUE
+        )
+
+    def _note_probe(self, owned, answered):
+        if owned.suspect != answered:
+            return
+        owned.suspect = not answered
+        owned.suspect_probe_ms = self.owner.read_clock() + SUSPECT_PROBE_MS
+        logs.log_decision(
+            "endpoint-suspect",
+            endpoint=owned.row.endpoint_id,
+            suspect=owned.suspect,
+        )
+        if owned.suspect:
+            self.owner.refuse_queue(owned, errors.ErrorKind.NO_ENDPOINT)
+
+    def check_stalled(self, owned, now):
+        """Give up on an endpoint that takes requests and ends none.
+
+        Its slots stay taken. Parts are answered as lost, so that gatherers
+        try other replicas; a command waits for its outcome.
+        """
+        if not owned.running or now < owned.limit.stalled_until_ms:
+            return
+        started = [work.started_ms for work in owned.running.values()]
+        if not limits.is_stalled(owned.limit, started, now):
+            return
+        owned.limit = limits.note_stall(owned.limit, now)
+        logs.log_decision(
+            "endpoint-stalled",
+            endpoint=owned.row.endpoint_id,
+            running=len(started),
+            pause_ms=owned.limit.stalled_until_ms - now,
+        )
+        for work in list(owned.running.values()):
+            if work.job.key is None:
+                self._answer_lost(owned, work)
+        self.owner.refuse_queue(owned, errors.ErrorKind.NO_ENDPOINT)
+
+    def check_suspect(self, owned, now):
+        """Probe a suspect endpoint until it answers again."""
+        if not owned.suspect or now < owned.suspect_probe_ms:
+            return
+        owned.suspect_probe_ms = now + SUSPECT_PROBE_MS
+        self.owner.metrics.count_probe()
+        deferred = owned.client.probe("health")
+        deferred.addCallback(
+            lambda state: self._note_probe(owned, state is not None)
+        )
+        deferred.addErrback(_log_failure)
+
+    def check_heard(self, owned, now):
+        """Report an endpoint as lost that announces itself no more."""
+        if self.owner.directory.sole_owner:
+            # Each announcement reaches one entry, which here owns all.
+            return
+        if owned.reported_lost or now < owned.last_heard_ms + LOST_AFTER_MS:
+            return
+        owned.reported_lost = True
+        row = owned.row._replace(state="lost", sequence=owned.row.sequence + 1)
+        logs.log_decision("endpoint-lost", endpoint=row.endpoint_id)
+        owned.row = row
+        self.owner.refuse_queue(owned, errors.ErrorKind.NO_ENDPOINT)
+        self.owner.session.report(row)
+
+
+def _read_status(job, result) -> str:
+    """Return the status of a result that a probe brought."""
+    if result.kind:
+        return result.kind
+    if job.key is None and result.snapshot != job.snapshot:
+        return errors.ErrorKind.SNAPSHOT_GONE.value
+    return "ok"
+
+
+def _log_failure(failure):
+    LOGGER.error("health check failed: %s", failure.getTraceback())
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -15,6 +15,7 @@
 from chervilspindle.policy import admission
 from chervilspindle.policy import limits
 from chervilspindle.query import handover
+from chervilspindle.query import health
 from chervilspindle.query import owned as owned_module
 from chervilspindle.wire import messages
 
@@ -22,14 +23,8 @@
 
 TICK_S = 0.02
 FULL_PASS_S = 0.1
-LOST_AFTER_MS = 3500.0
 MAX_QUEUED = 5000
 CANCEL_GRACE_MS = 250.0
-SUSPECT_RATIO = 4.0
-SUSPECT_MIN_MS = 60.0
-PROBE_BACKOFF = 3.0
-PROBE_MAX_MS = 1000.0
-SUSPECT_PROBE_MS = 500.0
 COMMANDS_REMEMBERED = 10000
 
 
@@ -79,6 +74,7 @@
         self.full_pass_ms = -math.inf
         self.wake_planned = False
         self.commands_seen = {}
+        self.health = health.HealthWatch(self)
         self.desk = handover.HandoverDesk(
             self, directory, session, call, timers
         )
@@ -230,7 +226,7 @@
         owned.reported_lost = False
         if load.state != owned.row.state and load.state == "draining":
             owned.row = owned.row._replace(state="draining")
-            self._refuse_queue(owned, errors.ErrorKind.DRAINING)
+            self.refuse_queue(owned, errors.ErrorKind.DRAINING)
         if owned.foreign_told_until_ms <= now < owned.foreign_until_ms:
             foreign = load.in_use - len(owned.running)
             owned.foreign = max(0, min(owned.row.slots, foreign))
@@ -254,11 +250,11 @@
                 is_active = True
                 self._expire_queue(owned, now)
                 self._check_running(owned, now)
-                self._check_stalled(owned, now)
+                self.health.check_stalled(owned, now)
                 self._dispatch(owned, now)
             if is_full_pass:
-                self._check_heard(owned, now)
-                self._check_suspect(owned, now)
+                self.health.check_heard(owned, now)
+                self.health.check_suspect(owned, now)
                 owned.queue.forget_idle()
         for owned in list(self.closing):
             self._check_running(owned, now)
@@ -303,7 +299,7 @@
         owned = self.owned_by_id.pop(endpoint_id)
         owned.released = True
         self._plan_wake()
-        self._refuse_queue(owned, errors.ErrorKind.NOT_OWNER)
+        self.refuse_queue(owned, errors.ErrorKind.NOT_OWNER)
         self.closing.append(owned)
         logs.log_decision(
             "owner-lost", endpoint=endpoint_id, epoch=owned.epoch
@@ -326,7 +322,7 @@
             owned.limit = owned.limit._replace(slots=endpoint.slots)
         owned.row = endpoint
         if endpoint.state == "draining":
-            self._refuse_queue(owned, errors.ErrorKind.DRAINING)
+            self.refuse_queue(owned, errors.ErrorKind.DRAINING)
 
     def _admit(self, work: owned_module.Work, now: float):
         if not self.is_fair:
@@ -369,7 +365,7 @@
     def _dispatch(self, owned: owned_module.OwnedEndpoint, now: float):
         while owned.queue.size and owned.count_free(now) > 0:
             if not self.session.is_valid():
-                self._refuse_queue(owned, errors.ErrorKind.NO_LEASE)
+                self.refuse_queue(owned, errors.ErrorKind.NO_LEASE)
                 return
             if not owned.takes_work(now):
                 return
@@ -387,7 +383,7 @@
         job = work.job
         work.state = owned_module.RUNNING
         work.started_ms = now
-        work.probe_ms = now + self._get_suspect_ms(owned)
+        work.probe_ms = now + self.health.get_suspect_ms(owned)
         work.run_id = (
             f"{job.request_id}.{job.attempt}.{next(self.run_numbers)}"
         )
@@ -426,7 +422,7 @@
                 status = errors.ErrorKind.SNAPSHOT_GONE.value
         if status == errors.ErrorKind.CANCELLED.value and not work.answered:
             status = errors.ErrorKind.ENDPOINT_FAILED.value
-        self._answer(
+        self.answer(
             owned,
             work,
             status,
@@ -465,9 +461,10 @@
             owned.limit = limits.note_shed(owned.limit, now)
             self.metrics.count_shed()
 
-    def _answer(
+    def answer(
         self, owned, work, status, dispatched, retry_after, service_ms, value
     ):
+        """Answer work once; later answers are dropped."""
         if work.answered:
             return
         work.answered = True
@@ -499,7 +496,7 @@
         owned = self.owned_by_id.get(work.job.part.endpoint_id)
         self._forget(work)
         work.state = owned_module.ENDED
-        self._answer(
+        self.answer(
             owned,
             work,
             kind.value,
@@ -509,7 +506,8 @@
             messages.EMPTY_VALUE,
         )
 
-    def _refuse_queue(self, owned, kind):
+    def refuse_queue(self, owned, kind):
+        """Refuse all that waits at an endpoint, as never dispatched."""
         for customer, work in owned.queue.list_lowest():
             owned.queue.drop(customer)
             self._refuse(work, kind)
@@ -539,13 +537,13 @@
             if now > work.probe_ms and not work.probing:
                 # The slot of a cancelled request stays taken until the
                 # endpoint says that it is free: one that hangs gets no more.
-                self._probe(owned, work)
+                self.health.probe(owned, work)
 
     def _give_up_running(self, owned, work, now):
         kind = errors.ErrorKind.DEADLINE
         if work.job.key is not None:
             kind = errors.ErrorKind.OUTCOME_UNKNOWN
-        self._answer(
+        self.answer(
             owned, work, kind.value, True, 0, 0.0, messages.EMPTY_VALUE
         )
         if work.job.key is None:
@@ -571,119 +569,6 @@
         work.probe_ms = now + CANCEL_GRACE_MS
         owned.client.cancel(work.run_id)
 
-    def _get_suspect_ms(self, owned) -> float:
-        return max(SUSPECT_MIN_MS, SUSPECT_RATIO * owned.limit.service_ms)
-
-    def _probe(self, owned, work):
-        """Ask on a fresh connection whether a late request is running."""
-        work.probing = True
-        self.metrics.count_probe()
-        deferred = owned.client.probe(work.run_id)
-        deferred.addCallback(self._probed, owned, work)
-        deferred.addErrback(_log_failure)
-
-    def _probed(self, state, owned, work):
-        work.probing = False
-        now = self.read_clock()
-        if work.state != owned_module.RUNNING:
-            return
-        late = now - work.started_ms
-        work.probe_ms = now + min(PROBE_MAX_MS, PROBE_BACKOFF * late)
-        self._note_probe(owned, state is not None)
-        if state is None:
-            # The slot stays taken; the gatherer may try elsewhere.
-            self._answer_lost(owned, work)
-            return
-        if state.state == "running":
-            return
-        logs.log_decision(
-            "connection-silent",
-            request_id=work.job.request_id,
-            endpoint=owned.row.endpoint_id,
-            run_state=state.state,
-        )
-        self.metrics.count_silent()
-        if state.state == "finished" and state.result is not None:
-            self._answer(
-                owned,
-                work,
-                "ok" if not state.result.kind else state.result.kind,
-                True,
-                0,
-                late,
-                bytes(state.result.value),
-            )
-        work.call.cancel()
-
-    def _answer_lost(self, owned, work):
-        kind = errors.ErrorKind.CONNECTION_LOST
-        if work.job.key is not None:
-            kind = errors.ErrorKind.OUTCOME_UNKNOWN
-        self._answer(
-            owned, work, kind.value, True, 0, 0.0, messages.EMPTY_VALUE
-        )
-
-    def _note_probe(self, owned, answered):
-        if owned.suspect != answered:
-            return
-        owned.suspect = not answered
-        owned.suspect_probe_ms = self.read_clock() + SUSPECT_PROBE_MS
-        logs.log_decision(
-            "endpoint-suspect",
-            endpoint=owned.row.endpoint_id,
-            suspect=owned.suspect,
-        )
-        if owned.suspect:
-            self._refuse_queue(owned, errors.ErrorKind.NO_ENDPOINT)
-
-    def _check_stalled(self, owned, now):
-        """Give up on an endpoint that takes requests and ends none.
-
-        Its slots stay taken. Parts are answered as lost, so that gatherers
-        try other replicas; a command waits for its outcome.
-        """
-        if not owned.running or now < owned.limit.stalled_until_ms:
-            return
-        started = [work.started_ms for work in owned.running.values()]
-        if not limits.is_stalled(owned.limit, started, now):
-            return
-        owned.limit = limits.note_stall(owned.limit, now)
-        logs.log_decision(
-            "endpoint-stalled",
-            endpoint=owned.row.endpoint_id,
-            running=len(started),
-            pause_ms=owned.limit.stalled_until_ms - now,
-        )
-        for work in list(owned.running.values()):
-            if work.job.key is None:
-                self._answer_lost(owned, work)
-        self._refuse_queue(owned, errors.ErrorKind.NO_ENDPOINT)
-
-    def _check_suspect(self, owned, now):
-        """Probe a suspect endpoint until it answers again."""
-        if not owned.suspect or now < owned.suspect_probe_ms:
-            return
-        owned.suspect_probe_ms = now + SUSPECT_PROBE_MS
-        self.metrics.count_probe()
-        deferred = owned.client.probe("health")
-        deferred.addCallback(
-            lambda state: self._note_probe(owned, state is not None)
-        )
-        deferred.addErrback(_log_failure)
-
-    def _check_heard(self, owned, now):
-        if self.directory.sole_owner:
-            # Each announcement reaches one entry, which here owns all.
-            return
-        if owned.reported_lost or now < owned.last_heard_ms + LOST_AFTER_MS:
-            return
-        owned.reported_lost = True
-        row = owned.row._replace(state="lost", sequence=owned.row.sequence + 1)
-        logs.log_decision("endpoint-lost", endpoint=row.endpoint_id)
-        owned.row = row
-        self._refuse_queue(owned, errors.ErrorKind.NO_ENDPOINT)
-        self.session.report(row)
-
     def _build_answer(self, target):
         def answer(job, reply):
             key = (id(target), job.request_id, job.attempt)
--- a/chervilspindle/query/owner_test.py
+++ b/chervilspindle/query/owner_test.py
@@ -41,6 +41,7 @@
         self.call_by_run = {}
         self.cancelled = []
         self.state = "running"
+        self.result = None
 
     def run_query(self, run_id, *rest):
         return self._start(run_id)
@@ -54,7 +55,8 @@
     def probe(self, run_id):
         if self.state is None:
             return defer.succeed(None)
-        return defer.succeed(endpoint_client.RunState(self.state))
+        state = endpoint_client.RunState(self.state, self.result)
+        return defer.succeed(state)
 
     def close(self):
         pass
@@ -376,3 +378,21 @@
     # Control says that the owner before has ended.
     setting.put(ownership=rows.Ownership("e", SESSION, 3))
     assert setting.owner.owned_by_id["e"].foreign == 2
+
+
+@pytest.mark.parametrize(
+    "snapshot,kind,status",
+    (
+        (1, "", "ok"),
+        (2, "", "snapshot_gone"),
+        (1, "endpoint_failed", "endpoint_failed"),
+    ),
+)
+def test_result_behind_a_silent_connection_is_checked(
+    setting, snapshot, kind, status
+):
+    setting.client.state = "finished"
+    setting.client.result = endpoint_client.RunBody("r", snapshot, kind=kind)
+    setting.submit(1)
+    setting.pass_time(0.5)
+    assert [p.status for p in setting.target.parts] == [status]
--- a/chervilspindle/wire/endpoint_client.py
+++ b/chervilspindle/wire/endpoint_client.py
@@ -204,7 +204,7 @@
         try:
             response = yield request
             data = yield treq.content(response)
-            return _STATE.decode(data)
+            return read_state(data)
         except Exception:
             return None
 
@@ -253,11 +253,8 @@
         return _build_failure(errors.ErrorKind.CONNECTION_LOST, True)
     if code == 200:
         return RunResult("ok", True, 0, body.snapshot, bytes(body.value))
-    kind = _KIND_BY_ENDPOINT_KIND.get(
-        body.kind, errors.ErrorKind.CONNECTION_LOST
-    )
     return RunResult(
-        kind.value,
+        read_kind(body.kind),
         not body.not_run,
         body.retry_after_ms,
         body.snapshot,
@@ -265,6 +262,27 @@
     )
 
 
+def read_state(data: bytes) -> RunState:
+    """Turn the answer to a probe into a state, with an `ErrorKind` if any.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+    """
+    state = _STATE.decode(data)
+    if state.result is not None and state.result.kind:
+        state.result.kind = read_kind(state.result.kind)
+    return state
+
+
+def read_kind(endpoint_kind: str) -> str:
+    """Return the value of the `ErrorKind` that an endpoint's word means."""
+    kind = _KIND_BY_ENDPOINT_KIND.get(
+        endpoint_kind, errors.ErrorKind.CONNECTION_LOST
+    )
+    return kind.value
+
+
 _KIND_BY_ENDPOINT_KIND = {
     "shed": errors.ErrorKind.OVERLOADED,
     "draining": errors.ErrorKind.DRAINING,
