Answer oversized header lines; ask again for an endpoint in its time

Found by reading: a handover answered while the endpoint's row was missing was asked again at once, without a pause.

--- a/chervilspindle/query/handover.py
+++ b/chervilspindle/query/handover.py
@@ -129,10 +129,8 @@
     def _answered(self, reply, pull):
         row = self.directory.ownership_by_id.get(pull.endpoint_id)
         endpoint = self.directory.endpoint_by_id.get(pull.endpoint_id)
-        if endpoint is None or not self._is_awaited(pull, row):
-            self._ask(pull)
-            return
-        if not reply.granted:
+        awaited = endpoint is not None and self._is_awaited(pull, row)
+        if not awaited or not reply.granted:
             self.timers.call_later(RETRY_S, self._ask, pull)
             return
         del self.pull_by_id[pull.endpoint_id]
--- a/chervilspindle/wire/http_api.py
+++ b/chervilspindle/wire/http_api.py
@@ -66,19 +66,32 @@
 
     def _refuse(self):
         self.refused = True
-        problem = errors.build_problem(
-            errors.ErrorKind.TOO_LARGE,
-            f"the body is larger than {MAX_BODY_BYTES} bytes",
-            source="body",
-        )
-        body = json.dumps(errors.describe_problem(problem)).encode()
-        head = (
-            "HTTP/1.1 413 Request Entity Too Large\r\n"
-            "Content-Type: application/problem+json\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-        )
-        self.channel.transport.write(head.encode() + body)
-        self.channel.loseConnection()
+        detail = f"the body is larger than {MAX_BODY_BYTES} bytes"
+        refuse_too_large(self.channel, detail, "body")
+
+
+class LimitedChannel(http.HTTPChannel):
+    """Answers a line of the head that is over the limit."""
+
+    def lineLengthExceeded(self, line):
+        """Refuse the request and close the connection."""
+        detail = f"a header line is longer than {self.MAX_LENGTH} bytes"
+        refuse_too_large(self, detail, "header")
+
+
+def refuse_too_large(channel, detail: str, source: str):
+    """Answer a request that is not read to its end, then close."""
+    problem = errors.build_problem(
+        errors.ErrorKind.TOO_LARGE, detail, source=source
+    )
+    body = json.dumps(errors.describe_problem(problem)).encode()
+    head = (
+        "HTTP/1.1 413 Request Entity Too Large\r\n"
+        "Content-Type: application/problem+json\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    channel.transport.write(head.encode() + body)
+    channel.loseConnection()
 
 
 class HttpApi:
@@ -108,6 +121,7 @@
             timeout=IDLE_TIMEOUT_S,
         )
         site.displayTracebacks = False
+        site.protocol = LimitedChannel
         return site
 
     @app.route("/v1/query", methods=["POST"])
--- a/features/http_api_test.py
+++ b/features/http_api_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 import treq.testing
+from twisted.internet import testing
 
 from chervilspindle.query import entry as entry_module
 from chervilspindle.wire import http_api
@@ -200,3 +201,19 @@
     )
     assert response.code == 400
     assert problem["source"].startswith(f"$.{field}")
+
+
+def test_header_line_over_the_limit_is_refused(world):
+    api = http_api.HttpApi(world.vm_by_name["entry-1"].entry)
+    channel = api.build_site().buildProtocol(None)
+    transport = testing.StringTransport()
+    channel.makeConnection(transport)
+    channel.dataReceived(
+        b"GET /healthz HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 40000
+    )
+    head, _, body = transport.value().partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 413")
+    problem = json.loads(body)
+    assert problem["source"] == "header"
+    assert problem["not_run"] is True
+    assert transport.disconnecting
