Draw the ports of a test deployment at random

Cause: two runs of the real scenarios at the same time, to look for flaky ones: one passed 14 of 14, the other 13, with "Address already in use" in the logs of all processes of one scenario. Both test processes had looked for ports at the same place at the same moment.

--- a/features/processes.py
+++ b/features/processes.py
@@ -1,8 +1,8 @@
 """A deployment of real processes, and a relay that can be cut."""
 
-import itertools
 import json
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -18,20 +18,17 @@
 FIRST_PORT = 10000
 LAST_PORT = 32000
 
-_RUNS = itertools.count()
-
 
 def find_free_ports(count):
     """Return the first of a run of ports that are free now.
 
     The ports lie below those that the kernel gives to outgoing connections,
-    which could take one before its process listens; each call goes on where
-    the last one ended, and each process starts elsewhere.
+    which could take one before its process listens. The run is drawn, since
+    another test process may look for one at the same time.
     """
     steps = (LAST_PORT - FIRST_PORT) // count
     for _ in range(steps):
-        step = (os.getpid() * 7 + next(_RUNS)) % steps
-        first = FIRST_PORT + step * count
+        first = FIRST_PORT + secrets.randbelow(steps) * count
         if all(_is_free(first + offset) for offset in range(count)):
             return first
     raise RuntimeError("no run of free ports")
