Let killed endpoints of the fake world come back cold

What was not in the matrix: cold starts. An endpoint that was killed announced itself as ready at once; it now warms up for 1.5 s, refusing work as never dispatched. All cells that kill an end, the 40 pairs, the sabotage, decision and handover tests pass with it (224 passed); no fault found. Ruled out as a fault of its own: every cell that kills an endpoint is one.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -14,6 +14,7 @@
 SILENCE_S = 2.0
 SERVICE_S = 0.008
 ANNOUNCE_S = 1.0
+COLD_S = 1.5
 
 
 class Process:
@@ -260,14 +261,21 @@
             done(_LOST)
 
     def restart(self):
-        """Start again as a new incarnation."""
+        """Start again as a new incarnation, cold at first."""
         self.alive = True
         self.incarnation = self.world.read_wall_ms()
         self.sequence = 0
-        self.state = "ready"
+        self.state = "warming"
         self.drained_at = None
         self.process = Process(self.world, self.name, 0.0)
         self.process.callLater(0.01, self.announce_again)
+        self.process.callLater(COLD_S, self.warm_up)
+
+    def warm_up(self):
+        """Take work from now on, unless it leaves already."""
+        if self.state == "warming":
+            self.state = "ready"
+            self.announce()
 
     def drain(self):
         """Announce that this endpoint leaves."""
@@ -292,6 +300,8 @@
         self.process.callLater(self.service_s, self._end, run_id, body)
 
     def _refuse(self, body):
+        if self.state == "warming":
+            return "no_endpoint"
         snapshot = body.get("snapshot")
         if snapshot is not None and not any(
             h.snapshot == snapshot
