--- a/chervilspindle/control/state.py
+++ b/chervilspindle/control/state.py
@@ -269,12 +269,17 @@
 
 
 def decode_image(data: bytes) -> ControlState:
-    """Rebuild the tables from a snapshot; empty bytes give empty tables."""
-    if not data:
+    """Rebuild the tables from an image; empty bytes give empty tables."""
+    return decode_parts(split_parts(data))
+
+
+def decode_parts(parts) -> ControlState:
+    """Rebuild the tables from parts of a snapshot; none give empty tables."""
+    if not parts:
         return EMPTY_STATE
     rows_by_table = {name: [] for name in _ROWS_BY_TABLE}
     head = ImageHead(0, 0)
-    for encoded in split_parts(data):
+    for encoded in parts:
         part = _PART.decode(encoded)
         if part.table == "head":
             head = _HEAD.decode(part.rows)
--- a/chervilspindle/core/errors.py
+++ b/chervilspindle/core/errors.py
@@ -91,6 +91,11 @@
 DEFAULT_RETRY_AFTER_MS = 1000
 
 
+def collect_values(*kinds: ErrorKind) -> frozenset[str]:
+    """Return the kinds as the words that messages carry."""
+    return frozenset(kind.value for kind in kinds)
+
+
 class Problem(typing.NamedTuple):
     """One error as data, in the shape of RFC 9457 problem details.
 
--- a/chervilspindle/policy/replicas.py
+++ b/chervilspindle/policy/replicas.py
@@ -125,7 +125,7 @@
     without that sample an endpoint that answers nothing would look fast.
     """
     stats = _sample(stats, max(stats.service_ms, waited_ms), now)
-    return stats._replace(outstanding=max(0, stats.outstanding - 1))
+    return note_unsent(stats)
 
 
 def note_unsent(stats: ReplicaStats) -> ReplicaStats:
@@ -135,9 +135,7 @@
 
 def note_failure(stats: ReplicaStats, now: float) -> ReplicaStats:
     """Take in a part that failed or got no reply."""
-    return stats._replace(
-        failed_ms=now, outstanding=max(0, stats.outstanding - 1)
-    )
+    return mark_failed(note_unsent(stats), now)
 
 
 def _sample(stats, service_ms, now):
--- a/chervilspindle/query/commands.py
+++ b/chervilspindle/query/commands.py
@@ -318,14 +318,11 @@
         )
 
 
-_ELSEWHERE = frozenset(
-    kind.value
-    for kind in (
-        errors.ErrorKind.NOT_OWNER,
-        errors.ErrorKind.NO_ENDPOINT,
-        errors.ErrorKind.NO_LEASE,
-        errors.ErrorKind.DRAINING,
-    )
+_ELSEWHERE = errors.collect_values(
+    errors.ErrorKind.NOT_OWNER,
+    errors.ErrorKind.NO_ENDPOINT,
+    errors.ErrorKind.NO_LEASE,
+    errors.ErrorKind.DRAINING,
 )
 
 
--- a/chervilspindle/query/directory.py
+++ b/chervilspindle/query/directory.py
@@ -4,7 +4,6 @@
 import typing
 import zlib
 
-from chervilspindle.config import lists as lists_module
 from chervilspindle.core import rows
 from chervilspindle.query import coverage
 
@@ -78,10 +77,6 @@
             names.update(s for s in plan.services if not _is_pattern(s))
         return names
 
-    def match_services(self, patterns):
-        """Return the known services that match the patterns."""
-        return lists_module.match_services(patterns, self.list_services())
-
     def get_route(self, endpoint_id: str) -> Route | None:
         """Return who serves an endpoint now, None if nobody is known to.
 
--- a/chervilspindle/query/gather.py
+++ b/chervilspindle/query/gather.py
@@ -633,20 +633,16 @@
         )
 
 
-_MOMENTARY = frozenset(
-    kind.value
-    for kind in (errors.ErrorKind.NO_ENDPOINT, errors.ErrorKind.NOT_OWNER)
+_MOMENTARY = errors.collect_values(
+    errors.ErrorKind.NO_ENDPOINT, errors.ErrorKind.NOT_OWNER
 )
 
-_UNHEALTHY = frozenset(
-    kind.value
-    for kind in (
-        errors.ErrorKind.NO_ENDPOINT,
-        errors.ErrorKind.NOT_OWNER,
-        errors.ErrorKind.NO_LEASE,
-        errors.ErrorKind.DRAINING,
-        errors.ErrorKind.CONNECTION_LOST,
-    )
+_UNHEALTHY = errors.collect_values(
+    errors.ErrorKind.NO_ENDPOINT,
+    errors.ErrorKind.NOT_OWNER,
+    errors.ErrorKind.NO_LEASE,
+    errors.ErrorKind.DRAINING,
+    errors.ErrorKind.CONNECTION_LOST,
 )
 
 
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -128,12 +128,9 @@
         owned = self.owned_by_id.get(endpoint_id)
         if owned is not None and owned.epoch < epoch:
             self._give_up(endpoint_id)
-        running = 0
-        for owned in self.closing:
-            if owned.row.endpoint_id == endpoint_id:
-                owned.heir = owned_module.Heir(link, epoch)
-                running += len(owned.running)
-        return running
+        for owned in self._list_closing(endpoint_id):
+            owned.heir = owned_module.Heir(link, epoch)
+        return self._count_left(endpoint_id)
 
     def note_slots_left(self, message: messages.SlotsLeft):
         """Take in how much work of the owner before still runs."""
@@ -443,15 +440,18 @@
         if owned.heir is None:
             return
         endpoint_id = owned.row.endpoint_id
-        running = sum(
-            len(other.running)
-            for other in self.closing
-            if other.row.endpoint_id == endpoint_id
-        )
+        left = self._count_left(endpoint_id)
         owned.heir.link.send(
-            messages.SlotsLeft(endpoint_id, owned.heir.epoch, running)
+            messages.SlotsLeft(endpoint_id, owned.heir.epoch, left)
         )
 
+    def _list_closing(self, endpoint_id):
+        return [o for o in self.closing if o.row.endpoint_id == endpoint_id]
+
+    def _count_left(self, endpoint_id):
+        """Count the requests that still run at a former endpoint."""
+        return sum(len(o.running) for o in self._list_closing(endpoint_id))
+
     def _learn(self, owned, work, result, service_ms, now):
         owned.queue.charge(
             work.job.customer, service_ms - owned.limit.service_ms
--- a/chervilspindle/query/session.py
+++ b/chervilspindle/query/session.py
@@ -113,7 +113,7 @@
         self.read_clock = read_clock
         self.lease_until_ms = 0.0
         self.reports_by_id = {}
-        self.handed_epoch_by_id = {}
+        self.taken_epoch_by_id = {}
         self.due_ms = 0.0
         self.last_sent_ms = 0.0
         self.busy = False
@@ -143,7 +143,7 @@
 
     def report_handover(self, endpoint_id: str, epoch: int):
         """Report that an endpoint was taken over from its owner before."""
-        self.handed_epoch_by_id[endpoint_id] = epoch
+        self.taken_epoch_by_id[endpoint_id] = epoch
         self.hurry()
 
     def hurry(self):
@@ -192,11 +192,11 @@
 
     def _list_handovers(self):
         """Return the handovers that control has not recorded yet."""
-        for endpoint_id, epoch in list(self.handed_epoch_by_id.items()):
+        for endpoint_id, epoch in list(self.taken_epoch_by_id.items()):
             row = self.directory.ownership_by_id.get(endpoint_id)
             if row is None or row.epoch != epoch or not row.previous:
-                del self.handed_epoch_by_id[endpoint_id]
-        return tuple(self.handed_epoch_by_id.items())
+                del self.taken_epoch_by_id[endpoint_id]
+        return tuple(self.taken_epoch_by_id.items())
 
     def _renewed(self, reply, sent_ms):
         before = self.directory.lists.revision
