--- a/chervilspindle/control/changes.py
+++ b/chervilspindle/control/changes.py
@@ -10,7 +10,15 @@
 from chervilspindle.wire import messages
 
 VERSIONS_KEPT = 4096
-KINDS = ("lists", "customer", "plan", "vm", "endpoint", "ownership")
+KINDS = (
+    "lists",
+    "customer",
+    "plan",
+    "vm",
+    "endpoint",
+    "ownership",
+    "document",
+)
 
 
 class ChangeFeed:
@@ -77,6 +85,7 @@
         ownerships=tuple(state.ownership_by_id.values()),
         gone_vms=(),
         gone_endpoints=(),
+        document=state.document,
     )
 
 
@@ -94,6 +103,7 @@
         ownerships=ownerships,
         gone_vms=gone_vms,
         gone_endpoints=gone_rows,
+        document=state.document if keys_by_kind["document"] else None,
     )
 
 
--- /dev/null
+++ b/chervilspindle/control/desk.py
@@ -0,0 +1,255 @@
+"""What any control member does for callers of control, leader or not.
+
+Announcements of endpoints and documents of operators go through the leader
+and are acknowledged once they are committed. An announcement that tells
+nothing new is acknowledged by the member itself. Members tell the leader
+every so often which endpoints they heard, so that it notices those that
+fell silent.
+"""
+
+import functools
+import logging
+import math
+
+from twisted.internet import defer
+
+from chervilspindle.control import state as state_module
+from chervilspindle.core import errors
+from chervilspindle.core import logs
+from chervilspindle.core import rows
+from chervilspindle.wire import messages
+
+LOGGER = logging.getLogger(__name__)
+
+LEADER_CALL_S = 0.9  # callers wait for a second
+REPORT_S = 0.5
+SILENT_AFTER_MS = 10000.0  # several announcements, late ones included
+LEAST_HEARD_SHARE = 0.5  # with fewer, the leader itself may be cut off
+WATCHER_MEMORY_MS = 2500.0
+MEMBER_MEMORY_MS = 5000.0
+COUNT_AFTER_MS = 3000.0  # all members have reported to a new leader
+
+
+class Desk:
+    """Serves endpoints, operators and watching entries at one member.
+
+    Parameters
+    ----------
+    node : ControlNode
+    network : PeerNetwork
+    timers : TimerService
+    read_clock : callable
+        Monotonic milliseconds.
+    """
+
+    def __init__(self, node, network, timers, read_clock):
+        self.node = node
+        self.network = network
+        self.read_clock = read_clock
+        self.heard = set()
+        self.seen_ms_by_watcher = {}
+        self.watchers = 0
+        # As the leader: rows (watchers, time) by member, times by endpoint.
+        self.count_by_member = {}
+        self.heard_ms_by_id = {}
+        self.led_since_ms = math.inf
+        node.leader_listeners.append(self._start_term)
+        timers.subscribe("desk-report", REPORT_S, self._report)
+
+    def announce(self, endpoint: rows.Endpoint) -> defer.Deferred:
+        """Take in what an endpoint says of itself.
+
+        Returns
+        -------
+        Deferred
+            Fires with None once it is recorded for good, or was already.
+        """
+        known = self.node.tables.endpoint_by_id.get(endpoint.endpoint_id)
+        self.heard.add(endpoint.endpoint_id)
+        if known is not None:
+            if not rows.is_newer(endpoint, known):
+                return defer.succeed(None)
+            if not rows.is_changed(endpoint, known):
+                return defer.succeed(None)
+        return self.call_leader(messages.AnnounceCall(endpoint))
+
+    def withdraw(self, endpoint_id: str) -> defer.Deferred:
+        """Record that an endpoint takes no more work, for good."""
+        known = self.node.tables.endpoint_by_id.get(endpoint_id)
+        if known is None or known.state == "gone":
+            return defer.succeed(None)
+        gone = known._replace(state="gone", sequence=rows.FINAL_SEQUENCE)
+        return self.call_leader(messages.AnnounceCall(gone))
+
+    def apply_document(self, document: rows.StoredDocument):
+        """Put a checked document in force.
+
+        Returns
+        -------
+        Deferred
+            Fires with `DocumentReply` once it is committed.
+        """
+        return self.call_leader(messages.DocumentCall(document))
+
+    def read_document(self):
+        """Ask for the newest document.
+
+        Returns
+        -------
+        Deferred
+            Fires with the `StoredDocument`; fails if no member can be sure.
+        """
+        deferred = self.call_leader(messages.ReadDocumentCall())
+        return deferred.addCallback(lambda reply: reply.document)
+
+    def call_leader(self, message) -> defer.Deferred:
+        """Ask the leader, which may be this member."""
+        if self.node.is_leader():
+            return defer.maybeDeferred(answer_call, message, self)
+        address = self.node.find_leader_address()
+        if address is None or address == self.node.address:
+            return defer.fail(self.node.build_no_leader())
+        deferred = self.network.call(address, message, LEADER_CALL_S)
+        return deferred.addCallback(self._check_reply)
+
+    def answer(self, message):
+        """Answer a call of another member."""
+        if not self.node.is_leader():
+            return messages.NotLeader(self.node.get_leader_vm())
+        return answer_call(message, self)
+
+    def note_watcher(self, vm_id: str):
+        """Take in that an entry watches this member."""
+        self.seen_ms_by_watcher[vm_id] = self.read_clock()
+
+    def _check_reply(self, reply):
+        if isinstance(reply, messages.NotLeader):
+            raise self.node.build_no_leader()
+        return reply
+
+    def _start_term(self):
+        now = self.read_clock()
+        self.led_since_ms = now
+        self.count_by_member = {}
+        self.heard_ms_by_id = {}
+
+    def _report(self):
+        now = self.read_clock()
+        for vm_id, seen in list(self.seen_ms_by_watcher.items()):
+            if now - seen > WATCHER_MEMORY_MS:
+                del self.seen_ms_by_watcher[vm_id]
+        heard, self.heard = self.heard, set()
+        report = messages.MemberReport(
+            self.node.identity.member_id,
+            len(self.seen_ms_by_watcher),
+            tuple(heard),
+        )
+        deferred = self.call_leader(report)
+        deferred.addCallbacks(
+            self._take_count, self._report_failed, (), {}, (heard,)
+        )
+        if self.node.is_leader():
+            self._expire(now)
+
+    def _take_count(self, reply):
+        self.watchers = reply.watchers
+
+    def _report_failed(self, failure, heard):
+        failure.trap(errors.ProblemError)
+        self.watchers = 0
+        # They are told with the next report, to the next leader.
+        self.heard.update(heard)
+
+    def take_report(self, report: messages.MemberReport):
+        """As the leader, take in a member's report."""
+        now = self.read_clock()
+        self.count_by_member[report.member_id] = (report.watchers, now)
+        for endpoint_id in report.heard:
+            self.heard_ms_by_id[endpoint_id] = now
+        if now - self.led_since_ms < COUNT_AFTER_MS:
+            return messages.MemberReportReply(0)
+        total = 0
+        for watchers, seen in self.count_by_member.values():
+            if now - seen < MEMBER_MEMORY_MS:
+                total += watchers
+        return messages.MemberReportReply(total)
+
+    def _expire(self, now):
+        """Record endpoints as lost that no member has heard for long."""
+        limit = now - SILENT_AFTER_MS
+        usable = [
+            e
+            for e in self.node.tables.endpoint_by_id.values()
+            if e.state not in ("lost", "gone")
+        ]
+        silent = []
+        for endpoint in usable:
+            heard = self.heard_ms_by_id.setdefault(endpoint.endpoint_id, now)
+            if heard < limit:
+                silent.append(endpoint)
+        if len(silent) > len(usable) * (1.0 - LEAST_HEARD_SHARE):
+            return
+        if not silent:
+            return
+        for endpoint in silent:
+            logs.log_decision(
+                "endpoint-silent",
+                endpoint=endpoint.endpoint_id,
+                service=endpoint.service,
+                silent_ms=round(
+                    now - self.heard_ms_by_id[endpoint.endpoint_id]
+                ),
+            )
+        lost = tuple(
+            e._replace(state="lost", sequence=e.sequence + 1) for e in silent
+        )
+        command = state_module.ReportEndpoints(lost, logs.read_wall_ms())
+        self.node.propose(command).addErrback(_log_unless_problem)
+
+
+@functools.singledispatch
+def answer_call(message, desk: Desk):
+    """As the leader, answer one call of a member."""
+    raise TypeError(f"not a call of the desk: {type(message).__name__}")
+
+
+@answer_call.register
+def _answer_announce(message: messages.AnnounceCall, desk: Desk):
+    desk.heard_ms_by_id[message.endpoint.endpoint_id] = desk.read_clock()
+    command = state_module.ReportEndpoints(
+        (message.endpoint,), logs.read_wall_ms()
+    )
+    deferred = desk.node.propose(command)
+    endpoint = message.endpoint
+    logs.log_decision(
+        "endpoint-announced",
+        endpoint=endpoint.endpoint_id,
+        service=endpoint.service,
+        state=endpoint.state,
+        incarnation=endpoint.incarnation,
+        sequence=endpoint.sequence,
+    )
+    return deferred.addCallback(lambda _: messages.Done())
+
+
+@answer_call.register
+def _answer_document(message: messages.DocumentCall, desk: Desk):
+    deferred = desk.node.propose(state_module.ApplyDocument(message.document))
+    return deferred.addCallback(
+        lambda result: messages.DocumentReply(result.held_version)
+    )
+
+
+@answer_call.register
+def _answer_read(message: messages.ReadDocumentCall, desk: Desk):
+    return messages.ReadDocumentReply(desk.node.tables.document)
+
+
+@answer_call.register
+def _answer_report(message: messages.MemberReport, desk: Desk):
+    return desk.take_report(message)
+
+
+def _log_unless_problem(failure):
+    failure.trap(errors.ProblemError)
+    LOGGER.warning("endpoints not recorded", extra={"why": str(failure.value)})
--- a/chervilspindle/control/membership.py
+++ b/chervilspindle/control/membership.py
@@ -52,6 +52,42 @@
     return None
 
 
+def plan_removal(
+    state: raft.RaftState, voter_target: int, now: float, silent_ms: float
+):
+    """Return the members without a voter that a learner can replace.
+
+    A VM that is gone for good comes back under another name, so its place
+    among the voters is given up once another VM has caught up and the voter
+    has not answered for `silent_ms`. A replaced voter that is still alive
+    joins again as a learner.
+
+    Returns
+    -------
+    tuple of Member or None
+        None if there is nothing to do.
+    """
+    if len(raft.list_voters(state)) < voter_target:
+        return None
+    ready = [
+        m
+        for m in state.members
+        if not m.voter
+        and _is_caught_up(state, m.member_id)
+        and now - state.progress_by_id[m.member_id].acked_sent_ms < silent_ms
+    ]
+    if not ready or now - state.elected_ms < silent_ms:
+        return None
+    for member in state.members:
+        if not member.voter or member.member_id == state.member_id:
+            continue
+        progress = state.progress_by_id.get(member.member_id)
+        heard = progress.acked_sent_ms if progress else raft.NEVER_MS
+        if now - max(heard, state.elected_ms) > silent_ms:
+            return tuple(m for m in state.members if m != member)
+    return None
+
+
 def _is_stale_learner(member, member_id: str) -> bool:
     same_vm = get_vm_id(member.member_id) == get_vm_id(member_id)
     return same_vm and not member.voter
--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -28,6 +28,8 @@
 SNAPSHOT_ENTRIES = 2000
 PROPOSAL_TIMEOUT_MS = 3000.0
 PARTS_PER_SLICE = 4
+REJOIN_AFTER_MS = 3000.0  # two elections without a leader's word
+REPLACE_AFTER_MS = 4000.0  # a restart and a pause are shorter
 
 
 class Proposal(typing.NamedTuple):
@@ -73,6 +75,11 @@
         Called once when the disk fails; the process has to stop.
     seed : int
         Seed of election jitter.
+    seeds : tuple of str
+        Replication addresses at which members may be found, for groups
+        whose VMs are not listed.
+    voters : int or None
+        Voters that the group should have; as many as VMs by default.
     """
 
     def __init__(
@@ -86,6 +93,8 @@
         read_clock,
         on_failure,
         seed=None,
+        seeds=(),
+        voters=None,
     ):
         self.identity = identity
         self.address = address
@@ -95,6 +104,8 @@
         self.timers = timers
         self.read_clock = read_clock
         self.on_failure = on_failure
+        self.seeds = tuple(seeds)
+        self.voters = len(address_by_vm) if voters is None else voters
         self.random = random.Random(seed)
         self.raft = None
         self.persisted = None
@@ -112,6 +123,8 @@
         self.join_due_ms = 0.0
         self.joins = {}
         self.leader_listeners = []
+        self.applied_listeners = []
+        self.address_by_member = {}
 
     def start(self):
         """Recover from the disk and start the timers."""
@@ -157,8 +170,16 @@
         self.raft = self.raft._replace(term=1, log=(entry,))
         self.storage.persist(self.persisted, self.raft)
 
-    def receive(self, data: bytes):
-        """Take a message from the transport."""
+    def receive(self, data: bytes, address: str = ""):
+        """Take a message from the transport.
+
+        Parameters
+        ----------
+        data : bytes
+        address : str
+            Where the sender listens, if the transport tells. A new member
+            knows the others only by that.
+        """
         try:
             decoded = raft_messages.decode_envelope(data)
         except (raft_messages.msgspec.MsgspecError, KeyError):
@@ -166,6 +187,8 @@
             return
         group, sender, message = decoded
         if group == self.identity.group:
+            if address:
+                self.address_by_member[sender] = address
             self.inbox.append((sender, message))
             self._plan_flush()
 
@@ -196,6 +219,10 @@
         """Return the VM of the leader that this member follows, or ''."""
         return membership.get_vm_id(self.raft.leader_id)
 
+    def find_leader_address(self) -> str | None:
+        """Return the replication address of the leader, if one is known."""
+        return self._find_address(self.raft.leader_id)
+
     def build_no_leader(self) -> errors.ProblemError:
         """Build the error for calls that only the leader can answer."""
         return errors.build_error(
@@ -326,7 +353,7 @@
         for member in self.raft.members:
             if member.member_id == member_id:
                 return member.address
-        return None
+        return self.address_by_member.get(member_id)
 
     def _load_tables(self, snapshot):
         self.snapshot = snapshot
@@ -362,12 +389,16 @@
         return ((sender, reply),)
 
     def _apply_committed(self):
+        before = self.applied_index
         while self.applied_index < self.raft.commit_index:
             index = self.applied_index + 1
             entry = raft.get_entries(self.raft, index, index)[0]
             self.applied_index = index
             results = self._apply_entry(entry)
             self._resolve_waiting(entry, results)
+        if self.applied_index > before:
+            for listener in self.applied_listeners:
+                listener()
 
     def _apply_entry(self, entry):
         if entry.kind != raft.DATA:
@@ -459,20 +490,30 @@
             self.building = None
 
     def _ask_to_join(self):
+        """Ask to be a member, also if it was one and hears no leader.
+
+        A member that was replaced while it was away still counts itself in
+        and would never hear of the others again.
+        """
         known = {m.member_id for m in self.raft.members}
-        if self.identity.member_id in known:
+        silent_ms = self.read_clock() - self.raft.leader_contact_ms
+        if self.identity.member_id in known and silent_ms < REJOIN_AFTER_MS:
             return
         join = raft_messages.Join(self.identity.member_id, self.address)
         data = raft_messages.encode_envelope(
             self.identity.group, self.identity.member_id, join
         )
-        for address in self.address_by_vm.values():
-            if address != self.address:
-                self.send(address, data)
+        found = {*self.address_by_vm.values(), *self.seeds}
+        found.update(m.address for m in self.raft.members)
+        for address in sorted(found - {self.address}):
+            self.send(address, data)
 
     def _tend_members(self, now):
-        target = len(self.address_by_vm)
-        planned = membership.plan_promotion(self.raft, target)
+        planned = membership.plan_promotion(self.raft, self.voters)
+        if planned is None:
+            planned = membership.plan_removal(
+                self.raft, self.voters, now, REPLACE_AFTER_MS
+            )
         if planned is None:
             planned = self._plan_next_join()
         if planned is None:
--- a/chervilspindle/control/state.py
+++ b/chervilspindle/control/state.py
@@ -111,6 +111,18 @@
     now_ms: int
 
 
+class ApplyDocument(typing.NamedTuple):
+    """Replaces the routing document if its version is higher."""
+
+    document: rows.StoredDocument
+
+
+class DocumentResult(typing.NamedTuple):
+    """The version that is held after a document was applied."""
+
+    held_version: int
+
+
 class Batch(typing.NamedTuple):
     """Several commands in one log entry."""
 
@@ -152,6 +164,7 @@
     lost_at_by_id: immutables.Map
     ownership_by_id: immutables.Map
     claim_by_id: immutables.Map
+    document: rows.StoredDocument = rows.NO_DOCUMENT
 
 
 class Outcome(typing.NamedTuple):
@@ -200,6 +213,7 @@
         ClaimCommand,
         ResolveClaim,
         Expire,
+        ApplyDocument,
     )
 }
 
@@ -247,6 +261,7 @@
         ("lost_at", state.lost_at_by_id.items()),
         ("ownerships", state.ownership_by_id.values()),
         ("claims", state.claim_by_id.values()),
+        ("documents", (state.document,)),
     ):
         source = iter(found)
         while part := tuple(itertools.islice(source, ROWS_PER_PART)):
@@ -309,6 +324,7 @@
             (o.endpoint_id, o) for o in found["ownerships"]
         ),
         claim_by_id=immutables.Map((c.claim_id, c) for c in found["claims"]),
+        document=(found["documents"] or [rows.NO_DOCUMENT])[0],
     )
 
 
@@ -335,6 +351,7 @@
         ("lost_at", tuple[str, int]),
         ("ownerships", rows.Ownership),
         ("claims", rows.Claim),
+        ("documents", rows.StoredDocument),
     )
 }
 
@@ -379,6 +396,16 @@
     return tuple(Change(kind, name) for name in names)
 
 
+@apply_command.register
+def _apply_document(command: ApplyDocument, state: ControlState) -> Outcome:
+    document = command.document
+    if document.version <= state.document.version:
+        return Outcome(state, DocumentResult(state.document.version))
+    state = state._replace(document=document)
+    result = DocumentResult(document.version)
+    return Outcome(state, result, (Change("document", ""),))
+
+
 @apply_command.register
 def _register_vm(command: RegisterVm, state: ControlState) -> Outcome:
     vm = command.vm
--- /dev/null
+++ b/chervilspindle/control/watch.py
@@ -0,0 +1,98 @@
+"""Tells entries what changed in the replicated tables, as it changes.
+
+An entry watches one member with a call that is answered when something has
+changed, or after a while. Any member may be watched: committed rows only
+grow in version, and the reply says how long ago the member heard the leader.
+"""
+
+import math
+import typing
+
+from twisted.internet import defer
+
+from chervilspindle.wire import messages
+
+HOLD_S = 0.7  # answers an idle call; shows that the member is alive
+GATHER_S = 0.02  # changes of one moment go out together
+CHECK_S = 0.1
+
+
+class Waiting(typing.NamedTuple):
+    """A call that waits for a change."""
+
+    call: messages.WatchCall
+    due_ms: float
+    deferred: defer.Deferred
+
+
+class WatchServer:
+    """Answers the watch calls at one member.
+
+    Parameters
+    ----------
+    node : ControlNode
+    desk : Desk
+    timers : TimerService
+    read_clock : callable
+        Monotonic milliseconds.
+    """
+
+    def __init__(self, node, desk, timers, read_clock):
+        self.node = node
+        self.desk = desk
+        self.timers = timers
+        self.read_clock = read_clock
+        self.waiting = []
+        self.release_planned = False
+        node.applied_listeners.append(self._note_change)
+        timers.subscribe("watch-check", CHECK_S, self._answer_due)
+
+    def watch(self, call: messages.WatchCall):
+        """Answer now if something is new, else when it is."""
+        self.desk.note_watcher(call.vm_id)
+        if self.node.tables.version > call.known_version:
+            return self._build_reply(call)
+        due = self.read_clock() + HOLD_S * 1000.0
+        waiting = Waiting(call, due, defer.Deferred())
+        self.waiting.append(waiting)
+        return waiting.deferred
+
+    def _note_change(self):
+        if self.waiting and not self.release_planned:
+            self.release_planned = True
+            self.timers.call_later(GATHER_S, self._release)
+
+    def _release(self):
+        self.release_planned = False
+        version = self.node.tables.version
+        waiting, self.waiting = self.waiting, []
+        for one in waiting:
+            if one.call.known_version >= version:
+                self.waiting.append(one)
+            else:
+                one.deferred.callback(self._build_reply(one.call))
+
+    def _answer_due(self):
+        now = self.read_clock()
+        waiting, self.waiting = self.waiting, []
+        for one in waiting:
+            if now < one.due_ms:
+                self.waiting.append(one)
+            else:
+                one.deferred.callback(self._build_reply(one.call))
+
+    def _build_reply(self, call):
+        node = self.node
+        return messages.WatchReply(
+            self._read_age_ms(),
+            self.desk.watchers,
+            tuple(sorted(m.address for m in node.raft.members)),
+            node.feed.get_delta(node.tables, call.known_version),
+        )
+
+    def _read_age_ms(self) -> float:
+        if self.node.is_leader():
+            return 0.0
+        if not self.node.raft.leader_id:
+            return math.inf
+        return self.read_clock() - self.node.raft.leader_contact_ms
--- a/chervilspindle/core/rows.py
+++ b/chervilspindle/core/rows.py
@@ -6,6 +6,7 @@
 
 import typing
 
+FINAL_SEQUENCE = 1 << 62  # of an endpoint that has left, after all others
 KEY_SPACE = 65536  # hash slots, shard ranges are [low, high) in it
 
 
@@ -69,7 +70,7 @@
     connections : int
         Connections that it accepts.
     state : str
-        ``warming``, ``ready``, ``draining`` or ``lost``.
+        ``warming``, ``ready``, ``draining``, ``lost`` or ``gone``.
     holdings : tuple of Holding
     incarnation : int
         Start time in milliseconds; a restarted endpoint has a larger one.
@@ -145,6 +146,16 @@
     created_ms: int
 
 
+class StoredDocument(typing.NamedTuple):
+    """A routing document as an operator sent it; version -1 is none."""
+
+    version: int
+    data: bytes
+
+
+NO_DOCUMENT = StoredDocument(-1, b"")
+
+
 def is_newer(candidate: Endpoint, known: Endpoint) -> bool:
     """Tell whether an announcement is later than the known one."""
     candidate_order = (candidate.incarnation, candidate.sequence)
--- /dev/null
+++ b/chervilspindle/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the platform that the users run: names, formats, addresses."""
--- /dev/null
+++ b/chervilspindle/platform/documents.py
@@ -0,0 +1,109 @@
+"""Decodes the operator's configuration to a routing document."""
+
+import msgspec
+
+from chervilspindle.platform import names
+from chervilspindle.routing import documents
+
+
+class Split(msgspec.Struct):
+    """One part of a weighted route."""
+
+    service: str
+    weight: float
+
+
+class Route(msgspec.Struct):
+    """A route as operators write it."""
+
+    name: str
+    host: str = msgspec.field(name="hostname")
+    prefix: str = msgspec.field(name="path-prefix")
+    # Says what may be repeated, not which kind of forwarding it is.
+    repeats: str = msgspec.field(name="route-type")
+    timeout_ms: float = msgspec.field(name="timeout-ms")
+    objective_ms: float = msgspec.field(default=0.0, name="slo-ms")
+    priority: int = 0
+    service: str | None = None
+    split: tuple[Split, ...] = msgspec.field(default=(), name="traffic-split")
+    shards: tuple[str, ...] = msgspec.field(default=(), name="fanout-services")
+    max_attempts: int = msgspec.field(default=1, name="max-attempts")
+    top_k: int = msgspec.field(default=0, name="top-k")
+    min_coverage: float = msgspec.field(default=0.0, name="min-coverage")
+
+
+class Service(msgspec.Struct):
+    """A service as operators write it."""
+
+    name: str
+    health_path: str = msgspec.field(default="/health", name="health-path")
+    connections: int = msgspec.field(default=0, name="max-connections")
+
+
+class Limits(msgspec.Struct):
+    """Bounds on callers."""
+
+    header_bytes: int = msgspec.field(default=16384, name="header-max-bytes")
+    body_bytes: int = msgspec.field(default=262144, name="body-max-bytes")
+    header_ms: float = msgspec.field(default=5000.0, name="header-timeout-ms")
+    idle_ms: float = msgspec.field(default=60000.0, name="idle-timeout-ms")
+
+
+class Configuration(msgspec.Struct):
+    """A whole configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: Limits = msgspec.field(default_factory=Limits)
+
+
+_DECODER = msgspec.json.Decoder(Configuration)
+
+
+def decode_document(data: bytes) -> documents.Document:
+    """Decode a configuration; what it says is not checked.
+
+    Raises
+    ------
+    ValueError
+        Names the field that can't be read.
+    """
+    found = _DECODER.decode(data)
+    limits = found.limits
+    return documents.Document(
+        found.version,
+        tuple(_convert_route(route) for route in found.routes),
+        {
+            s.name: documents.Service(s.name, s.health_path, s.connections)
+            for s in found.services
+        },
+        documents.Limits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_ms,
+            limits.idle_ms,
+        ),
+    )
+
+
+def _convert_route(route: Route) -> documents.Route:
+    alternatives = tuple(
+        documents.WeightedService(s.service, s.weight) for s in route.split
+    )
+    if route.service is not None:
+        alternatives += (documents.WeightedService(route.service, 1.0),)
+    return documents.Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        idempotent=route.repeats == names.IDEMPOTENT_TYPE,
+        timeout_ms=route.timeout_ms,
+        objective_ms=route.objective_ms,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        alternatives=alternatives,
+        shards=route.shards,
+        top_k=route.top_k,
+        min_coverage=route.min_coverage,
+    )
--- /dev/null
+++ b/chervilspindle/platform/names.py
@@ -0,0 +1,20 @@
+"""Names of the platform on the wire, each decoded to the product's own."""
+
+from chervilspindle.routing import forwarding
+
+HEADERS = forwarding.HeaderNames(
+    request_id="Chervilspindle-Attempt-Id",
+    deadline_ms="Chervilspindle-Deadline-Ms",
+    stamp="Chervilspindle-Server-Stamp",
+    expected_endpoint="Chervilspindle-Expect-Instance",
+    load="Chervilspindle-Server-Load",
+    not_run="Chervilspindle-Not-Executed",
+    part_stamps="Chervilspindle-Part-Stamps",
+    missing_parts="Chervilspindle-Missing-Parts",
+)
+READY_PATH = b"/api/ready"
+DOCUMENT_PATH = b"/api/config"
+ENDPOINT_PREFIX = b"/api/instances/"
+SETTINGS_VARIABLE = "CHERVILSPINDLE_BOOT"
+IDEMPOTENT_TYPE = "safe"
+STATE_BY_WORD = {"ready": "ready", "draining": "draining"}
--- /dev/null
+++ b/chervilspindle/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Data path of routed requests: from a caller to endpoints and back."""
--- /dev/null
+++ b/chervilspindle/routing/endpoints.py
@@ -0,0 +1,153 @@
+"""The endpoints that this VM may send to, and choices among them."""
+
+import logging
+import typing
+
+from chervilspindle.core import logs
+from chervilspindle.core import rows
+from chervilspindle.routing import selection
+from chervilspindle.wire import endpoint_http
+
+LOGGER = logging.getLogger(__name__)
+
+MIN_CONNECTIONS = 2  # with fewer, one silent connection stops an endpoint
+MAX_CONNECTIONS = 12
+CONNECTION_SHARE = 0.8  # leaves room for VMs that control has not counted
+USABLE_STATES = ("ready", "warming")
+
+
+class Target(typing.NamedTuple):
+    """An endpoint with its connections and health."""
+
+    endpoint: rows.Endpoint
+    pool: endpoint_http.EndpointPool
+    health: selection.Health
+    same_zone: bool
+
+
+class EndpointTable:
+    """Endpoints by service, kept current from the replicated tables.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+    zone : str
+        Zone of this VM.
+    id_header : bytes
+        Lower-case name of the header that endpoints echo.
+    random : random.Random
+    on_event : callable
+        ``on_event(name)`` for counters.
+    """
+
+    def __init__(self, loop, zone, id_header, random, on_event):
+        self.loop = loop
+        self.zone = zone
+        self.id_header = id_header
+        self.random = random
+        self.on_event = on_event
+        self.vms = 1
+        self.connections_by_service = {}
+        self.target_by_id = {}
+        self.targets_by_service = {}
+
+    def put(self, endpoint: rows.Endpoint):
+        """Take in an endpoint as control knows it now."""
+        known = self.target_by_id.get(endpoint.endpoint_id)
+        if endpoint.state not in USABLE_STATES:
+            self.drop(endpoint.endpoint_id, endpoint.state)
+            return
+        if known is not None and _is_same_process(known.endpoint, endpoint):
+            target = known._replace(endpoint=endpoint)
+        else:
+            self.drop(endpoint.endpoint_id, "replaced")
+            target = self._build(endpoint)
+            logs.log_decision(
+                "endpoint-added",
+                endpoint=endpoint.endpoint_id,
+                service=endpoint.service,
+                incarnation=endpoint.incarnation,
+            )
+        self.target_by_id[endpoint.endpoint_id] = target
+        targets = self.targets_by_service.setdefault(endpoint.service, {})
+        targets[endpoint.endpoint_id] = target
+
+    def drop(self, endpoint_id: str, reason: str):
+        """Send nothing more to an endpoint; what runs there may end."""
+        target = self.target_by_id.pop(endpoint_id, None)
+        if target is None:
+            return
+        del self.targets_by_service[target.endpoint.service][endpoint_id]
+        target.pool.close()
+        logs.log_decision("endpoint-dropped", endpoint=endpoint_id, why=reason)
+
+    def retain(self, endpoint_ids):
+        """Drop all endpoints but the named ones."""
+        for endpoint_id in list(self.target_by_id):
+            if endpoint_id not in endpoint_ids:
+                self.drop(endpoint_id, "unknown to control")
+
+    def set_connections(self, connections_by_service, vms: int):
+        """Divide the connections that endpoints accept among the VMs."""
+        self.vms = max(1, vms)
+        self.connections_by_service = connections_by_service
+        for target in self.target_by_id.values():
+            limit = self._get_limit(target.endpoint.service)
+            target.pool.max_connections = limit
+
+    def choose(self, service: str, excluded=()) -> Target | None:
+        """Return the endpoint with the lowest cost, None without one."""
+        best = None
+        best_cost = 0.0
+        now = self.loop.time()
+        targets = self.targets_by_service.get(service)
+        if not targets:
+            return None
+        for target in targets.values():
+            if target.endpoint.endpoint_id in excluded:
+                continue
+            cost = self.compute_cost(target, now)
+            cost *= 1.0 + 0.1 * self.random.random()
+            if best is None or cost < best_cost:
+                best, best_cost = target, cost
+        return best
+
+    def compute_cost(self, target: Target, now: float) -> float:
+        """Return the cost of sending to an endpoint; see `selection`."""
+        pool = target.pool
+        view = selection.View(
+            len(pool.running),
+            pool.read_silence(now) * 1000.0,
+            target.same_zone,
+            target.endpoint.state == "warming",
+            pool.has_room(),
+        )
+        return selection.compute_cost(target.health, view, now)
+
+    def _build(self, endpoint):
+        pool = endpoint_http.EndpointPool(
+            self.loop,
+            endpoint.address,
+            self.id_header,
+            self._get_limit(endpoint.service),
+            self.on_event,
+        )
+        return Target(
+            endpoint,
+            pool,
+            selection.Health(endpoint.slots),
+            endpoint.zone == self.zone,
+        )
+
+    def _get_limit(self, service):
+        total = self.connections_by_service.get(service, 0)
+        share = int(total * CONNECTION_SHARE / self.vms)
+        return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS, share))
+
+
+def _is_same_process(known, endpoint):
+    return (known.incarnation, known.address, known.service) == (
+        endpoint.incarnation,
+        endpoint.address,
+        endpoint.service,
+    )
--- /dev/null
+++ b/chervilspindle/routing/entry.py
@@ -0,0 +1,155 @@
+"""The entry of routed requests: reads a request, finds its route, starts it.
+
+One entry holds one document and one table of endpoints, both kept current
+by a follower of control. Without a document it refuses everything: it could
+not tell an unknown path from one that it has not heard of.
+"""
+
+import logging
+
+from chervilspindle.core import logs
+from chervilspindle.routing import documents
+from chervilspindle.routing import fanout
+from chervilspindle.routing import forwarding
+from chervilspindle.routing import single
+from chervilspindle.wire import http_server
+
+LOGGER = logging.getLogger(__name__)
+
+STARTING_RETRY_AFTER = b"0.5"
+
+
+class RoutingEntry:
+    """Serves callers of one process.
+
+    Parameters
+    ----------
+    context : forwarding.Context
+    """
+
+    def __init__(self, context: forwarding.Context):
+        self.context = context
+        self.document = None
+        self.routes = None
+        self.draining = False
+        self.in_progress = 0
+
+    def put_document(self, document: documents.Document) -> bool:
+        """Put a document in force, unless a newer one is."""
+        if self.document is not None:
+            if document.version <= self.document.version:
+                return False
+        self.routes = documents.RouteTable(document)
+        self.document = document
+        logs.log_decision(
+            "document-in-force",
+            version=document.version,
+            routes=len(document.routes),
+        )
+        return True
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return self.document is not None and not self.draining
+
+    def read_limits(self) -> http_server.ServerLimits:
+        """Return the bounds on callers."""
+        limits = documents.Limits()
+        if self.document is not None:
+            limits = self.document.limits
+        return http_server.ServerLimits(*limits)
+
+    def handle(self, exchange: http_server.Exchange):
+        """Start one request."""
+        if self.routes is None:
+            headers = ((b"Retry-After", STARTING_RETRY_AFTER),)
+            self._answer_early(exchange, 503, headers, "no_document")
+            return
+        request = exchange.request
+        host = request.get_header(b"host")
+        if host is None:
+            self._answer_early(exchange, 400, (), "no_host")
+            return
+        path = request.target.partition(b"?")[0]
+        route = self.routes.match(_read_host(host), path.decode("latin-1"))
+        if route is None:
+            self._answer_early(exchange, 404, (), "no_route")
+            return
+        lower = self.context.names.lower
+        request_id = request.get_header(lower.request_id)
+        if not request_id:
+            self._answer_early(exchange, 400, (), "no_request_id")
+            return
+        caller_ms = parse_ms(request.get_header(lower.deadline_ms))
+        incoming = forwarding.Incoming(
+            exchange, route, self.document.version, request_id, caller_ms
+        )
+        self._start(incoming)
+
+    def _start(self, incoming):
+        route = incoming.route
+        self.in_progress += 1
+        if route.shards:
+            fanout.FanOut(incoming, self.context, self._finish).start()
+            return
+        service = choose_service(route.alternatives, self.context.random)
+        single.Forward(incoming, service, self.context, self._finish).start()
+
+    def _finish(self, incoming, status, fields):
+        self.in_progress -= 1
+        now = self.context.loop.time()
+        request = incoming.exchange.request
+        seconds = now - request.received_s
+        self.context.metrics.count_request(
+            incoming.route.name, status, seconds
+        )
+        logs.log_decision(
+            "request",
+            request_id=incoming.request_id.decode("latin-1"),
+            route=incoming.route.name,
+            version=incoming.version,
+            status=status,
+            ms=round(seconds * 1000.0, 1),
+            caller_ms=incoming.caller_ms,
+            **fields,
+        )
+
+    def _answer_early(self, exchange, status, headers, reason):
+        lower = self.context.names.lower
+        request_id = exchange.request.get_header(lower.request_id) or b""
+        exchange.respond(status, headers, reason.encode())
+        self.context.metrics.count_request("", status, 0.0)
+        logs.log_decision(
+            "request",
+            request_id=request_id.decode("latin-1"),
+            status=status,
+            why=reason,
+            version=self.document.version if self.document else 0,
+            target=exchange.request.target.decode("latin-1")[:200],
+        )
+
+
+def choose_service(alternatives, random) -> str:
+    """Draw a service in proportion to the weights."""
+    if len(alternatives) == 1:
+        return alternatives[0].service
+    total = sum(a.weight for a in alternatives)
+    point = random.random() * total
+    for alternative in alternatives:
+        point -= alternative.weight
+        if point < 0:
+            return alternative.service
+    return next(a for a in reversed(alternatives) if a.weight > 0).service
+
+
+def parse_ms(value: bytes | None) -> float | None:
+    """Parse a time in ms; None if there is none or it can't be read."""
+    if value is None or not value.strip().isdigit():
+        return None
+    return float(value)
+
+
+def _read_host(value: bytes) -> str:
+    host = value.decode("latin-1").lower()
+    name, colon, port = host.rpartition(":")
+    return name if colon and port.isdigit() else host
--- /dev/null
+++ b/chervilspindle/routing/follower.py
@@ -0,0 +1,136 @@
+"""Keeps an entry's copy of endpoints and document current.
+
+The entry watches one control member and moves to another when that one
+does not answer or has not heard the leader. What it holds stays in force
+while no member can be reached: callers are served on, and an older document
+than the one held is never taken.
+"""
+
+import logging
+import random
+
+from chervilspindle.core import errors
+from chervilspindle.core import logs
+from chervilspindle.wire import messages
+
+LOGGER = logging.getLogger(__name__)
+
+CALL_TIMEOUT_S = 1.6  # twice the time for which a member holds a call
+RETRY_S = 0.1
+AGE_LIMIT_MS = 1500.0  # a member that elects a leader catches up meanwhile
+COUNT_MEMORY_S = 15.0  # a window of the retry budget, with a margin
+
+
+class Follower:
+    """Watches control for one entry.
+
+    Parameters
+    ----------
+    vm_id : str
+    seeds : tuple of str
+        Peer addresses at which members may be found.
+    call : callable
+        ``call(address, message, timeout_s)`` returns a Deferred.
+    timers : TimerService
+    take_delta : callable
+        ``take_delta(delta)`` puts rows in force.
+    take_count : callable
+        ``take_count(watchers)`` gets the number of entries.
+    seed : str
+        Spreads entries over members.
+    """
+
+    def __init__(
+        self, vm_id, seeds, call, timers, take_delta, take_count, seed=None
+    ):
+        self.vm_id = vm_id
+        self.seeds = tuple(seeds)
+        self.call = call
+        self.timers = timers
+        self.take_delta = take_delta
+        self.take_count = take_count
+        self.random = random.Random(seed)
+        self.addresses = ()
+        self.member = None
+        self.version = 0
+        self.in_touch = False
+        self.counts = []
+        self.stopped = False
+
+    def start(self):
+        """Start watching."""
+        self._watch()
+
+    def stop(self):
+        """Ask for nothing more."""
+        self.stopped = True
+
+    def set_seeds(self, seeds):
+        """Take over seeds from changed settings."""
+        self.seeds = tuple(seeds)
+
+    def _watch(self):
+        if self.stopped:
+            return
+        if self.member is None:
+            self.member = self._pick()
+        message = messages.WatchCall(self.vm_id, self.version)
+        deferred = self.call(self.member, message, CALL_TIMEOUT_S)
+        deferred.addCallback(self._take_reply)
+        deferred.addErrback(self._call_failed)
+
+    def _pick(self):
+        """Return a member, not the one that was tried last if others are."""
+        known = sorted({*self.seeds, *self.addresses})
+        others = [a for a in known if a != self.member] or known
+        return self.random.choice(others)
+
+    def _take_reply(self, reply):
+        self.addresses = reply.addresses or self.addresses
+        delta = messages.decode_delta(reply.delta)
+        if delta.version >= self.version:
+            self.take_delta(delta)
+            self.version = delta.version
+        elif reply.age_ms <= AGE_LIMIT_MS:
+            LOGGER.error(
+                "control is older than what it said before",
+                extra={"held": self.version, "offered": delta.version},
+            )
+        self._note_count(reply.watchers)
+        if reply.age_ms > AGE_LIMIT_MS or delta.version < self.version:
+            self._move_on("member has no leader")
+            return
+        if not self.in_touch:
+            self.in_touch = True
+            logs.log_decision(
+                "control-reached", member=self.member, version=self.version
+            )
+        self.timers.call_later(0.0, self._watch)
+
+    def _call_failed(self, failure):
+        if failure.check(errors.ProblemError):
+            self._move_on(failure.value.problem.detail)
+            return
+        LOGGER.error("watching failed: %s", failure.getTraceback())
+        self._move_on("internal error")
+
+    def _move_on(self, reason):
+        if self.in_touch:
+            self.in_touch = False
+            logs.log_decision(
+                "control-lost",
+                member=self.member,
+                version=self.version,
+                why=reason,
+            )
+        self.member = self._pick()
+        self.timers.call_later(RETRY_S, self._watch)
+
+    def _note_count(self, watchers):
+        """Pass on the most entries that were counted within a while."""
+        now = self.timers.clock.seconds()
+        if watchers > 0:
+            self.counts.append((now, watchers))
+        self.counts = [c for c in self.counts if now - c[0] < COUNT_MEMORY_S]
+        if self.counts:
+            self.take_count(max(count for _, count in self.counts))
--- /dev/null
+++ b/chervilspindle/routing/metrics.py
@@ -0,0 +1,62 @@
+"""Counters and latency histograms of the data path."""
+
+import aioprometheus
+from aioprometheus import renderer
+
+from chervilspindle.core import metrics as core_metrics
+
+
+class RoutingMetrics:
+    """Metrics of one entry."""
+
+    def __init__(self):
+        self.registry = aioprometheus.Registry()
+        self.requests = self._counter(
+            "routed_requests_total", "Requests by route and status."
+        )
+        self.failures = self._counter(
+            "send_failures_total", "Sends without a good answer, by reason."
+        )
+        self.extra = self._counter(
+            "extra_sends_total", "Sends beyond the first, by cause."
+        )
+        self.events = self._counter(
+            "connection_events_total", "Events of connections to endpoints."
+        )
+        self.latency = aioprometheus.Histogram(
+            "chervilspindle_routed_seconds",
+            "Time to the answer, by route.",
+            buckets=core_metrics.LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def _counter(self, name, doc):
+        return aioprometheus.Counter(
+            f"chervilspindle_{name}", doc, registry=self.registry
+        )
+
+    def count_request(self, route, status, seconds):
+        """Count one answer."""
+        self.requests.inc({"route": route, "status": str(status)})
+        self.latency.observe({"route": route}, seconds)
+
+    def count_failure(self, reason):
+        """Count a send without a good answer."""
+        self.failures.inc({"reason": reason})
+
+    def count_extra(self, cause):
+        """Count a send beyond the first."""
+        self.extra.inc({"cause": cause})
+
+    def count_event(self, event):
+        """Count an event of a connection."""
+        self.events.inc({"event": event})
+
+    def render(self, accept):
+        """Render all metrics.
+
+        Returns
+        -------
+        body, headers : bytes, dict
+        """
+        return renderer.render(self.registry, accept)
--- /dev/null
+++ b/chervilspindle/routing/process.py
@@ -0,0 +1,462 @@
+"""Processes of a routed deployment: entries and control members.
+
+Entries follow control and send to endpoints themselves. Control members
+keep the log, the endpoints' announcements and the routing document.
+"""
+
+from collections import abc
+import logging
+import os
+import random
+import signal
+import typing
+
+from twisted.internet import defer
+
+from chervilspindle.control import desk as desk_module
+from chervilspindle.control import node as node_module
+from chervilspindle.control import storage as storage_module
+from chervilspindle.control import watch as watch_module
+from chervilspindle.core import errors
+from chervilspindle.core import logs
+from chervilspindle.core import timers as timers_module
+from chervilspindle.routing import endpoints
+from chervilspindle.routing import entry as entry_module
+from chervilspindle.routing import follower as follower_module
+from chervilspindle.routing import forwarding
+from chervilspindle.routing import metrics as metrics_module
+from chervilspindle.routing import retry_budget
+from chervilspindle.wire import http_server
+from chervilspindle.wire import messages
+from chervilspindle.wire import peer
+
+LOGGER = logging.getLogger(__name__)
+
+GROUP = "routing"
+BACKLOG = 512
+NOTICE_S = 2.6  # a balancer that polls each second has noticed twice
+STOP_MARGIN_S = 0.6  # before the platform kills the process
+STOP_CHECK_S = 0.05
+SETTINGS_CHECK_S = 2.0
+CONTROL_LIMITS = http_server.ServerLimits(16384, 4194304, 5000.0, 30000.0)
+
+EXIT_OK = 0
+EXIT_STORAGE = 3
+
+
+class RoutingSettings(typing.NamedTuple):
+    """Settings of one process of a routed deployment.
+
+    Parameters
+    ----------
+    vm_id, zone : str
+    peer_address : str
+        ``IP:PORT`` for links between the system's processes.
+    metrics_address : str
+    seeds : tuple of str
+        Peer addresses of some control members.
+    shared_key : str
+        Authenticates links between the system's processes.
+    entry_address, ready_address : str
+        Where callers and the balancer's checks come in; empty for a process
+        that is no entry.
+    control_address : str
+        Where endpoints and operators come in; empty for a process that is
+        no control member.
+    data_folder : str
+    first_start : bool
+        Whether the whole system starts for the first time.
+    voters : int
+    budget : retry_budget.Rule
+    grace_s : float
+        Time between SIGTERM and SIGKILL.
+    """
+
+    vm_id: str
+    zone: str
+    peer_address: str
+    metrics_address: str
+    seeds: tuple[str, ...]
+    shared_key: str
+    entry_address: str
+    ready_address: str
+    control_address: str
+    data_folder: str
+    first_start: bool
+    voters: int
+    budget: retry_budget.Rule
+    grace_s: float
+
+
+class Adapter(typing.NamedTuple):
+    """What a platform brings: its names and formats.
+
+    Parameters
+    ----------
+    names : forwarding.HeaderNames
+    ready_path : bytes
+    decode_document : callable
+        ``decode_document(data)`` returns a `documents.Document`.
+    build_control_handler : callable
+        ``build_control_handler(desk)`` returns a handler of exchanges.
+    read_settings : callable
+        Returns the `RoutingSettings` in force.
+    """
+
+    names: forwarding.HeaderNames
+    ready_path: bytes
+    decode_document: abc.Callable
+    build_control_handler: abc.Callable
+    read_settings: abc.Callable
+
+
+class Process:
+    """Parts that entries and control members share.
+
+    Parameters
+    ----------
+    reactor, loop
+    settings : RoutingSettings
+    adapter : Adapter
+    stop_reactor : callable
+        ``stop_reactor(code)``.
+    """
+
+    def __init__(self, reactor, loop, clock, settings, adapter, stop_reactor):
+        self.loop = loop
+        self.settings = settings
+        self.adapter = adapter
+        self.stop_reactor = stop_reactor
+        self.timers = timers_module.TimerService(clock)
+        self.network = peer.PeerNetwork(
+            reactor, self.timers, settings.shared_key.encode(), self.handle
+        )
+        self.metrics = metrics_module.RoutingMetrics()
+        self.servers = []
+        self.stopping = False
+
+    def handle(self, link, message):
+        """Answer a message of another process."""
+        raise errors.build_error(
+            errors.ErrorKind.NO_LEADER, "this process is not control"
+        )
+
+    async def listen(self, name, address, handler, read_limits):
+        """Serve HTTP at an address."""
+        server = http_server.HttpServer(
+            self.loop, self.timers, name, handler, read_limits
+        )
+        await server.listen(address, BACKLOG)
+        self.servers.append(server)
+        return server
+
+    async def listen_metrics(self):
+        """Serve counters and histograms."""
+        await self.listen(
+            "metrics",
+            self.settings.metrics_address,
+            self._answer_metrics,
+            lambda: CONTROL_LIMITS,
+        )
+
+    def _answer_metrics(self, exchange):
+        body, headers = self.metrics.render([])
+        packed = tuple(
+            (k.encode(), v.encode())
+            for k, v in headers.items()
+            if k.lower() != "content-length"
+        )
+        exchange.respond(200, packed, body)
+
+    def close(self):
+        """Close everything and stop."""
+        for server in self.servers:
+            server.stop()
+        self.network.close()
+        self.timers.cancel_all()
+        LOGGER.info("stopped")
+        self.stop_reactor(EXIT_OK)
+
+
+class EntryProcess(Process):
+    """Serves callers."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        settings = self.settings
+        names = forwarding.build_names(self.adapter.names)
+        generator = random.Random(f"{settings.vm_id} {os.getpid()}")
+        table = endpoints.EndpointTable(
+            self.loop,
+            settings.zone,
+            names.lower.request_id,
+            generator,
+            self.metrics.count_event,
+        )
+        context = forwarding.Context(
+            self.loop,
+            names,
+            table,
+            retry_budget.RetryBudget(settings.budget, self.loop.time),
+            {},
+            self.metrics,
+            generator,
+        )
+        self.context = context
+        self.entry = entry_module.RoutingEntry(context)
+        self.follower = follower_module.Follower(
+            settings.vm_id,
+            settings.seeds,
+            self.network.call,
+            self.timers,
+            self._take_delta,
+            self._take_count,
+        )
+        self.front = None
+        self.stopped_at = None
+
+    async def start(self):
+        """Listen and follow control."""
+        settings = self.settings
+        self.front = await self.listen(
+            "front",
+            settings.entry_address,
+            self.entry.handle,
+            self.entry.read_limits,
+        )
+        await self.listen(
+            "ready",
+            settings.ready_address,
+            self._answer_ready,
+            lambda: CONTROL_LIMITS,
+        )
+        await self.listen_metrics()
+        self.follower.start()
+        LOGGER.info("serving", extra={"role": "entry"})
+
+    def reload(self, settings):
+        """Take over changed settings."""
+        self.settings = settings
+        self.follower.set_seeds(settings.seeds)
+
+    def stop(self):
+        """Leave the balancer, end what is in progress, then stop."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.stopped_at = self.loop.time()
+        self.entry.draining = True
+        self.front.start_closing()
+        self.timers.subscribe("stop", STOP_CHECK_S, self._check_stop)
+        LOGGER.info("draining", extra={"in_progress": self.front.count_busy()})
+
+    def _check_stop(self):
+        elapsed = self.loop.time() - self.stopped_at
+        if elapsed < NOTICE_S:
+            return
+        self.front.close_idle()
+        busy = self.front.count_busy()
+        if busy and elapsed < self.settings.grace_s - STOP_MARGIN_S:
+            return
+        self.timers.cancel("stop")
+        self.follower.stop()
+        if busy:
+            LOGGER.warning("stopped with work", extra={"in_progress": busy})
+        self.close()
+
+    def _answer_ready(self, exchange):
+        if exchange.request.target != self.adapter.ready_path:
+            exchange.respond(404)
+            return
+        exchange.respond(200 if self.entry.is_ready() else 503)
+
+    def _take_delta(self, delta):
+        table = self.context.table
+        for endpoint in delta.endpoints:
+            table.put(endpoint)
+        for endpoint_id in delta.gone_endpoints:
+            table.drop(endpoint_id, "forgotten")
+        if delta.full:
+            table.retain({e.endpoint_id for e in delta.endpoints})
+        if delta.document is not None and delta.document.version >= 0:
+            self._take_document(delta.document)
+
+    def _take_document(self, stored):
+        document = self.adapter.decode_document(stored.data)
+        if self.entry.put_document(document):
+            self._share_connections()
+
+    def _take_count(self, vms):
+        if vms != self.context.budget.vms:
+            self.context.budget.vms = vms
+            self._share_connections()
+
+    def _share_connections(self):
+        document = self.entry.document
+        if document is None:
+            return
+        connections_by_service = {
+            s.name: s.connections for s in document.service_by_name.values()
+        }
+        self.context.table.set_connections(
+            connections_by_service, self.context.budget.vms
+        )
+
+
+class ControlProcess(Process):
+    """Keeps the replicated state."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        settings = self.settings
+        storage, identity = open_storage(settings)
+        read_clock = timers_module.read_monotonic_ms
+        self.node = node_module.ControlNode(
+            identity,
+            settings.peer_address,
+            {},
+            storage,
+            self._send_replica,
+            self.timers,
+            read_clock,
+            lambda: self.stop_reactor(EXIT_STORAGE),
+            seeds=settings.seeds,
+            voters=settings.voters,
+        )
+        if settings.first_start and settings.peer_address == settings.seeds[0]:
+            initialise_group(self.node, storage)
+        self.desk = desk_module.Desk(
+            self.node, self.network, self.timers, read_clock
+        )
+        self.watch = watch_module.WatchServer(
+            self.node, self.desk, self.timers, read_clock
+        )
+
+    async def start(self):
+        """Recover from the disk and listen."""
+        self.node.start()
+        listening = self.network.listen(self.settings.peer_address)
+        await listening.asFuture(self.loop)
+        await self.listen(
+            "control",
+            self.settings.control_address,
+            self.adapter.build_control_handler(self.desk),
+            lambda: CONTROL_LIMITS,
+        )
+        await self.listen_metrics()
+        LOGGER.info("serving", extra={"role": "control"})
+
+    def reload(self, settings):
+        """Take over changed settings."""
+        self.settings = settings
+        self.node.seeds = settings.seeds
+
+    def stop(self):
+        """Answer what is in progress, then stop."""
+        if self.stopping:
+            return
+        self.stopping = True
+        LOGGER.info("stopping")
+        for server in self.servers:
+            server.start_closing()
+        self.timers.call_later(0.2, self._end)
+
+    def handle(self, link, message):
+        """Answer a message of another process."""
+        if isinstance(message, messages.Replicate):
+            self.node.receive(message.data, message.address)
+            return None
+        if isinstance(message, messages.WatchCall):
+            return self.watch.watch(message)
+        return self.desk.answer(message)
+
+    def _send_replica(self, address, data):
+        message = messages.Replicate(data, self.settings.peer_address)
+        self.network.send(address, message)
+
+    def _end(self):
+        self.node.stop()
+        self.close()
+
+
+def open_storage(settings: RoutingSettings):
+    """Open the data folder, under a new identity if it is empty.
+
+    Returns
+    -------
+    storage, identity : Storage, Identity
+
+    Raises
+    ------
+    StorageError
+    """
+    folder = settings.data_folder
+    identity = storage_module.load_identity(folder)
+    if identity is None:
+        identity = storage_module.create_identity(
+            folder, GROUP, settings.vm_id
+        )
+        LOGGER.info("new disk", extra={"member": identity.member_id})
+    return storage_module.Storage(folder), identity
+
+
+def initialise_group(node, storage):
+    """Make this member the first voter of a new group, once."""
+    recovered = storage.recover()
+    if recovered.log or recovered.snapshot.mark.index:
+        storage.close()
+        return
+    storage.close()
+    node.initialise()
+    storage.close()
+    logs.log_decision("group-started", member=node.identity.member_id)
+
+
+def run(reactor, loop, clock, adapter: Adapter) -> int:
+    """Run a process until it is told to stop.
+
+    Returns
+    -------
+    int
+        Exit code: 0 after a clean shutdown, 3 if the disk failed.
+    """
+    codes = [EXIT_OK]
+
+    def stop_reactor(code):
+        codes[0] = code
+        if reactor.running:
+            reactor.callLater(0, reactor.stop)
+
+    settings = adapter.read_settings()
+    kind = EntryProcess if settings.entry_address else ControlProcess
+    try:
+        process = kind(reactor, loop, clock, settings, adapter, stop_reactor)
+    except (storage_module.StorageError, OSError) as error:
+        LOGGER.error("disk can't be used: %s", error)
+        return EXIT_STORAGE
+
+    def reload():
+        try:
+            fresh = adapter.read_settings()
+        except (OSError, ValueError) as error:
+            LOGGER.error("settings not read", extra={"why": str(error)})
+            return
+        if fresh != process.settings:
+            LOGGER.info("settings changed", extra={"seeds": fresh.seeds})
+            process.reload(fresh)
+
+    def report(failure):
+        LOGGER.error("start failed: %s", failure.getTraceback())
+        stop_reactor(EXIT_STORAGE)
+
+    def start():
+        starting = defer.Deferred.fromFuture(loop.create_task(process.start()))
+        starting.addErrback(report)
+        process.timers.subscribe("settings", SETTINGS_CHECK_S, reload)
+
+    loop.add_signal_handler(signal.SIGTERM, process.stop)
+    loop.add_signal_handler(signal.SIGINT, process.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    reactor.callWhenRunning(start)
+    reactor.run(installSignalHandlers=False)
+    return codes[0]
--- /dev/null
+++ b/chervilspindle/wire/endpoint_http.py
@@ -0,0 +1,453 @@
+"""HTTP/1.1 client of the data path: kept connections to endpoints.
+
+A connection carries one request at a time. Bytes that do not belong to the
+request in progress end the connection, so that they can never be taken for
+another request's answer.
+"""
+
+import collections
+from collections import abc
+import enum
+import typing
+
+import httptools
+
+CONNECT_TIMEOUT_S = 0.5  # several round trips within a region
+DEFAULT_IDLE_S = 4.0  # reuse without a time stated by the endpoint
+IDLE_MARGIN_S = 0.7  # ends reuse before the endpoint closes
+IDLE_SHARE = 0.6  # of the stated idle time
+FRESH_IDLE_S = 1.0  # idle time after which a request that runs once may reuse
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_WAITING = 64  # requests of this VM that wait for a connection
+
+
+class Ending(enum.Enum):
+    """How an exchange with an endpoint ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not_sent"  # certainly never reached the endpoint
+    BROKEN = "broken"  # connection lost after sending
+    INVALID = "invalid"  # bytes that are no answer to the request
+    TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"
+
+
+class Answer(typing.NamedTuple):
+    """An endpoint's answer.
+
+    Parameters
+    ----------
+    ending : Ending
+    status : int
+        0 unless `ending` is ANSWERED.
+    headers : tuple of (name, value)
+        Names are in lower case.
+    body : bytes
+    """
+
+    ending: Ending
+    status: int = 0
+    headers: tuple = ()
+    body: bytes = b""
+
+    def get_header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, None without one."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class Call:
+    """One request to one endpoint, until its answer.
+
+    Parameters
+    ----------
+    data : bytes
+        The request as it is sent.
+    request_id : bytes
+        Echoed by the endpoint.
+    deadline_s : float
+        Loop time after which the connection is given up.
+    on_end : callable
+        ``on_end(call, answer)``, called once.
+    reusable : bool
+        Whether a connection may be used that the endpoint may just be
+        closing.
+    """
+
+    __slots__ = (
+        "data",
+        "request_id",
+        "deadline_s",
+        "on_end",
+        "reusable",
+        "pool",
+        "connection",
+        "timer",
+        "sent_s",
+        "started_s",
+        "ended",
+        "context",
+    )
+
+    def __init__(self, data, request_id, deadline_s, on_end, reusable=True):
+        self.data = data
+        self.request_id = request_id
+        self.deadline_s = deadline_s
+        self.on_end: abc.Callable | None = on_end
+        self.reusable = reusable
+        self.pool = None
+        self.connection = None
+        self.timer = None
+        self.sent_s = 0.0
+        self.started_s = 0.0
+        self.ended = False
+        self.context = None
+
+    def cancel(self):
+        """Give the request up; the endpoint sees its connection close."""
+        self.pool.give_up(self, Ending.CANCELLED)
+
+
+class EndpointPool:
+    """Connections of this VM to one endpoint.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+    address : str
+        ``IP:PORT``.
+    id_header : bytes
+        Lower-case name of the header that echoes the request's id.
+    max_connections : int
+        Part of the endpoint's connections that this VM may use.
+    on_event : callable
+        ``on_event(name)`` for counters.
+    """
+
+    def __init__(self, loop, address, id_header, max_connections, on_event):
+        host, port = address.rsplit(":", 1)
+        self.loop = loop
+        self.host = host
+        self.port = int(port)
+        self.id_header = id_header
+        self.max_connections = max_connections
+        self.on_event = on_event
+        self.idle = []
+        self.count = 0
+        self.waiting = collections.deque()
+        self.running = {}
+        self.closed = False
+
+    def submit(self, call: Call):
+        """Send a request now, or as soon as a connection is free."""
+        call.pool = self
+        call.started_s = self.loop.time()
+        call.timer = self.loop.call_later(
+            max(0.0, call.deadline_s - call.started_s),
+            self.give_up,
+            call,
+            Ending.TIMED_OUT,
+        )
+        self.running[call] = call.started_s
+        if self.closed:
+            self.end(call, Answer(Ending.NOT_SENT))
+            return
+        connection = self._take_idle(call)
+        if connection is not None:
+            connection.send(call)
+            return
+        if len(self.waiting) >= MAX_WAITING:
+            self.end(call, Answer(Ending.NOT_SENT))
+            return
+        self.waiting.append(call)
+        if self.count < self.max_connections:
+            self._connect()
+
+    def has_room(self) -> bool:
+        """Tell whether a request would be sent without waiting."""
+        return bool(self.idle) or self.count < self.max_connections
+
+    def read_silence(self, now: float) -> float:
+        """Return for how long the oldest request in progress has run, s."""
+        for started_s in self.running.values():
+            return now - started_s
+        return 0.0
+
+    def give_up(self, call: Call, ending: Ending):
+        """End a request without an answer."""
+        if call.ended:
+            return
+        connection = call.connection
+        if connection is None:
+            # Connections that were opened for it will serve others.
+            if call in self.waiting:
+                self.waiting.remove(call)
+            self.end(call, Answer(Ending.NOT_SENT))
+            return
+        connection.call = None
+        connection.transport.abort()
+        if ending is Ending.TIMED_OUT:
+            # Whatever lost track of this connection may have lost the idle
+            # ones as well.
+            self._close_idle()
+        self.end(call, Answer(ending))
+
+    def _close_idle(self):
+        idle, self.idle = self.idle, []
+        for connection in idle:
+            connection.transport.close()
+
+    def end(self, call: Call, answer: Answer):
+        """Report the end of a request."""
+        if call.ended:
+            return
+        call.ended = True
+        self.running.pop(call, None)
+        if call.timer is not None:
+            call.timer.cancel()
+        call.connection = None
+        call.on_end(call, answer)
+
+    def close(self):
+        """Close idle connections now and busy ones after their answers."""
+        self.closed = True
+        self._close_idle()
+        for call in list(self.waiting):
+            self.end(call, Answer(Ending.NOT_SENT))
+        self.waiting.clear()
+
+    def release(self, connection):
+        """Take back a connection whose answer is complete."""
+        if self.closed or connection.must_close:
+            connection.transport.close()
+            return
+        if self.waiting:
+            call = self.waiting.popleft()
+            connection.send(call)
+            return
+        connection.idle_since_s = self.loop.time()
+        self.idle.append(connection)
+
+    def drop(self, connection):
+        """Forget a connection that was lost."""
+        self.count -= 1
+        if connection in self.idle:
+            self.idle.remove(connection)
+        if self.waiting and self.count < self.max_connections:
+            self._connect()
+
+    def _take_idle(self, call):
+        now = self.loop.time()
+        while self.idle:
+            connection = self.idle.pop()
+            age = now - connection.idle_since_s
+            if connection.transport.is_closing():
+                continue
+            if age > connection.idle_limit_s:
+                connection.transport.close()
+                continue
+            if not call.reusable and age > FRESH_IDLE_S:
+                connection.transport.close()
+                continue
+            return connection
+        return None
+
+    def _connect(self):
+        self.count += 1
+        self.on_event("connect")
+        self.loop.create_task(self._open())
+
+    async def _open(self):
+        connection = EndpointConnection(self)
+        connecting = self.loop.create_connection(
+            lambda: connection, self.host, self.port
+        )
+        task = self.loop.create_task(connecting)
+        timer = self.loop.call_later(CONNECT_TIMEOUT_S, task.cancel)
+        try:
+            await task
+        except BaseException as error:
+            if isinstance(error, (KeyboardInterrupt, SystemExit)):
+                raise
+            if connection.transport is not None:
+                connection.transport.abort()
+            else:
+                self.count -= 1
+            self._connect_failed()
+        finally:
+            timer.cancel()
+
+    def _connect_failed(self):
+        self.on_event("connect-failed")
+        if self.count > 0:
+            return
+        waiting, self.waiting = self.waiting, collections.deque()
+        for call in waiting:
+            self.end(call, Answer(Ending.NOT_SENT))
+
+    def connected(self, connection):
+        """Use a new connection."""
+        self.release(connection)
+
+
+class EndpointConnection:
+    """One connection to an endpoint."""
+
+    def __init__(self, pool: EndpointPool):
+        self.pool = pool
+        self.transport = None
+        self.parser = None
+        self.call = None
+        self.must_close = False
+        self.idle_since_s = 0.0
+        self.idle_limit_s = DEFAULT_IDLE_S
+        self.headers = []
+        self.body = []
+        self.body_bytes = 0
+        self.complete = False
+        self.in_body = False
+        self.until_close = False
+
+    def connection_made(self, transport):
+        """Note that the connection is open."""
+        self.transport = transport
+        self.pool.connected(self)
+
+    def send(self, call: Call):
+        """Send a request."""
+        self.call = call
+        call.connection = self
+        call.sent_s = self.pool.loop.time()
+        self.complete = False
+        self.in_body = False
+        self.parser = httptools.HttpResponseParser(self)
+        self.transport.write(call.data)
+
+    def pause_writing(self):
+        """Do nothing: a request is written at once and bounded."""
+
+    def resume_writing(self):
+        """Do nothing."""
+
+    def eof_received(self):
+        """End an answer that lasts until the endpoint closes."""
+        call = self.call
+        if call is not None and self.in_body and self.until_close:
+            self.must_close = True
+            self._finish()
+        return False
+
+    def connection_lost(self, error):
+        """Fail the request in progress."""
+        call, self.call = self.call, None
+        self.pool.drop(self)
+        if call is not None:
+            self.pool.end(call, Answer(Ending.BROKEN))
+
+    def data_received(self, data: bytes):
+        """Parse an answer; anything else ends the connection."""
+        call = self.call
+        if call is None:
+            self.must_close = True
+            self.pool.on_event("unexpected-bytes")
+            self.transport.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ):
+            self.must_close = True
+            if not self.complete:
+                self._fail(Ending.INVALID)
+                return
+        if self.complete:
+            self._finish()
+
+    def on_message_begin(self):
+        """Start an answer, or note that there is one too many."""
+        if self.complete:
+            self.must_close = True
+            return
+        self.headers = []
+        self.body = []
+        self.body_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes):
+        """Take one header."""
+        if not self.complete:
+            self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        """Find out how the answer ends, and if it is kept alive."""
+        if self.complete:
+            return
+        self.in_body = True
+        self.until_close = True
+        for name, value in self.headers:
+            if name == b"content-length":
+                self.until_close = False
+            elif name == b"transfer-encoding":
+                self.until_close = b"chunked" not in value.lower()
+            elif name == b"connection" and b"close" in value.lower():
+                self.must_close = True
+            elif name == b"keep-alive":
+                self._read_keep_alive(value)
+
+    def on_body(self, body: bytes):
+        """Take a piece of the body."""
+        if self.complete:
+            return
+        self.body_bytes += len(body)
+        if self.body_bytes > MAX_ANSWER_BYTES:
+            raise ValueError("answer is too large")
+        self.body.append(body)
+
+    def on_message_complete(self):
+        """Note the end of the answer."""
+        if self.complete:
+            return
+        if self.parser.get_status_code() < 200:
+            self.in_body = False
+            return
+        self.complete = True
+        if self.until_close and not self.must_close:
+            # No length and no chunks: only an answer without a body, such
+            # as 204, ends here while the connection stays.
+            self.must_close = self.parser.get_status_code() not in (204, 304)
+
+    def _read_keep_alive(self, value: bytes):
+        for item in value.split(b","):
+            name, _, text = item.strip().partition(b"=")
+            if name.lower() == b"timeout" and text.isdigit():
+                seconds = int(text)
+                self.idle_limit_s = max(
+                    0.0, min(seconds * IDLE_SHARE, seconds - IDLE_MARGIN_S)
+                )
+
+    def _finish(self):
+        call, self.call = self.call, None
+        answer = Answer(
+            Ending.ANSWERED,
+            self.parser.get_status_code(),
+            tuple(self.headers),
+            b"".join(self.body),
+        )
+        echoed = answer.get_header(self.pool.id_header)
+        if echoed is not None and echoed != call.request_id:
+            self.pool.on_event("foreign-answer")
+            self.transport.abort()
+            self.pool.end(call, Answer(Ending.INVALID))
+            return
+        self.headers = []
+        self.body = []
+        self.pool.release(self)
+        self.pool.end(call, answer)
+
+    def _fail(self, ending):
+        call, self.call = self.call, None
+        self.transport.abort()
+        self.pool.end(call, Answer(ending))
--- /dev/null
+++ b/chervilspindle/wire/http_server.py
@@ -0,0 +1,364 @@
+"""HTTP/1.1 server of the data path, on asyncio protocols and httptools.
+
+A connection serves one request at a time and answers pipelined ones in
+order. A request reaches the handler only when it has been read whole, so a
+connection that is closed before has certainly caused no work.
+"""
+
+import collections
+from collections import abc
+import http
+import logging
+import typing
+
+import httptools
+
+LOGGER = logging.getLogger(__name__)
+
+SWEEP_S = 0.5
+MAX_PIPELINED = 16
+MAX_HEADERS = 200
+REASON_BY_STATUS = {s.value: s.phrase.encode() for s in http.HTTPStatus}
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class Request(typing.NamedTuple):
+    """One request as it was read.
+
+    Parameters
+    ----------
+    method, target : bytes
+    headers : tuple of (name, value)
+        Names are in lower case.
+    body : bytes
+    received_s : float
+        Loop time at which the last byte was read.
+    is_first : bool
+        Whether it is the first on its connection.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    received_s: float
+    is_first: bool
+
+    def get_header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, None without one."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class ServerLimits(typing.NamedTuple):
+    """Bounds on callers; see `documents.Limits`."""
+
+    header_bytes: int
+    body_bytes: int
+    header_ms: float
+    idle_ms: float
+
+
+class Exchange:
+    """One request and the place of its answer.
+
+    `on_abandoned` is called without arguments if the caller goes away
+    before the answer.
+    """
+
+    __slots__ = ("connection", "request", "on_abandoned", "answered")
+
+    def __init__(self, connection, request: Request):
+        self.connection = connection
+        self.request = request
+        self.on_abandoned: abc.Callable[[], None] | None = None
+        self.answered = False
+
+    def respond(self, status: int, headers: Headers = (), body: bytes = b""):
+        """Send the answer; only the first one counts."""
+        if self.answered:
+            return
+        self.answered = True
+        self.on_abandoned = None
+        self.connection.finish(self, status, headers, body)
+
+
+class HttpServer:
+    """All connections of one listening address.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+    timers : TimerService
+    name : str
+        Name of its timer and of its log lines.
+    handler : callable
+        ``handler(exchange)``; answers now or later.
+    read_limits : callable
+        Returns the `ServerLimits` in force.
+    """
+
+    def __init__(self, loop, timers, name, handler, read_limits):
+        self.loop = loop
+        self.timers = timers
+        self.name = name
+        self.handler = handler
+        self.read_limits = read_limits
+        self.connections = set()
+        self.closing = False
+        self.server = None
+
+    async def listen(self, address: str, backlog: int):
+        """Listen on ``IP:PORT``."""
+        host, port = address.rsplit(":", 1)
+        self.server = await self.loop.create_server(
+            lambda: ServerConnection(self), host, int(port), backlog=backlog
+        )
+        self.timers.subscribe(self.name, SWEEP_S, self.sweep)
+
+    def sweep(self):
+        """Close connections that take too long or stay idle."""
+        now = self.loop.time()
+        limits = self.read_limits()
+        for connection in list(self.connections):
+            connection.check_time(now, limits)
+
+    def count_busy(self) -> int:
+        """Return how many connections wait for an answer."""
+        return sum(1 for c in self.connections if c.exchange is not None)
+
+    def start_closing(self):
+        """Ask callers to leave: answers close their connections."""
+        self.closing = True
+
+    def close_idle(self):
+        """Close connections on which nothing has arrived."""
+        for connection in list(self.connections):
+            if connection.is_idle():
+                connection.transport.close()
+
+    def stop(self):
+        """Close the listener and all connections."""
+        self.timers.cancel(self.name)
+        if self.server is not None:
+            self.server.close()
+        for connection in list(self.connections):
+            connection.transport.close()
+
+
+class ServerConnection:
+    """One connection of a caller."""
+
+    def __init__(self, server: HttpServer):
+        self.server = server
+        self.transport = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.target = b""
+        self.headers = []
+        self.body = []
+        self.header_bytes = 0
+        self.body_bytes = 0
+        self.in_header = True
+        self.begun_s = None
+        self.idle_since_s = server.loop.time()
+        self.served = 0
+        self.waiting = collections.deque()
+        self.exchange = None
+        self.refused = False
+        self.keep_alive = True
+
+    def connection_made(self, transport):
+        """Note a new connection."""
+        self.transport = transport
+        self.server.connections.add(self)
+
+    def connection_lost(self, error):
+        """Tell whoever works for this connection."""
+        self.server.connections.discard(self)
+        self.waiting.clear()
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None and exchange.on_abandoned is not None:
+            exchange.on_abandoned()
+
+    def eof_received(self):
+        """Close: a caller that stops sending has left."""
+        return False
+
+    def pause_writing(self):
+        """Do nothing: answers are bounded and few."""
+
+    def resume_writing(self):
+        """Do nothing."""
+
+    def data_received(self, data: bytes):
+        """Parse what arrived."""
+        if self.refused:
+            return
+        if self.begun_s is None:
+            self.begun_s = self.server.loop.time()
+        try:
+            if self.in_header:
+                self.header_bytes += len(data)
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "protocol upgrades are not supported")
+        except httptools.HttpParserError as error:
+            if not self.refused:
+                self._refuse(400, str(error))
+            return
+        limit = self.server.read_limits().header_bytes
+        if self.in_header and self.header_bytes > limit:
+            self._refuse(431, "header is too large")
+
+    def on_message_begin(self):
+        """Start a request."""
+        self.target = b""
+        self.headers = []
+        self.body = []
+        self.header_bytes = 0
+        self.body_bytes = 0
+        self.in_header = True
+        if self.begun_s is None:
+            self.begun_s = self.server.loop.time()
+
+    def on_url(self, url: bytes):
+        """Take a piece of the target."""
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes):
+        """Take one header."""
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        """Check the header before its body is read."""
+        self.in_header = False
+        size = len(self.target)
+        expects = False
+        for name, value in self.headers:
+            size += len(name) + len(value) + 4
+            if name == b"expect" and value.lower() == b"100-continue":
+                expects = True
+        limits = self.server.read_limits()
+        if size > limits.header_bytes or len(self.headers) > MAX_HEADERS:
+            self._refuse(431, "header is too large")
+        elif expects and self.exchange is None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes):
+        """Take a piece of the body."""
+        self.body_bytes += len(body)
+        if self.body_bytes > self.server.read_limits().body_bytes:
+            self._refuse(413, "body is too large")
+            return
+        self.body.append(body)
+
+    def on_message_complete(self):
+        """Pass the request on, or queue it behind the one before."""
+        if self.refused:
+            return
+        request = Request(
+            self.parser.get_method(),
+            self.target,
+            tuple(self.headers),
+            b"".join(self.body),
+            self.server.loop.time(),
+            self.served == 0,
+        )
+        self.served += 1
+        self.in_header = True
+        self.header_bytes = 0
+        self.begun_s = None
+        self.waiting.append((request, self.parser.should_keep_alive()))
+        if len(self.waiting) > MAX_PIPELINED:
+            self.transport.pause_reading()
+        self._serve_next()
+
+    def finish(self, exchange, status, headers, body):
+        """Write the answer of the request that is being served."""
+        if self.exchange is not exchange:
+            return
+        self.exchange = None
+        keep = self.keep_alive and not self.server.closing
+        self._write(status, headers, body, exchange.request.method, keep)
+        self.idle_since_s = self.server.loop.time()
+        if not keep:
+            self.transport.close()
+            return
+        if self.waiting:
+            self.transport.resume_reading()
+            self.server.loop.call_soon(self._serve_next)
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing was read that is not answered yet."""
+        return self.exchange is None and self.begun_s is None
+
+    def check_time(self, now: float, limits: ServerLimits):
+        """Close the connection if its caller takes too long."""
+        if self.exchange is not None or self.transport.is_closing():
+            return
+        if self.begun_s is not None:
+            if (now - self.begun_s) * 1000.0 > limits.header_ms:
+                self._refuse(408, "request was not sent in time")
+        elif (now - self.idle_since_s) * 1000.0 > limits.idle_ms:
+            self.transport.close()
+
+    def _serve_next(self):
+        if self.exchange is not None or not self.waiting:
+            return
+        if self.transport.is_closing():
+            return
+        request, self.keep_alive = self.waiting.popleft()
+        self.exchange = Exchange(self, request)
+        self.server.handler(self.exchange)
+
+    def _refuse(self, status, reason):
+        """Answer what can't be read, after the answers that are due."""
+        if self.refused:
+            return
+        self.refused = True
+        LOGGER.warning(
+            "request refused",
+            extra={
+                "server": self.server.name,
+                "status": status,
+                "why": reason,
+            },
+        )
+        if self.exchange is None:
+            self._write(status, (), reason.encode(), b"GET", False)
+            self.transport.close()
+        else:
+            # The answer in progress ends the connection.
+            self.keep_alive = False
+            self.waiting.clear()
+
+    def _write(self, status, headers, body, method, keep):
+        reason = REASON_BY_STATUS.get(status, b"Status")
+        parts = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
+        for name, value in headers:
+            parts.append(b"%s: %s\r\n" % (name, value))
+        parts.append(b"Content-Length: %d\r\n" % len(body))
+        if not keep:
+            parts.append(b"Connection: close\r\n")
+        parts.append(b"\r\n")
+        if method != b"HEAD":
+            parts.append(body)
+        self.transport.write(b"".join(parts))
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -41,6 +41,8 @@
     lists : ListsDelta or None
     vms, endpoints, ownerships : tuple
     gone_vms, gone_endpoints : tuple of str
+    document : StoredDocument or None
+        None if it did not change.
     """
 
     version: int
@@ -51,6 +53,7 @@
     ownerships: tuple[rows.Ownership, ...]
     gone_vms: tuple[str, ...]
     gone_endpoints: tuple[str, ...]
+    document: rows.StoredDocument | None = None
 
 
 class Heartbeat(typing.NamedTuple):
@@ -320,6 +323,95 @@
     retry_after_ms: int
 
 
+class Replicate(typing.NamedTuple):
+    """Carries one message of the replicated log.
+
+    `address` is where its sender listens.
+    """
+
+    data: bytes
+    address: str
+
+
+class WatchCall(typing.NamedTuple):
+    """Asks a control member for rows that changed, as soon as some have."""
+
+    vm_id: str
+    known_version: int
+
+
+class WatchReply(typing.NamedTuple):
+    """What changed, and how far the member can be trusted.
+
+    Parameters
+    ----------
+    age_ms : float
+        How long ago the member last heard the leader.
+    watchers : int
+        Entries that watch any member, 0 if that is not known.
+    addresses : tuple of str
+        Peer addresses of all members.
+    delta : bytes
+        Encoded `Delta`.
+    """
+
+    age_ms: float
+    watchers: int
+    addresses: tuple[str, ...]
+    delta: bytes
+
+
+class AnnounceCall(typing.NamedTuple):
+    """Asks the leader to record what an endpoint said of itself."""
+
+    endpoint: rows.Endpoint
+
+
+class MemberReport(typing.NamedTuple):
+    """Tells the leader what a member has heard since its last report.
+
+    Parameters
+    ----------
+    member_id : str
+    watchers : int
+        Entries that watch this member.
+    heard : tuple of str
+        Endpoints that announced themselves.
+    """
+
+    member_id: str
+    watchers: int
+    heard: tuple[str, ...]
+
+
+class MemberReportReply(typing.NamedTuple):
+    """Watchers of all members, 0 if the leader does not know yet."""
+
+    watchers: int
+
+
+class DocumentCall(typing.NamedTuple):
+    """Asks the leader to put a routing document in force."""
+
+    document: rows.StoredDocument
+
+
+class DocumentReply(typing.NamedTuple):
+    """The version held after that."""
+
+    held_version: int
+
+
+class ReadDocumentCall(typing.NamedTuple):
+    """Asks the leader for the newest routing document."""
+
+
+class ReadDocumentReply(typing.NamedTuple):
+    """The newest routing document; version -1 is none."""
+
+    document: rows.StoredDocument
+
+
 class Frame(typing.NamedTuple):
     """One message on a link; `call_id` 0 expects no reply."""
 
@@ -356,6 +448,16 @@
         ExplainCall,
         ExplainReply,
         ProblemReply,
+        Replicate,
+        WatchCall,
+        WatchReply,
+        AnnounceCall,
+        MemberReport,
+        MemberReportReply,
+        DocumentCall,
+        DocumentReply,
+        ReadDocumentCall,
+        ReadDocumentReply,
     )
 }
 
