Run links of uvloop processes on the loop's own transports

Cause: Twisted's sockets on uvloop sit on poll handles, which uvloop closes when a socket fails; each write raised, the loss was never reported, and the follower ended with the first call that raised. Ruled out: the member that it watched (others followed it) and the freeze itself (the follower woke).

--- a/chervilspindle/routing/follower.py
+++ b/chervilspindle/routing/follower.py
@@ -9,6 +9,8 @@
 import logging
 import random
 
+from twisted.internet import defer
+
 from chervilspindle.core import errors
 from chervilspindle.core import logs
 from chervilspindle.wire import messages
@@ -75,7 +77,9 @@
         if self.member is None:
             self.member = self._pick()
         message = messages.WatchCall(self.vm_id, self.version)
-        deferred = self.call(self.member, message, CALL_TIMEOUT_S)
+        deferred = defer.maybeDeferred(
+            self.call, self.member, message, CALL_TIMEOUT_S
+        )
         deferred.addCallback(self._take_reply)
         deferred.addErrback(self._call_failed)
 
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -29,6 +29,7 @@
 from chervilspindle.wire import http_server
 from chervilspindle.wire import messages
 from chervilspindle.wire import peer
+from chervilspindle.wire import streams
 
 LOGGER = logging.getLogger(__name__)
 
@@ -129,7 +130,11 @@
         self.stop_reactor = stop_reactor
         self.timers = timers_module.TimerService(clock)
         self.network = peer.PeerNetwork(
-            reactor, self.timers, settings.shared_key.encode(), self.handle
+            reactor,
+            self.timers,
+            settings.shared_key.encode(),
+            self.handle,
+            streams.LoopStreams(loop),
         )
         self.metrics = metrics_module.RoutingMetrics()
         self.servers = []
--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -351,6 +351,8 @@
             self.waiting.clear()
 
     def _write(self, status, headers, body, method, keep):
+        if self.transport.is_closing():
+            return
         reason = REASON_BY_STATUS.get(status, b"Status")
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
         for name, value in headers:
--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -18,13 +18,13 @@
 
 import msgspec
 from twisted.internet import defer
-from twisted.internet import endpoints
 from twisted.internet import error as internet_error
 from twisted.internet import protocol
 from twisted.protocols import basic
 
 from chervilspindle.core import errors
 from chervilspindle.wire import messages
+from chervilspindle.wire import streams
 
 LOGGER = logging.getLogger(__name__)
 
@@ -34,7 +34,6 @@
 PING_PERIOD_S = 0.5
 SILENCE_LIMIT_S = 2.0
 IDLE_AFTER_S = 10.0
-CONNECT_TIMEOUT_S = 1.0
 MAX_QUEUED = 10000
 
 
@@ -199,13 +198,17 @@
     shared_key : bytes
     handler : callable
         ``handler(link, message)`` returns a reply, a Deferred, or None.
+    byte_streams : ReactorStreams or LoopStreams, optional
+        Opens connections; those of the reactor by default.
     """
 
     noisy = False
 
-    def __init__(self, reactor, timers, shared_key: bytes, handler):
+    def __init__(
+        self, reactor, timers, shared_key: bytes, handler, byte_streams=None
+    ):
         self.clock = reactor
-        self.reactor = reactor
+        self.byte_streams = byte_streams or streams.ReactorStreams(reactor)
         self.shared_key = shared_key
         self.handler = handler
         self.links = set()
@@ -220,11 +223,7 @@
 
     def listen(self, address: str) -> defer.Deferred:
         """Accept links on ``IP:PORT``."""
-        host, port = address.rsplit(":", 1)
-        server = endpoints.TCP4ServerEndpoint(
-            self.reactor, int(port), interface=host
-        )
-        return server.listen(self)
+        return self.byte_streams.listen(address, self)
 
     def send(self, address: str, message):
         """Send a message, over a new link if there is none yet.
@@ -310,15 +309,10 @@
             queue.append(start)
 
     def _connect(self, address: str):
-        host, port = address.rsplit(":", 1)
-        client = endpoints.TCP4ClientEndpoint(
-            self.reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
-        )
-        factory = protocol.Factory.forProtocol(
-            lambda: PeerLink(self, dialled_address=address)
+        connecting = self.byte_streams.connect(
+            address, lambda: PeerLink(self, dialled_address=address)
         )
-        factory.noisy = False
-        client.connect(factory).addErrback(
+        connecting.addErrback(
             lambda failure: self._connect_failed(address, failure)
         )
 
--- /dev/null
+++ b/chervilspindle/wire/streams.py
@@ -0,0 +1,128 @@
+"""Byte streams for framed protocols, over Twisted's reactor or a uvloop loop.
+
+Twisted's own sockets on a uvloop loop go through poll handles, which uvloop
+closes by itself when a socket fails; from then on each write raises and the
+connection is never reported as lost. Processes that run on uvloop therefore
+use the loop's own transports under the same protocols.
+"""
+
+import asyncio
+
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error as internet_error
+from twisted.internet import protocol
+from twisted.python import failure as failure_module
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class ReactorStreams:
+    """Streams of a Twisted reactor.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP
+    """
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+
+    def listen(self, address: str, factory) -> defer.Deferred:
+        """Accept connections on ``IP:PORT`` with a protocol factory."""
+        host, port = address.rsplit(":", 1)
+        server = endpoints.TCP4ServerEndpoint(
+            self.reactor, int(port), interface=host
+        )
+        return server.listen(factory)
+
+    def connect(self, address: str, build_protocol) -> defer.Deferred:
+        """Connect; fails with `ConnectError` or `OSError`."""
+        host, port = address.rsplit(":", 1)
+        client = endpoints.TCP4ClientEndpoint(
+            self.reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        factory = protocol.Factory.forProtocol(build_protocol)
+        factory.noisy = False
+        return client.connect(factory)
+
+
+class LoopStreams:
+    """Streams of an asyncio loop, for Twisted protocols.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+    """
+
+    def __init__(self, loop):
+        self.loop = loop
+
+    def listen(self, address: str, factory) -> defer.Deferred:
+        """Accept connections on ``IP:PORT`` with a protocol factory."""
+        host, port = address.rsplit(":", 1)
+        starting = self.loop.create_server(
+            lambda: _Stream(factory.buildProtocol(None)), host, int(port)
+        )
+        deferred = defer.Deferred.fromFuture(self.loop.create_task(starting))
+        return deferred.addCallback(_Port)
+
+    def connect(self, address: str, build_protocol) -> defer.Deferred:
+        """Connect; fails with `ConnectError` or `OSError`."""
+        host, port = address.rsplit(":", 1)
+        opening = self._open(host, int(port), build_protocol)
+        return defer.Deferred.fromFuture(self.loop.create_task(opening))
+
+    async def _open(self, host, port, build_protocol):
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await self.loop.create_connection(
+                    lambda: _Stream(build_protocol()), host, port
+                )
+        except TimeoutError as error:
+            raise internet_error.TimeoutError() from error
+
+
+class _Port:
+    """A listening socket."""
+
+    def __init__(self, server):
+        self.server = server
+
+    def stopListening(self):
+        self.server.close()
+
+
+class _Stream(asyncio.Protocol):
+    """Passes events of an asyncio transport to a Twisted protocol."""
+
+    def __init__(self, inner):
+        self.inner = inner
+        self.transport = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.inner.makeConnection(self)
+
+    def data_received(self, data):
+        self.inner.dataReceived(data)
+
+    def connection_lost(self, error):
+        reason = error or internet_error.ConnectionDone()
+        self.inner.connectionLost(failure_module.Failure(reason))
+
+    # What framed protocols ask of a Twisted transport.
+
+    def write(self, data):
+        # uvloop raises on a write between a loss and its report.
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
+    def loseConnection(self):
+        self.transport.close()
+
+    def abortConnection(self):
+        self.transport.abort()
+
+    def setTcpNoDelay(self, enabled):
+        """Do nothing: asyncio's TCP transports never delay."""
