--- /dev/null
+++ b/chervilspindle/control/desk_test.py
@@ -0,0 +1,241 @@
+"""Tests of control members towards endpoints, operators and watchers."""
+
+import pytest
+from twisted.internet import defer
+from twisted.internet import task
+
+from chervilspindle.control import changes
+from chervilspindle.control import desk as desk_module
+from chervilspindle.control import membership
+from chervilspindle.control import raft
+from chervilspindle.control import raft_messages
+from chervilspindle.control import state as state_module
+from chervilspindle.control import watch as watch_module
+from chervilspindle.core import errors
+from chervilspindle.core import rows
+from chervilspindle.core import timers as timers_module
+from chervilspindle.wire import messages
+
+
+class FakeNode:
+    """A leader that commits at once, or a member without a leader."""
+
+    def __init__(self):
+        self.tables = state_module.EMPTY_STATE
+        self.leads = True
+        self.address = "10.0.0.1:7000"
+        self.leader_listeners = []
+        self.applied_listeners = []
+        self.feed = changes.ChangeFeed()
+        self.proposed = []
+        self.raft = raft.build_state(
+            "vm-1#a",
+            raft_messages.HardState(1, ""),
+            (),
+            raft_messages.SnapshotMark(0, 0, ()),
+            0.0,
+            0.0,
+        )
+
+    def is_leader(self):
+        return self.leads
+
+    def find_leader_address(self):
+        return None
+
+    def get_leader_vm(self):
+        return ""
+
+    def build_no_leader(self):
+        return errors.build_error(errors.ErrorKind.NO_LEADER, "no leader")
+
+    def propose(self, command):
+        self.proposed.append(command)
+        outcome = state_module.apply_command(command, self.tables)
+        version = self.tables.version + 1
+        self.tables = outcome.state._replace(version=version)
+        self.feed.record(version, outcome.changes)
+        for listener in self.applied_listeners:
+            listener()
+        return defer.succeed(outcome.result)
+
+
+class Identity:
+    member_id = "vm-1#a"
+
+
+@pytest.fixture
+def parts():
+    clock = task.Clock()
+    node = FakeNode()
+    node.identity = Identity()
+    timers = timers_module.TimerService(clock)
+
+    def read_clock():
+        return clock.seconds() * 1000.0
+
+    desk = desk_module.Desk(node, None, timers, read_clock)
+    for listener in node.leader_listeners:
+        listener()
+    watch = watch_module.WatchServer(node, desk, timers, read_clock)
+    return clock, node, desk, watch
+
+
+def build_endpoint(sequence=1, **fields):
+    row = rows.Endpoint(
+        "i-1", "s", "10.0.1.1:80", "a", 2, 0, "ready", (), 5, sequence
+    )
+    return row._replace(**fields)
+
+
+def test_what_tells_nothing_new_is_not_committed_again(parts):
+    _, node, desk, _ = parts
+    desk.announce(build_endpoint(1))
+    desk.announce(build_endpoint(2))
+    assert len(node.proposed) == 1
+
+
+def test_a_late_announcement_does_not_undo_draining(parts):
+    _, node, desk, _ = parts
+    desk.announce(build_endpoint(1))
+    desk.announce(build_endpoint(5, state="draining"))
+    desk.announce(build_endpoint(4))
+    assert node.tables.endpoint_by_id["i-1"].state == "draining"
+
+
+def test_nothing_revives_an_endpoint_that_left_but_a_new_start(parts):
+    _, node, desk, _ = parts
+    desk.announce(build_endpoint(1))
+    desk.withdraw("i-1")
+    desk.announce(build_endpoint(9))
+    assert node.tables.endpoint_by_id["i-1"].state == "gone"
+    desk.announce(build_endpoint(1, incarnation=6))
+    assert node.tables.endpoint_by_id["i-1"].state == "ready"
+
+
+def test_news_without_a_leader_are_not_acknowledged(parts):
+    _, node, desk, _ = parts
+    node.leads = False
+    failures = []
+    desk.announce(build_endpoint()).addErrback(failures.append)
+    desk.read_document().addErrback(failures.append)
+    assert [f.value.problem.kind for f in failures] == [
+        errors.ErrorKind.NO_LEADER
+    ] * 2
+
+
+def test_the_highest_document_stays_and_older_ones_are_acknowledged(parts):
+    _, node, desk, _ = parts
+    replies = []
+    for version, data in ((4, b"four"), (2, b"two"), (4, b"other")):
+        stored = rows.StoredDocument(version, data)
+        desk.apply_document(stored).addCallback(replies.append)
+    assert [r.held_version for r in replies] == [4, 4, 4]
+    assert node.tables.document == rows.StoredDocument(4, b"four")
+    image = state_module.encode_image(node.tables)
+    assert state_module.decode_image(image).document.data == b"four"
+
+
+def test_silent_endpoints_are_lost_and_come_back_when_heard(parts):
+    clock, node, desk, _ = parts
+    for number in range(4):
+        desk.announce(build_endpoint(endpoint_id=f"i-{number}"))
+    for beat in range(2, 32):
+        clock.advance(0.5)
+        for number in range(1, 4):
+            row = build_endpoint(beat, endpoint_id=f"i-{number}")
+            desk.announce(row)
+    states = {
+        e.endpoint_id: e.state for e in node.tables.endpoint_by_id.values()
+    }
+    assert states["i-0"] == "lost" and states["i-1"] == "ready"
+    desk.announce(build_endpoint(40, endpoint_id="i-0"))
+    assert node.tables.endpoint_by_id["i-0"].state == "ready"
+
+
+def test_a_leader_that_hears_nobody_drops_nobody(parts):
+    clock, node, desk, _ = parts
+    for number in range(4):
+        desk.announce(build_endpoint(endpoint_id=f"i-{number}"))
+    clock.pump([0.5] * 60)
+    assert {e.state for e in node.tables.endpoint_by_id.values()} == {"ready"}
+
+
+def test_watchers_of_all_members_are_counted(parts):
+    clock, _, desk, _ = parts
+    clock.advance(desk_module.COUNT_AFTER_MS / 1000.0 - 0.1)
+    desk.take_report(messages.MemberReport("vm-2#b", 4, ()))
+    reply = desk.take_report(messages.MemberReport("vm-3#c", 5, ()))
+    assert reply.watchers == 0
+    clock.advance(0.2)
+    reply = desk.take_report(messages.MemberReport("vm-3#c", 6, ()))
+    assert reply.watchers == 10
+
+
+def test_a_watch_is_answered_by_a_change_or_after_a_while(parts):
+    clock, _, desk, watch = parts
+    replies = []
+    watch.watch(messages.WatchCall("entry-1", 0)).addCallback(replies.append)
+    desk.announce(build_endpoint())
+    clock.advance(watch_module.GATHER_S)
+    delta = messages.decode_delta(replies[0].delta)
+    assert [e.endpoint_id for e in delta.endpoints] == ["i-1"]
+    again = watch.watch(messages.WatchCall("entry-1", delta.version))
+    again.addCallback(replies.append)
+    clock.pump([0.1] * 9)
+    assert messages.decode_delta(replies[1].delta).endpoints == ()
+
+
+def test_a_member_that_lags_does_not_answer_over_and_over(parts):
+    _, _, _, watch = parts
+    reply = watch.watch(messages.WatchCall("entry-1", 99))
+    assert isinstance(reply, defer.Deferred) and not reply.called
+
+
+def build_leader(voters, learners, acked_ms, now):
+    members = tuple(raft.Member(m, "", True) for m in voters)
+    members += tuple(raft.Member(m, "", False) for m in learners)
+    state = raft.build_state(
+        voters[0],
+        raft_messages.HardState(1, ""),
+        (),
+        raft_messages.SnapshotMark(0, 0, ()),
+        now,
+        0.0,
+    )
+    progress = {
+        m: raft.Progress(2, 1, acked_ms.get(m, now))
+        for m in (*voters[1:], *learners)
+    }
+    return state._replace(
+        role="leader", members=members, progress_by_id=progress, elected_ms=0.0
+    )
+
+
+VOTERS = ("a#1", "b#1", "c#1", "d#1", "e#1")
+
+
+def test_a_silent_voter_makes_room_for_a_learner_that_caught_up():
+    state = build_leader(VOTERS, ("f#1",), {"c#1": 1000.0}, 10000.0)
+    planned = membership.plan_removal(state, 5, 10000.0, 4000.0)
+    assert {m.member_id for m in planned} == {
+        "a#1",
+        "b#1",
+        "d#1",
+        "e#1",
+        "f#1",
+    }
+
+
+@pytest.mark.parametrize(
+    "voters, learners, acked",
+    [
+        (VOTERS, (), {"c#1": 1000.0}),
+        (VOTERS, ("f#1",), {}),
+        (VOTERS, ("f#1",), {"c#1": 1000.0, "f#1": 1000.0}),
+        (VOTERS[:4], ("f#1",), {"c#1": 1000.0}),
+    ],
+)
+def test_no_voter_is_removed_without_need(voters, learners, acked):
+    state = build_leader(voters, learners, acked, 10000.0)
+    assert membership.plan_removal(state, 5, 10000.0, 4000.0) is None
--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -456,3 +456,17 @@
         assert len(world.list_runs("shard-0")) <= 10 + 0.2 * 10 + 4
 
     play(test, base=4.0)
+
+
+def test_a_query_that_is_late_as_a_whole_is_not_hedged_at_once(play):
+    """Connections that are still being opened made each shard a straggler."""
+
+    async def test(world):
+        await world.ask("/all/x", "warm")
+        for backend in world.backend_by_id.values():
+            backend.runs.clear()
+            backend.work_s = 0.012
+        await world.ask("/all/x", "id-2")
+        assert sum(len(world.list_runs(s)) for s in SHARDS) == len(SHARDS)
+
+    play(test)
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -5,11 +5,13 @@
 before the objective with the parts that are there, if they cover enough.
 """
 
+from chervilspindle.policy import hedging
 from chervilspindle.routing import forwarding
 from chervilspindle.routing import merge
 from chervilspindle.routing import policy
 from chervilspindle.wire import endpoint_http
 
+RECHECK_MS = 2.0  # a small part of the least time until a hedge
 MAX_REFUSED_SENDS = 3  # sends of a shard beyond the attempts that may run
 
 
@@ -192,6 +194,12 @@
     def _hedge(self):
         if self.done:
             return
+        elapsed = self._read_elapsed_ms()
+        unsettled = len(self.shards) - self.answered
+        late = elapsed / self.timing.hedge_ms
+        if not hedging.is_straggler(len(self.shards), unsettled, late):
+            self._call_at(elapsed + RECHECK_MS, self._hedge)
+            return
         for shard in self.shards:
             if shard.is_open() and self._send_again(shard):
                 self.hedges += 1
--- a/chervilspindle/routing/follower.py
+++ b/chervilspindle/routing/follower.py
@@ -91,19 +91,21 @@
 
     def _take_reply(self, reply):
         self.addresses = reply.addresses or self.addresses
+        if reply.age_ms > AGE_LIMIT_MS:
+            # A member that has just restarted knows only its last snapshot.
+            self._move_on("member has no leader")
+            return
         delta = messages.decode_delta(reply.delta)
-        if delta.version >= self.version:
-            self.take_delta(delta)
-            self.version = delta.version
-        elif reply.age_ms <= AGE_LIMIT_MS:
+        if delta.version < self.version:
             LOGGER.error(
                 "control is older than what it said before",
                 extra={"held": self.version, "offered": delta.version},
             )
-        self._note_count(reply.watchers)
-        if reply.age_ms > AGE_LIMIT_MS or delta.version < self.version:
-            self._move_on("member has no leader")
+            self._move_on("member is older than the entry")
             return
+        self.take_delta(delta)
+        self.version = delta.version
+        self._note_count(reply.watchers)
         if not self.in_touch:
             self.in_touch = True
             logs.log_decision(
--- a/chervilspindle/routing/follower_test.py
+++ b/chervilspindle/routing/follower_test.py
@@ -95,6 +95,7 @@
     control.clock.advance(follower_module.RETRY_S)
     assert control.calls[0][0] != control.calls[1][0]
     assert not control.follower.in_touch
+    assert control.deltas == []
 
 
 def test_never_takes_an_older_version():
