--- a/chervilspindle/cli.py
+++ b/chervilspindle/cli.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import sys
 import time
 import uuid
@@ -15,6 +16,7 @@
 from chervilspindle.config import settings as settings_module
 from chervilspindle.config import tokens
 from chervilspindle.core import logs
+from chervilspindle.platform import files
 
 EXIT_FAILED = 1
 EXIT_MISTAKE = 2
@@ -57,12 +59,17 @@
 
 
 def check(file: str):
-    """Check a settings file, or a file with the two lists.
+    """Check a settings file, a file with the two lists or a document.
 
-    :param file: path of the file
+    :param file: path of the file; settings and routing documents of the
+        platform are recognised
     """
     document, mistakes = jsonc.load_file(file)
-    if not mistakes:
+    if not mistakes and files.is_platform_file(document):
+        texts = files.list_mistakes(document)
+        if texts:
+            _exit(EXIT_MISTAKE, "\n".join(f"{file}: {t}" for t in texts))
+    elif not mistakes:
         is_lists = isinstance(document, dict) and (
             "customers" in document or "plans" in document
         )
@@ -240,6 +247,30 @@
     _run(lambda: demo_module.show(reactor, chosen))
 
 
+def soak(*, seed: int = 0, minutes: float = 1.0, keep: str = ""):
+    """Play random faults against real processes and check the promises.
+
+    :param seed: seed of the run; drawn now if 0
+    :param minutes: how long faults go on
+    :param keep: folder for data and logs; a temporary one if empty
+    """
+    from chervilspindle.tools import soak as soak_module
+
+    seed = seed or random.SystemRandom().randrange(1, 1 << 31)
+    findings, counts = soak_module.run_soak(seed, minutes * 60.0, keep)
+    print(
+        json.dumps(
+            {
+                "seed": seed,
+                "counts": counts,
+                "findings": [f._asdict() for f in findings],
+            }
+        )
+    )
+    if findings:
+        sys.exit(EXIT_FAILED)
+
+
 def main(arguments=None):
     """Run the command line."""
     defopt.run(
@@ -256,6 +287,7 @@
             endpoint,
             load,
             demo,
+            soak,
         ],
         argv=arguments,
         cli_options="kwonly",
--- a/chervilspindle/platform/platform_test.py
+++ b/chervilspindle/platform/platform_test.py
@@ -9,6 +9,7 @@
 from chervilspindle.core import rows
 from chervilspindle.platform import control_api
 from chervilspindle.platform import documents
+from chervilspindle.platform import files
 from chervilspindle.platform import settings
 from chervilspindle.wire import http_server
 from chervilspindle.wire import messages
@@ -237,3 +238,15 @@
     assert call(desk, b"GET", b"/other")[0] == 404
     assert call(desk, b"POST", b"/api/config")[0] == 405
     assert call(desk, b"PUT", b"/api/instances/", BEAT)[0] == 400
+
+
+def test_files_are_recognised_and_checked():
+    assert files.is_platform_file(SETTINGS)
+    assert files.is_platform_file(CONFIGURATION)
+    assert not files.is_platform_file({"plans": []})
+    assert files.list_mistakes(SETTINGS) == []
+    assert files.list_mistakes(CONFIGURATION) == []
+    doubled = {**CONFIGURATION, "routes": [ROUTE, {**ROUTE, "name": "r-2"}]}
+    assert files.list_mistakes(doubled) == ["r-2: same host and prefix as r-1"]
+    wrong = {**SETTINGS, "zone": 3}
+    assert "$.zone" in files.list_mistakes(wrong)[0]
