--- a/chervilspindle/config/options.py
+++ b/chervilspindle/config/options.py
@@ -1,6 +1,6 @@
 """The table that declares each setting of a process, with its meaning.
 
-The loader, the validation and the settings reference in docs/OPERATING.md
+The loader, the validation and the settings reference in docs/OPERATIONS.md
 all read this table.
 """
 
--- a/chervilspindle/config/options_test.py
+++ b/chervilspindle/config/options_test.py
@@ -4,7 +4,7 @@
 
 from chervilspindle.config import options
 
-PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATING.md"
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
 
 
 def test_reference_is_current():
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -12,6 +12,7 @@
 from chervilspindle.wire import endpoint_http
 
 RECHECK_MS = 2.0  # a small part of the least time until a hedge
+LOGGED_SENDS = 8  # second sends that the line of a request names
 MAX_REFUSED_SENDS = 3  # sends of a shard beyond the attempts that may run
 
 
@@ -77,6 +78,7 @@
         self.answered = 0
         self.hedges = 0
         self.retries = 0
+        self.again = []
         self.ran = False
         self.done = False
         self.past_answer_time = False
@@ -201,18 +203,18 @@
             self._call_at(elapsed + RECHECK_MS, self._hedge)
             return
         for shard in self.shards:
-            if shard.is_open() and self._send_again(shard):
+            if shard.is_open() and self._send_again(shard, "hedge"):
                 self.hedges += 1
                 self.context.metrics.count_extra("hedge")
 
     def _retry(self, shard):
-        if self._send_again(shard):
+        if self._send_again(shard, shard.reason):
             self.retries += 1
             self.context.metrics.count_extra("retry")
         else:
             self._check_progress()
 
-    def _send_again(self, shard) -> bool:
+    def _send_again(self, shard, cause) -> bool:
         """Send a shard to another endpoint, if rules and budget allow."""
         if not self._may_send(shard):
             return False
@@ -222,6 +224,10 @@
         if not self.context.budget.spend(shard.service):
             self.context.metrics.count_extra("over_budget")
             return False
+        if len(self.again) < LOGGED_SENDS:
+            elapsed = round(self._read_elapsed_ms(), 1)
+            endpoint_id = target.endpoint.endpoint_id
+            self.again.append([shard.service, endpoint_id, cause, elapsed])
         self._send(shard, target)
         return True
 
@@ -268,6 +274,7 @@
             "hedges": self.hedges,
             "retries": self.retries,
             "missing": missing,
+            "again": self.again,
         }
         self.on_done(self.incoming, status, fields)
 
--- a/chervilspindle/tools/fault_proxy.py
+++ b/chervilspindle/tools/fault_proxy.py
@@ -35,7 +35,7 @@
     async def start(self, address: str):
         """Listen."""
         host, port = address.rsplit(":", 1)
-        self.server = await asyncio.start_server(self._serve, host, int(port))
+        self.server = await asyncio.start_server(self._accept, host, int(port))
 
     def reset_all(self):
         """Reset all open connections."""
@@ -58,6 +58,11 @@
         for task in list(self.tasks):
             task.cancel()
 
+    def _accept(self, reader, writer):
+        task = self.loop.create_task(self._serve(reader, writer))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     async def _serve(self, reader, writer):
         self.writers.add(writer)
         try:
