--- a/chervilspindle/platform/settings.py
+++ b/chervilspindle/platform/settings.py
@@ -24,6 +24,14 @@
     machines: int = 0
 
 
+class Limits(msgspec.Struct):
+    """Bounds on the process."""
+
+    core_share: float = msgspec.field(default=1.0, name="cpu-share")
+    # How many times as fast as one core, not a count of cores.
+    speed: float = msgspec.field(default=1.0, name="cpu-cores")
+
+
 class Bounds(msgspec.Struct):
     """Values of the rules; times in the unit of their names."""
 
@@ -51,6 +59,7 @@
     tolerance: Tolerance = msgspec.field(
         default_factory=Tolerance, name="fault-tolerance"
     )
+    limits: Limits = msgspec.field(default_factory=Limits)
     bounds: Bounds = msgspec.field(
         default_factory=Bounds, name="policy-values"
     )
@@ -85,4 +94,5 @@
             bounds.budget_ratio, bounds.budget_base, bounds.budget_window_s
         ),
         grace_s=bounds.grace_s,
+        core_share=found.limits.core_share * found.limits.speed,
     )
--- a/chervilspindle/policy/hedging.py
+++ b/chervilspindle/policy/hedging.py
@@ -127,7 +127,12 @@
     return min(MAX_LATE_RATIO, sorted(ratios)[rank])
 
 
-def is_straggler(shards: int, unsettled: int, late: float) -> bool:
+def is_straggler(
+    shards: int,
+    unsettled: int,
+    late: float,
+    max_unsettled_share: float = MAX_UNSETTLED_SHARE,
+) -> bool:
     """Tell whether a late part is late against the others of its query.
 
     When most parts of a query are late, their common way is slow, such as a
@@ -140,10 +145,12 @@
     late : float
         Time since the part was first sent, over the delay after which it
         counts as late; from some multiple on it is hedged in any case.
+    max_unsettled_share : float
+        Share of the shards that may be unanswered when one is hedged.
     """
     if shards < LEAST_COMPARED or late >= CERTAIN_RATIO:
         return True
-    return unsettled <= shards * MAX_UNSETTLED_SHARE
+    return unsettled <= shards * max_unsettled_share
 
 
 def get_delay_ms(state: Lateness, service: str) -> float:
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -205,7 +205,9 @@
         elapsed = self._read_elapsed_ms()
         unsettled = len(self.shards) - self.answered
         late = elapsed / self.timing.hedge_ms
-        if not hedging.is_straggler(len(self.shards), unsettled, late):
+        if not hedging.is_straggler(
+            len(self.shards), unsettled, late, policy.HEDGED_SHARE
+        ):
             self._call_at(elapsed + RECHECK_MS, self._hedge)
             return
         for shard in self.shards:
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -77,9 +77,9 @@
 
     __slots__ = ("usual_ms_by_route", "lag_ms")
 
-    def __init__(self):
+    def __init__(self, lag_ms: float = 0.0):
         self.usual_ms_by_route = {}
-        self.lag_ms = 0.0
+        self.lag_ms = lag_ms
 
 
 class Context(typing.NamedTuple):
--- a/chervilspindle/routing/policy.py
+++ b/chervilspindle/routing/policy.py
@@ -18,6 +18,10 @@
 LAG_RISE = 0.5  # lag is taken in fast and forgotten slowly
 LAG_FALL = 0.1
 MAX_LAG_MS = 15.0
+FIRST_LAG_MS = 2.0  # on a whole core, before anything was measured
+# Endpoints that pause or are slow are few at a time; more parts than that
+# are late when the VM itself is.
+HEDGED_SHARE = 0.25
 RETRY_AFTER_S = 0.25  # endpoints that refused have room again by then
 
 
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -25,6 +25,7 @@
 from chervilspindle.routing import follower as follower_module
 from chervilspindle.routing import forwarding
 from chervilspindle.routing import metrics as metrics_module
+from chervilspindle.routing import policy
 from chervilspindle.routing import retry_budget
 from chervilspindle.wire import http_server
 from chervilspindle.wire import messages
@@ -87,6 +88,7 @@
     voters: int
     budget: retry_budget.Rule
     grace_s: float
+    core_share: float
 
 
 class Adapter(typing.NamedTuple):
@@ -203,7 +205,7 @@
             names,
             table,
             retry_budget.RetryBudget(settings.budget, self.loop.time),
-            forwarding.Pace(),
+            forwarding.Pace(policy.FIRST_LAG_MS / settings.core_share),
             self.metrics,
             generator,
         )
