--- /dev/null
+++ b/chervilspindle/routing/keeper.py
@@ -0,0 +1,92 @@
+"""Keeps connections open to the endpoints that the next query will need.
+
+An entry with few queries finds its connections closed by the endpoints when
+the next one comes. Opening one for each of many shards at that moment costs
+a VM with a part of a core more time than the query has.
+"""
+
+import zlib
+
+from chervilspindle.core import logs
+
+TICK_S = 0.25
+OPENED_A_TICK = 8  # spreads the processor time of opening
+CONNECT_CORE_MS = 0.15  # processor time of one connection, on a whole core
+KEEP_SHARE = 0.1  # of the objective; less is not worth the connections
+PAUSE_S = 2.0  # after a connection that failed
+
+
+def is_worth_keeping(
+    shards: int, objective_ms: float, core_share: float
+) -> bool:
+    """Tell whether opening connections would take a query too long."""
+    if not objective_ms:
+        return False
+    opening_ms = shards * CONNECT_CORE_MS / core_share
+    return opening_ms > KEEP_SHARE * objective_ms
+
+
+class ConnectionKeeper:
+    """Opens connections ahead of queries.
+
+    Parameters
+    ----------
+    entry : RoutingEntry
+    timers : TimerService
+    vm_id : str
+    core_share : float
+        Part of a core that the process may use.
+    """
+
+    def __init__(self, entry, timers, vm_id, core_share):
+        self.entry = entry
+        self.vm_id = vm_id
+        self.core_share = core_share
+        self.version = None
+        self.services = ()
+        timers.subscribe("connection-keeper", TICK_S, self.tick)
+
+    def tick(self):
+        """Open some of the connections that are missing."""
+        document = self.entry.document
+        if document is None or self.entry.draining:
+            return
+        if document.version != self.version:
+            self._plan(document)
+        table = self.entry.context.table
+        now = self.entry.context.loop.time()
+        left = OPENED_A_TICK
+        for service in self.services:
+            pool = self._find_home(table, service)
+            if pool is None or pool.count or now - pool.failed_s < PAUSE_S:
+                continue
+            pool.open_idle()
+            left -= 1
+            if not left:
+                return
+
+    def _plan(self, document):
+        self.version = document.version
+        found = set()
+        for route in document.routes:
+            if is_worth_keeping(
+                len(route.shards), route.objective_ms, self.core_share
+            ):
+                found.update(route.shards)
+        if len(found) != len(self.services):
+            logs.log_decision("connections-kept", services=len(found))
+        self.services = tuple(sorted(found))
+
+    def _find_home(self, table, service):
+        """Return the pool that queries from this VM use first."""
+        targets = table.targets_by_service.get(service)
+        if not targets:
+            return None
+        near = [t for t in targets.values() if t.same_zone]
+        chosen = min(
+            near or targets.values(),
+            key=lambda t: zlib.crc32(
+                f"{self.vm_id} {t.endpoint.endpoint_id}".encode()
+            ),
+        )
+        return chosen.pool
--- /dev/null
+++ b/chervilspindle/routing/keeper_test.py
@@ -0,0 +1,111 @@
+"""Tests of connections that are opened ahead of queries."""
+
+import typing
+
+from twisted.internet import task
+
+from chervilspindle.core import timers as timers_module
+from chervilspindle.routing import documents
+from chervilspindle.routing import keeper
+
+
+class Pool:
+    """Counts what is opened."""
+
+    def __init__(self):
+        self.count = 0
+        self.failed_s = -100.0
+        self.opened = 0
+
+    def open_idle(self):
+        self.count += 1
+        self.opened += 1
+
+
+class Row(typing.NamedTuple):
+    endpoint_id: str
+
+
+class Target(typing.NamedTuple):
+    endpoint: Row
+    pool: Pool
+    same_zone: bool
+
+
+class Loop:
+    def __init__(self, clock):
+        self.time = clock.seconds
+
+
+class Fake(typing.NamedTuple):
+    """An entry, a context or a table, as far as the keeper looks."""
+
+    document: object = None
+    draining: bool = False
+    context: object = None
+    table: object = None
+    loop: object = None
+    targets_by_service: object = None
+
+
+def build(shards, core_share, objective_ms=47.0):
+    clock = task.Clock()
+    names = tuple(f"s-{i}" for i in range(shards))
+    targets = {
+        name: {
+            f"{name}-{zone}": Target(
+                Row(f"{name}-{zone}"), Pool(), zone == "a"
+            )
+            for zone in "ab"
+        }
+        for name in names
+    }
+    route = documents.Route(
+        "r", "h", "/", True, 600.0, objective_ms, 1, 2, (), names, 5, 0.8
+    )
+    table = Fake(targets_by_service=targets)
+    entry = Fake(
+        documents.Document(1, (route,), {}, documents.Limits()),
+        context=Fake(table=table, loop=Loop(clock)),
+    )
+    timers = timers_module.TimerService(clock)
+    keeper.ConnectionKeeper(entry, timers, "vm-1", core_share)
+    return clock, targets
+
+
+def list_opened(targets, same_zone):
+    return [
+        t.pool.opened
+        for by_id in targets.values()
+        for t in by_id.values()
+        if t.same_zone == same_zone
+    ]
+
+
+def test_a_wide_query_on_a_part_of_a_core_finds_its_connections_open():
+    clock, targets = build(shards=90, core_share=0.361)
+    clock.pump([keeper.TICK_S] * 12)
+    assert list_opened(targets, True) == [1] * 90
+    assert list_opened(targets, False) == [0] * 90
+
+
+def test_opening_is_spread_over_time():
+    clock, targets = build(shards=90, core_share=0.361)
+    clock.advance(keeper.TICK_S)
+    assert sum(list_opened(targets, True)) == keeper.OPENED_A_TICK
+
+
+def test_a_narrow_query_on_most_of_a_core_opens_none():
+    clock, targets = build(shards=20, core_share=0.731)
+    clock.pump([keeper.TICK_S] * 12)
+    assert sum(list_opened(targets, True)) == 0
+
+
+def test_an_endpoint_that_refuses_connections_is_left_alone_for_a_while():
+    clock, targets = build(shards=90, core_share=0.361)
+    pool = targets["s-0"]["s-0-a"].pool
+    pool.failed_s = clock.seconds()
+    clock.pump([0.25] * 6)
+    assert pool.opened == 0
+    clock.pump([0.25] * 12)
+    assert pool.opened == 1
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -24,6 +24,7 @@
 from chervilspindle.routing import entry as entry_module
 from chervilspindle.routing import follower as follower_module
 from chervilspindle.routing import forwarding
+from chervilspindle.routing import keeper as keeper_module
 from chervilspindle.routing import metrics as metrics_module
 from chervilspindle.routing import policy
 from chervilspindle.routing import retry_budget
@@ -211,6 +212,9 @@
         )
         self.context = context
         self.entry = entry_module.RoutingEntry(context)
+        self.keeper = keeper_module.ConnectionKeeper(
+            self.entry, self.timers, settings.vm_id, settings.core_share
+        )
         self.follower = follower_module.Follower(
             settings.vm_id,
             settings.seeds,
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -9,6 +9,7 @@
 import collections
 from collections import abc
 import enum
+import math
 import typing
 
 import httptools
@@ -40,22 +41,22 @@
     ending : Ending
     status : int
         0 unless `ending` is ANSWERED.
-    headers : tuple of (name, value)
+    headers : sequence of (name, value)
         Names are in lower case.
+    value_by_name : dict of bytes to bytes
+        First value of each header.
     body : bytes
     """
 
     ending: Ending
     status: int = 0
-    headers: tuple = ()
+    headers: typing.Sequence = ()
+    value_by_name: dict[bytes, bytes] = {}
     body: bytes = b""
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None without one."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return self.value_by_name.get(name)
 
 
 class Call:
@@ -139,6 +140,12 @@
         self.waiting = collections.deque()
         self.running = {}
         self.closed = False
+        self.failed_s = -math.inf
+
+    def open_idle(self):
+        """Open a connection that no request waits for."""
+        if not self.closed and self.count < self.max_connections:
+            self._connect()
 
     def submit(self, call: Call):
         """Send a request now, or as soon as a connection is free."""
@@ -278,6 +285,7 @@
 
     def _connect_failed(self):
         self.on_event("connect-failed")
+        self.failed_s = self.loop.time()
         if self.count > 0:
             return
         waiting, self.waiting = self.waiting, collections.deque()
@@ -301,6 +309,7 @@
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.headers = []
+        self.value_by_name = {}
         self.body = []
         self.body_bytes = 0
         self.complete = False
@@ -370,29 +379,32 @@
             self.must_close = True
             return
         self.headers = []
+        self.value_by_name = {}
         self.body = []
         self.body_bytes = 0
 
     def on_header(self, name: bytes, value: bytes):
         """Take one header."""
         if not self.complete:
-            self.headers.append((name.lower(), value))
+            name = name.lower()
+            self.headers.append((name, value))
+            self.value_by_name.setdefault(name, value)
 
     def on_headers_complete(self):
         """Find out how the answer ends, and if it is kept alive."""
         if self.complete:
             return
         self.in_body = True
-        self.until_close = True
-        for name, value in self.headers:
-            if name == b"content-length":
-                self.until_close = False
-            elif name == b"transfer-encoding":
-                self.until_close = b"chunked" not in value.lower()
-            elif name == b"connection" and b"close" in value.lower():
-                self.must_close = True
-            elif name == b"keep-alive":
-                self._read_keep_alive(value)
+        values = self.value_by_name
+        encoding = values.get(b"transfer-encoding", b"")
+        self.until_close = (
+            b"content-length" not in values
+            and b"chunked" not in encoding.lower()
+        )
+        if b"close" in values.get(b"connection", b"").lower():
+            self.must_close = True
+        if b"keep-alive" in values:
+            self._read_keep_alive(values[b"keep-alive"])
 
     def on_body(self, body: bytes):
         """Take a piece of the body."""
@@ -427,17 +439,16 @@
         answer = Answer(
             Ending.ANSWERED,
             self.parser.get_status_code(),
-            tuple(self.headers),
+            self.headers,
+            self.value_by_name,
             b"".join(self.body),
         )
-        echoed = answer.get_header(self.pool.id_header)
+        echoed = self.value_by_name.get(self.pool.id_header)
         if echoed is not None and echoed != call.request_id:
             self.pool.on_event("foreign-answer")
             self.transport.abort()
             self.pool.end(call, Answer(Ending.INVALID))
             return
-        self.headers = []
-        self.body = []
         self.pool.release(self)
         self.pool.end(call, answer)
 
