--- a/chervilspindle/control/desk.py
+++ b/chervilspindle/control/desk.py
@@ -47,9 +47,10 @@
         self.network = network
         self.read_clock = read_clock
         self.heard = set()
-        self.seen_ms_by_watcher = {}
-        self.watchers = 0
-        # As the leader: rows (watchers, time) by member, times by endpoint.
+        # Rows (time, requests) of entries.
+        self.seen_by_watcher = {}
+        self.totals = messages.MemberReportReply(0, 0)
+        # As the leader: rows (report, time) by member, times by endpoint.
         self.count_by_member = {}
         self.heard_ms_by_id = {}
         self.led_since_ms = math.inf
@@ -118,9 +119,9 @@
             return messages.NotLeader(self.node.get_leader_vm())
         return answer_call(message, self)
 
-    def note_watcher(self, vm_id: str):
+    def note_watcher(self, vm_id: str, requests: int):
         """Take in that an entry watches this member."""
-        self.seen_ms_by_watcher[vm_id] = self.read_clock()
+        self.seen_by_watcher[vm_id] = (self.read_clock(), requests)
 
     def _check_reply(self, reply):
         if isinstance(reply, messages.NotLeader):
@@ -135,13 +136,14 @@
 
     def _report(self):
         now = self.read_clock()
-        for vm_id, seen in list(self.seen_ms_by_watcher.items()):
+        for vm_id, (seen, _) in list(self.seen_by_watcher.items()):
             if now - seen > WATCHER_MEMORY_MS:
-                del self.seen_ms_by_watcher[vm_id]
+                del self.seen_by_watcher[vm_id]
         heard, self.heard = self.heard, set()
         report = messages.MemberReport(
             self.node.identity.member_id,
-            len(self.seen_ms_by_watcher),
+            len(self.seen_by_watcher),
+            sum(requests for _, requests in self.seen_by_watcher.values()),
             tuple(heard),
         )
         deferred = self.call_leader(report)
@@ -152,27 +154,30 @@
             self._expire(now)
 
     def _take_count(self, reply):
-        self.watchers = reply.watchers
+        self.totals = reply
 
     def _report_failed(self, failure, heard):
         failure.trap(errors.ProblemError)
-        self.watchers = 0
+        self.totals = messages.MemberReportReply(0, 0)
         # They are told with the next report, to the next leader.
         self.heard.update(heard)
 
     def take_report(self, report: messages.MemberReport):
         """As the leader, take in a member's report."""
         now = self.read_clock()
-        self.count_by_member[report.member_id] = (report.watchers, now)
+        self.count_by_member[report.member_id] = (report, now)
         for endpoint_id in report.heard:
             self.heard_ms_by_id[endpoint_id] = now
         if now - self.led_since_ms < COUNT_AFTER_MS:
-            return messages.MemberReportReply(0)
-        total = 0
-        for watchers, seen in self.count_by_member.values():
-            if now - seen < MEMBER_MEMORY_MS:
-                total += watchers
-        return messages.MemberReportReply(total)
+            return messages.MemberReportReply(0, 0)
+        fresh = [
+            found
+            for found, seen in self.count_by_member.values()
+            if now - seen < MEMBER_MEMORY_MS
+        ]
+        return messages.MemberReportReply(
+            sum(r.watchers for r in fresh), sum(r.requests for r in fresh)
+        )
 
     def _expire(self, now):
         """Record endpoints as lost that no member has heard for long."""
--- a/chervilspindle/control/desk_test.py
+++ b/chervilspindle/control/desk_test.py
@@ -164,23 +164,25 @@
 def test_watchers_of_all_members_are_counted(parts):
     clock, _, desk, _ = parts
     clock.advance(desk_module.COUNT_AFTER_MS / 1000.0 - 0.1)
-    desk.take_report(messages.MemberReport("vm-2#b", 4, ()))
-    reply = desk.take_report(messages.MemberReport("vm-3#c", 5, ()))
+    desk.take_report(messages.MemberReport("vm-2#b", 4, 40, ()))
+    reply = desk.take_report(messages.MemberReport("vm-3#c", 5, 50, ()))
     assert reply.watchers == 0
     clock.advance(0.2)
-    reply = desk.take_report(messages.MemberReport("vm-3#c", 6, ()))
-    assert reply.watchers == 10
+    reply = desk.take_report(messages.MemberReport("vm-3#c", 6, 60, ()))
+    assert (reply.watchers, reply.requests) == (10, 100)
 
 
 def test_a_watch_is_answered_by_a_change_or_after_a_while(parts):
     clock, _, desk, watch = parts
     replies = []
-    watch.watch(messages.WatchCall("entry-1", 0)).addCallback(replies.append)
+    watch.watch(messages.WatchCall("entry-1", 0, 0)).addCallback(
+        replies.append
+    )
     desk.announce(build_endpoint())
     clock.advance(watch_module.GATHER_S)
     delta = messages.decode_delta(replies[0].delta)
     assert [e.endpoint_id for e in delta.endpoints] == ["i-1"]
-    again = watch.watch(messages.WatchCall("entry-1", delta.version))
+    again = watch.watch(messages.WatchCall("entry-1", delta.version, 0))
     again.addCallback(replies.append)
     clock.pump([0.1] * 9)
     assert messages.decode_delta(replies[1].delta).endpoints == ()
@@ -188,7 +190,7 @@
 
 def test_a_member_that_lags_does_not_answer_over_and_over(parts):
     _, _, _, watch = parts
-    reply = watch.watch(messages.WatchCall("entry-1", 99))
+    reply = watch.watch(messages.WatchCall("entry-1", 99, 0))
     assert isinstance(reply, defer.Deferred) and not reply.called
 
 
--- a/chervilspindle/control/watch.py
+++ b/chervilspindle/control/watch.py
@@ -50,7 +50,7 @@
 
     def watch(self, call: messages.WatchCall):
         """Answer now if something is new, else when it is."""
-        self.desk.note_watcher(call.vm_id)
+        self.desk.note_watcher(call.vm_id, call.requests)
         if self.node.tables.version > call.known_version:
             return self._build_reply(call)
         due = self.read_clock() + HOLD_S * 1000.0
@@ -86,7 +86,8 @@
         node = self.node
         return messages.WatchReply(
             self._read_age_ms(),
-            self.desk.watchers,
+            self.desk.totals.watchers,
+            self.desk.totals.requests,
             tuple(sorted(m.address for m in node.raft.members)),
             node.feed.get_delta(node.tables, call.known_version),
         )
--- a/chervilspindle/routing/follower.py
+++ b/chervilspindle/routing/follower.py
@@ -38,13 +38,24 @@
     take_delta : callable
         ``take_delta(delta)`` puts rows in force.
     take_count : callable
-        ``take_count(watchers)`` gets the number of entries.
+        ``take_count(watchers, requests)`` gets the number of entries and
+        the sum of their requests.
+    read_requests : callable
+        Returns what this entry reports as its requests.
     seed : str
         Spreads entries over members.
     """
 
     def __init__(
-        self, vm_id, seeds, call, timers, take_delta, take_count, seed=None
+        self,
+        vm_id,
+        seeds,
+        call,
+        timers,
+        take_delta,
+        take_count,
+        read_requests,
+        seed=None,
     ):
         self.vm_id = vm_id
         self.seeds = tuple(seeds)
@@ -52,6 +63,7 @@
         self.timers = timers
         self.take_delta = take_delta
         self.take_count = take_count
+        self.read_requests = read_requests
         self.random = random.Random(seed)
         self.addresses = ()
         self.member = None
@@ -77,7 +89,9 @@
             return
         if self.member is None:
             self.member = self._pick()
-        message = messages.WatchCall(self.vm_id, self.version)
+        message = messages.WatchCall(
+            self.vm_id, self.version, self.read_requests()
+        )
         deferred = defer.maybeDeferred(
             self.call, self.member, message, CALL_TIMEOUT_S
         )
@@ -106,7 +120,7 @@
             return
         self.take_delta(delta)
         self.version = delta.version
-        self._note_count(reply.watchers)
+        self._note_count(reply.watchers, reply.requests)
         if not self.in_touch:
             self.in_touch = True
             logs.log_decision(
@@ -134,11 +148,13 @@
         delay = RETRY_S if self.version else FIRST_RETRY_S
         self.timers.call_later(delay, self._watch)
 
-    def _note_count(self, watchers):
-        """Pass on the most entries that were counted within a while."""
+    def _note_count(self, watchers, requests):
+        """Pass on the most that was counted within a while."""
         now = self.timers.clock.seconds()
         if watchers > 0:
-            self.counts.append((now, watchers))
+            self.counts.append((now, watchers, requests))
         self.counts = [c for c in self.counts if now - c[0] < COUNT_MEMORY_S]
         if self.counts:
-            self.take_count(max(count for _, count in self.counts))
+            self.take_count(
+                max(c[1] for c in self.counts), max(c[2] for c in self.counts)
+            )
--- a/chervilspindle/routing/follower_test.py
+++ b/chervilspindle/routing/follower_test.py
@@ -29,7 +29,8 @@
             self.call,
             timers_module.TimerService(self.clock),
             self.deltas.append,
-            self.counts.append,
+            lambda watchers, requests: self.counts.append(watchers),
+            lambda: 3,
             seed="test",
         )
 
@@ -41,7 +42,7 @@
 def build_reply(version, age_ms=0.0, watchers=0, addresses=SEEDS):
     delta = messages.Delta(version, False, None, (), (), (), (), ())
     return messages.WatchReply(
-        age_ms, watchers, addresses, messages.encode_delta(delta)
+        age_ms, watchers, 0, addresses, messages.encode_delta(delta)
     )
 
 
--- a/chervilspindle/routing/keeper.py
+++ b/chervilspindle/routing/keeper.py
@@ -1,10 +1,15 @@
 """Keeps connections open to the endpoints that the next query will need.
 
+Where endpoints accept fewer connections than there are entries, the others
+are closed soon after use, so that no entry is turned away for connections
+that another one holds idle.
+
 An entry with few queries finds its connections closed by the endpoints when
 the next one comes. Opening one for each of many shards at that moment costs
 a VM with a part of a core more time than the query has.
 """
 
+import math
 import zlib
 
 from chervilspindle.core import logs
@@ -14,6 +19,8 @@
 CONNECT_CORE_MS = 0.15  # processor time of one connection, on a whole core
 KEEP_SHARE = 0.1  # of the objective; less is not worth the connections
 PAUSE_S = 2.0  # after a connection that failed
+SPARE_S = 1.0  # idle time of a connection where they are scarce
+SCARCE_SHARE = 2.0  # connections of an endpoint for each entry
 
 
 def is_worth_keeping(
@@ -55,6 +62,7 @@
             self._plan(document)
         table = self.entry.context.table
         now = self.entry.context.loop.time()
+        self._close_spare(table, now)
         left = OPENED_A_TICK
         for service in self.services:
             pool = self._find_home(table, service)
@@ -77,6 +85,22 @@
             logs.log_decision("connections-kept", services=len(found))
         self.services = tuple(sorted(found))
 
+    def _close_spare(self, table, now):
+        kept = set(map(id, filter(None, self._list_homes(table))))
+        for target in table.target_by_id.values():
+            limit = table.connections_by_service.get(
+                target.endpoint.service, 0
+            )
+            scarce = 0 < limit < SCARCE_SHARE * table.vms
+            if scarce and id(target.pool) not in kept:
+                target.pool.keep_s = SPARE_S
+                target.pool.close_stale(now)
+            else:
+                target.pool.keep_s = math.inf
+
+    def _list_homes(self, table):
+        return [self._find_home(table, s) for s in self.services]
+
     def _find_home(self, table, service):
         """Return the pool that queries from this VM use first."""
         targets = table.targets_by_service.get(service)
--- a/chervilspindle/routing/keeper_test.py
+++ b/chervilspindle/routing/keeper_test.py
@@ -16,6 +16,10 @@
         self.count = 0
         self.failed_s = -100.0
         self.opened = 0
+        self.closed_s = []
+
+    def close_stale(self, now):
+        self.closed_s.append(now)
 
     def open_idle(self):
         self.count += 1
@@ -24,6 +28,7 @@
 
 class Row(typing.NamedTuple):
     endpoint_id: str
+    service: str = ""
 
 
 class Target(typing.NamedTuple):
@@ -46,9 +51,12 @@
     table: object = None
     loop: object = None
     targets_by_service: object = None
+    target_by_id: object = None
+    connections_by_service: object = {}
+    vms: int = 1
 
 
-def build(shards, core_share, objective_ms=47.0):
+def build(shards, core_share, objective_ms=47.0, connections=0, vms=1):
     clock = task.Clock()
     names = tuple(f"s-{i}" for i in range(shards))
     targets = {
@@ -63,7 +71,16 @@
     route = documents.Route(
         "r", "h", "/", True, 600.0, objective_ms, 1, 2, (), names, 5, 0.8
     )
-    table = Fake(targets_by_service=targets)
+    table = Fake(
+        targets_by_service=targets,
+        target_by_id={
+            i: t._replace(endpoint=t.endpoint._replace(service=name))
+            for name, by_id in targets.items()
+            for i, t in by_id.items()
+        },
+        connections_by_service={name: connections for name in names},
+        vms=vms,
+    )
     entry = Fake(
         documents.Document(1, (route,), {}, documents.Limits()),
         context=Fake(table=table, loop=Loop(clock)),
@@ -109,3 +126,19 @@
     assert pool.opened == 0
     clock.pump([0.25] * 12)
     assert pool.opened == 1
+
+
+def test_scarce_connections_are_closed_soon_but_at_home():
+    _, targets = clock_targets = build(90, 0.361, connections=86, vms=102)
+    clock_targets[0].advance(keeper.TICK_S)
+    homes = [t.pool for d in targets.values() for t in d.values()]
+    closed = [p for p in homes if p.closed_s]
+    assert len(closed) == 90
+    assert all(p.keep_s == keeper.SPARE_S for p in closed)
+
+
+def test_connections_that_are_plenty_stay():
+    clock, targets = build(90, 0.361, connections=300, vms=102)
+    clock.advance(keeper.TICK_S)
+    pools = [t.pool for d in targets.values() for t in d.values()]
+    assert not any(p.closed_s for p in pools)
--- a/chervilspindle/routing/policy_test.py
+++ b/chervilspindle/routing/policy_test.py
@@ -142,3 +142,21 @@
     budget = retry_budget.RetryBudget(rule, lambda: 0.0)
     granted = sum(1 for _ in range(50) if budget.spend("s"))
     assert granted <= 116.0 / retry_budget.UNKNOWN_VMS
+
+
+def test_few_requests_may_each_be_sent_again_once():
+    """Even parts of a hundred VMs left lost parts without a retry."""
+    rule = retry_budget.Rule(0.2, 268.0, 10.0)
+    now = [0.0]
+    budget = retry_budget.RetryBudget(rule, lambda: now[0])
+    budget.vms = 102
+    for _ in range(5):
+        budget.count_requests(("s",))
+    assert budget.read_requests() == 5
+    assert sum(budget.spend("s") for _ in range(9)) == 2
+    budget.total_requests = 220
+    assert sum(budget.spend("s") for _ in range(9)) == 3
+    now[0] += 11.0
+    budget.count_requests(("s",))
+    budget.total_requests = 600
+    assert sum(budget.spend("s") for _ in range(9)) <= 2
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -222,6 +222,7 @@
             self.timers,
             self._take_delta,
             self._take_count,
+            self.context.budget.read_requests,
         )
         self.front = None
         self.stopped_at = None
@@ -297,7 +298,8 @@
         if self.entry.put_document(document):
             self._share_connections()
 
-    def _take_count(self, vms):
+    def _take_count(self, vms, requests):
+        self.context.budget.total_requests = requests
         if vms != self.context.budget.vms:
             self.context.budget.vms = vms
             self._share_connections()
--- a/chervilspindle/routing/retry_budget.py
+++ b/chervilspindle/routing/retry_budget.py
@@ -3,7 +3,11 @@
 The whole system may send a service, in each window, a share of its requests
 plus a base amount again. Each VM keeps to the share of its own requests and
 to an even part of the base, so that the sum stays within the whole without a
-message between VMs.
+message for each send.
+
+Even parts of many VMs are too small to be of use to any. While all requests
+of a window, as control sums them up, are so few that one extra send for each
+of them stays within the budget, each VM may spend one for each of its own.
 """
 
 import collections
@@ -11,6 +15,7 @@
 
 SAFETY = 0.8  # part of the budget that is used; VMs may be counted late
 SLICES = 20  # slices of a window, rounds its edge
+FREE_MARGIN = 1.25  # requests may grow before control has counted them
 UNKNOWN_VMS = 64  # VMs assumed until control has counted them
 
 
@@ -45,6 +50,7 @@
         self.rule = rule
         self.read_clock = read_clock
         self.vms = UNKNOWN_VMS
+        self.total_requests = 0  # 0 while control has not told
         # Mutable rows [slice number, requests, extra sends], oldest first.
         self.slices_by_service = {}
 
@@ -68,12 +74,31 @@
             if first > number - SLICES:
                 requests += asked
         rule = self.rule
+        if self._is_free() and extra + 1 <= requests:
+            self._open_slice(service, number)[2] += 1
+            return True
         room = rule.ratio * requests + rule.base / max(1, self.vms)
         if extra + 1 > SAFETY * room:
             return False
         self._open_slice(service, number)[2] += 1
         return True
 
+    def read_requests(self) -> int:
+        """Return the most requests for one service within a window."""
+        oldest = self._read_slice() - SLICES
+        return max(
+            (
+                sum(asked for first, asked, _ in slices if first > oldest)
+                for slices in self.slices_by_service.values()
+            ),
+            default=0,
+        )
+
+    def _is_free(self) -> bool:
+        total = FREE_MARGIN * self.total_requests
+        rule = self.rule
+        return 0 < total <= rule.ratio * self.total_requests + rule.base
+
     def _read_slice(self) -> int:
         return int(self.read_clock() * SLICES / self.rule.window_s)
 
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -141,12 +141,20 @@
         self.running = {}
         self.closed = False
         self.failed_s = -math.inf
+        self.keep_s = math.inf
 
     def open_idle(self):
         """Open a connection that no request waits for."""
         if not self.closed and self.count < self.max_connections:
             self._connect()
 
+    def close_stale(self, now: float):
+        """Close connections that have been idle for longer than `keep_s`."""
+        stale = [c for c in self.idle if now - c.idle_since_s > self.keep_s]
+        for connection in stale:
+            self.idle.remove(connection)
+            connection.transport.close()
+
     def submit(self, call: Call):
         """Send a request now, or as soon as a connection is free."""
         call.pool = self
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -334,10 +334,15 @@
 
 
 class WatchCall(typing.NamedTuple):
-    """Asks a control member for rows that changed, as soon as some have."""
+    """Asks a control member for rows that changed, as soon as some have.
+
+    `requests` is the most that the entry had for one service within a
+    window of the retry budget.
+    """
 
     vm_id: str
     known_version: int
+    requests: int
 
 
 class WatchReply(typing.NamedTuple):
@@ -349,6 +354,8 @@
         How long ago the member last heard the leader.
     watchers : int
         Entries that watch any member, 0 if that is not known.
+    requests : int
+        Sum of what all entries reported as their requests.
     addresses : tuple of str
         Peer addresses of all members.
     delta : bytes
@@ -357,6 +364,7 @@
 
     age_ms: float
     watchers: int
+    requests: int
     addresses: tuple[str, ...]
     delta: bytes
 
@@ -375,19 +383,23 @@
     member_id : str
     watchers : int
         Entries that watch this member.
+    requests : int
+        Sum of their requests.
     heard : tuple of str
         Endpoints that announced themselves.
     """
 
     member_id: str
     watchers: int
+    requests: int
     heard: tuple[str, ...]
 
 
 class MemberReportReply(typing.NamedTuple):
-    """Watchers of all members, 0 if the leader does not know yet."""
+    """Sums over all members, 0 if the leader does not know them yet."""
 
     watchers: int
+    requests: int
 
 
 class DocumentCall(typing.NamedTuple):
