--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -384,6 +384,19 @@
     play(test)
 
 
+def test_a_failure_of_ours_is_not_blamed_on_the_caller(play):
+    async def test(world):
+        def fail(exchange):
+            raise RuntimeError("a fault of ours")
+
+        world.server.handler = fail
+        assert (await world.ask("/one/x"))[0] == 500
+        world.server.handler = world.entry.handle
+        assert (await world.ask("/one/x"))[0] == 200
+
+    play(test)
+
+
 def test_pipelined_requests_are_answered_in_order(play):
     async def test(world):
         world.backend_by_id["desk-a"].work_s = 0.05
--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -325,8 +325,15 @@
         if self.transport.is_closing():
             return
         request, self.keep_alive = self.waiting.popleft()
-        self.exchange = Exchange(self, request)
-        self.server.handler(self.exchange)
+        exchange = self.exchange = Exchange(self, request)
+        try:
+            self.server.handler(exchange)
+        except Exception:
+            # Raised on, it would count as a mistake of the caller.
+            LOGGER.exception(
+                "handler failed", extra={"server": self.server.name}
+            )
+            exchange.respond(500)
 
     def _refuse(self, status, reason):
         """Answer what can't be read, after the answers that are due."""
