--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -47,6 +47,7 @@
         self.random = random
         self.on_event = on_event
         self.vms = 1
+        self.revision = 0  # grows with each endpoint put or dropped
         self.connections_by_service = {}
         self.target_by_id = {}
         self.targets_by_service = {}
@@ -68,6 +69,7 @@
                 service=endpoint.service,
                 incarnation=endpoint.incarnation,
             )
+        self.revision += 1
         self.target_by_id[endpoint.endpoint_id] = target
         targets = self.targets_by_service.setdefault(endpoint.service, {})
         targets[endpoint.endpoint_id] = target
@@ -77,6 +79,7 @@
         target = self.target_by_id.pop(endpoint_id, None)
         if target is None:
             return
+        self.revision += 1
         del self.targets_by_service[target.endpoint.service][endpoint_id]
         target.pool.close()
         logs.log_decision("endpoint-dropped", endpoint=endpoint_id, why=reason)
--- a/chervilspindle/routing/keeper.py
+++ b/chervilspindle/routing/keeper.py
@@ -49,8 +49,8 @@
         self.entry = entry
         self.vm_id = vm_id
         self.core_share = core_share
-        self.version = None
-        self.services = ()
+        self.planned_for = None
+        self.homes = ()
         timers.subscribe("connection-keeper", TICK_S, self.tick)
 
     def tick(self):
@@ -58,35 +58,38 @@
         document = self.entry.document
         if document is None or self.entry.draining:
             return
-        if document.version != self.version:
-            self._plan(document)
         table = self.entry.context.table
+        if (document.version, table.revision) != self.planned_for:
+            self._plan(document, table)
         now = self.entry.context.loop.time()
         self._close_spare(table, now)
         left = OPENED_A_TICK
-        for service in self.services:
-            pool = self._find_home(table, service)
-            if pool is None or pool.count or now - pool.failed_s < PAUSE_S:
+        for pool in self.homes:
+            if pool.count or now - pool.failed_s < PAUSE_S:
                 continue
             pool.open_idle()
             left -= 1
             if not left:
                 return
 
-    def _plan(self, document):
-        self.version = document.version
-        found = set()
+    def _plan(self, document, table):
+        """Find the endpoints whose connections are kept."""
+        self.planned_for = (document.version, table.revision)
+        services = set()
         for route in document.routes:
             if is_worth_keeping(
                 len(route.shards), route.objective_ms, self.core_share
             ):
-                found.update(route.shards)
-        if len(found) != len(self.services):
-            logs.log_decision("connections-kept", services=len(found))
-        self.services = tuple(sorted(found))
+                services.update(route.shards)
+        homes = [self._find_home(table, s) for s in sorted(services)]
+        homes = tuple(pool for pool in homes if pool is not None)
+        if len(homes) != len(self.homes):
+            logs.log_decision("connections-kept", endpoints=len(homes))
+        self.homes = homes
 
     def _close_spare(self, table, now):
-        kept = set(map(id, filter(None, self._list_homes(table))))
+        """Close what is idle at other endpoints with few connections."""
+        kept = set(map(id, self.homes))
         for target in table.target_by_id.values():
             limit = table.connections_by_service.get(
                 target.endpoint.service, 0
@@ -98,9 +101,6 @@
             else:
                 target.pool.keep_s = math.inf
 
-    def _list_homes(self, table):
-        return [self._find_home(table, s) for s in self.services]
-
     def _find_home(self, table, service):
         """Return the pool that queries from this VM use first."""
         targets = table.targets_by_service.get(service)
--- a/chervilspindle/routing/keeper_test.py
+++ b/chervilspindle/routing/keeper_test.py
@@ -54,6 +54,7 @@
     target_by_id: object = None
     connections_by_service: object = {}
     vms: int = 1
+    revision: int = 0
 
 
 def build(shards, core_share, objective_ms=47.0, connections=0, vms=1):
