Send nothing more after a query was refused midway

A query whose first shards could not be sent at all was refused as not run, while the rest of the loop still sent the others. Found by reading; the test failed before.

--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -273,6 +273,19 @@
     play(test)
 
 
+def test_a_refusal_midway_through_sending_sends_nothing_more(play):
+    async def test(world):
+        for service in SHARDS[:2]:
+            for target in world.table.targets_by_service[service].values():
+                target.pool.close()
+        status, _, _ = await world.ask("/all/x")
+        await asyncio.sleep(0.05)
+        assert status == 503
+        assert not any(world.list_runs(s) for s in SHARDS)
+
+    play(test)
+
+
 def test_a_request_passes_through_unchanged(play):
     async def test(world):
         status, headers, body = await world.ask(
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -70,6 +70,9 @@
             self.refuse("no_endpoint")
             return
         for shard, target in zip(self.shards, targets):
+            if self.done:
+                # Too many shards were lost while the first were sent.
+                return
             if target is None:
                 shard.reason = "no_endpoint"
                 self.lost += 1
