Withdraw what was not sent when a request ends

A send that still waited for a connection went out after the answer, and a request that reached no endpoint was answered 502 or 504 rather than refused as not run.

--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -286,6 +286,48 @@
     play(test)
 
 
+def test_a_request_that_was_never_sent_is_refused_as_not_run(play):
+    async def test(world):
+        desks = [world.backend_by_id[f"desk-{zone}"] for zone in "ab"]
+        for backend in desks:
+            backend.paused = True
+        for target in world.table.targets_by_service["desk"].values():
+            target.pool.max_connections = 1
+        asking = [
+            world.loop.create_task(
+                world.ask("/once/x", f"id-{number}", "POST", b"b")
+            )
+            for number in range(4)
+        ]
+        statuses = sorted([(await task)[0] for task in asking])
+        assert statuses == [503, 503, 504, 504]
+        for backend in desks:
+            backend.resume()
+        await asyncio.sleep(0.05)
+        assert len(world.list_runs("desk")) == 2
+
+    play(test)
+
+
+def test_what_still_waits_for_a_connection_is_not_sent_after_the_answer(play):
+    async def test(world):
+        busy = [world.backend_by_id[f"shard-0-{zone}"] for zone in "ab"]
+        for backend in busy:
+            backend.paused = True
+        for target in world.table.targets_by_service["shard-0"].values():
+            target.pool.max_connections = 1
+        for request_id in ("id-1", "id-2"):
+            status, headers, _ = await world.ask("/all/x", request_id)
+            assert status == 200 and read_missing(headers) == 1
+        for backend in busy:
+            backend.resume()
+        await asyncio.sleep(0.1)
+        found = {run.request_id for run in world.list_runs("shard-0")}
+        assert found == {"id-1"}
+
+    play(test)
+
+
 def test_a_request_passes_through_unchanged(play):
     async def test(world):
         status, headers, body = await world.ask(
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -198,7 +198,7 @@
         return True
 
     def _fail(self, status, reason):
-        if not self.ran and not any(s.calls for s in self.shards):
+        if not self.ran and self.count_unsent() == len(self.list_calls()):
             self.refuse(reason)
         else:
             self.finish(status, (), b"", reason)
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -12,6 +12,14 @@
 
 LOGGER = logging.getLogger(__name__)
 
+NEVER_SENT = (
+    endpoint_http.Ending.NOT_SENT,
+    endpoint_http.Ending.WITHDRAWN,
+)
+OWN_CHOICE = (
+    endpoint_http.Ending.CANCELLED,
+    endpoint_http.Ending.WITHDRAWN,
+)
 GIVE_UP_MARGIN_S = 0.03  # lets an endpoint's own refusal at its deadline in
 ABANDON_DELAY_S = 0.3  # work that ends sooner costs less than a connection
 
@@ -189,8 +197,8 @@
 def judge_answer(answer: endpoint_http.Answer, lower: HeaderNames) -> Verdict:
     """Judge the end of one send."""
     ending = answer.ending
-    if ending is endpoint_http.Ending.NOT_SENT:
-        return Verdict(False, False, "not_sent")
+    if ending in NEVER_SENT:
+        return Verdict(False, False, ending.value)
     if ending is not endpoint_http.Ending.ANSWERED:
         return Verdict(False, True, ending.value)
     if answer.status == 421:
@@ -226,7 +234,7 @@
         selection.note_answer(health, (now - call.sent_s) * 1000.0)
     elif verdict.reason == "other_endpoint":
         health.refused = True
-    elif verdict.reason != endpoint_http.Ending.CANCELLED.value:
+    elif answer.ending not in OWN_CHOICE:
         selection.note_failure(health, now)
 
 
--- a/chervilspindle/routing/routed.py
+++ b/chervilspindle/routing/routed.py
@@ -84,6 +84,13 @@
         name = self.incoming.route.name
         usual[name] = policy.smooth_usual(usual.get(name), took_ms)
 
+    def count_unsent(self) -> int:
+        """Return how many sends still wait for a connection.
+
+        They are withdrawn when the request ends, so they will never run.
+        """
+        return sum(1 for c in self.list_calls() if c.connection is None)
+
     def choose_again(self, service, tried):
         """Return an endpoint for one more send, None without room."""
         target = self.context.table.choose(service, tried)
@@ -124,6 +131,9 @@
         self.done = True
         for timer in self.timers:
             timer.cancel()
+        for call in self.list_calls():
+            if call.connection is None:
+                call.cancel()
 
     def _cancel_calls(self):
         for call in self.list_calls():
--- a/chervilspindle/routing/single.py
+++ b/chervilspindle/routing/single.py
@@ -93,7 +93,7 @@
     def _expire(self):
         if self.done:
             return
-        if self.may_have_run:
+        if self.may_have_run > self.count_unsent():
             self.finish(504, (), b"", "deadline")
         else:
             self.refuse("deadline")
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -27,6 +27,7 @@
 
     ANSWERED = "answered"
     NOT_SENT = "not_sent"  # certainly never reached the endpoint
+    WITHDRAWN = "withdrawn"  # not sent either, since nobody needs it any more
     BROKEN = "broken"  # connection lost after sending
     INVALID = "invalid"  # bytes that are no answer to the request
     TIMED_OUT = "timed_out"
@@ -199,7 +200,9 @@
             # Connections that were opened for it will serve others.
             if call in self.waiting:
                 self.waiting.remove(call)
-            self.end(call, Answer(Ending.NOT_SENT))
+            withdrawn = ending is Ending.CANCELLED
+            ending = Ending.WITHDRAWN if withdrawn else Ending.NOT_SENT
+            self.end(call, Answer(ending))
             return
         connection.call = None
         connection.transport.abort()
