Take a request to stop from the first line of a start

Cause: no handler while modules are imported; it had not begun to listen (its log has no serving line before that moment). The start handles the signal now; before its first line the interpreter ends, which the check allows only for a process that never listened.

--- a/chervilspindle/platform/__main__.py
+++ b/chervilspindle/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import signal
 import sys
 
 from chervilspindle.core import log_output
@@ -34,6 +35,8 @@
     int
         Exit code.
     """
+    # Until the loop handles it, a request to stop ends the start cleanly.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(0))
     stream = log_output.NonBlockingStream(sys.stdout.fileno())
     try:
         settings = read_settings()
--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -60,6 +60,7 @@
         self.settings = os.path.join(self.folder, "settings.json")
         self.process = None
         self.log = None
+        self.log_offset = 0
         self.disturbed_s = 0.0
         self.busy = False
 
@@ -95,7 +96,8 @@
 
     async def start(self):
         """Start the process; its log goes on in the same file."""
-        self.log = open(os.path.join(self.folder, "log"), "ab")
+        self.log = open(self.get_log_path(), "ab")
+        self.log_offset = os.path.getsize(self.get_log_path())
         environment = {**os.environ, names.SETTINGS_VARIABLE: self.settings}
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -106,6 +108,16 @@
             stderr=self.log,
         )
 
+    def get_log_path(self):
+        """Return the path of the log of all its processes."""
+        return os.path.join(self.folder, "log")
+
+    def has_served(self):
+        """Tell whether the present process came to listen."""
+        with open(self.get_log_path(), "rb") as handle:
+            handle.seek(self.log_offset)
+            return b'"message": "serving"' in handle.read()
+
     def send_signal(self, number):
         """Send a signal to this process, if it runs."""
         if self.process is not None and self.process.returncode is None:
@@ -495,8 +507,11 @@
         node.send_signal(signal.SIGTERM)
         try:
             await asyncio.wait_for(node.process.wait(), GRACE_S)
-            if node.process.returncode != 0:
-                code = node.process.returncode
+            code = node.process.returncode
+            # The interpreter itself ends a process that gets the signal
+            # before any code of ours runs; it holds no work yet.
+            early = code == -signal.SIGTERM and not node.has_served()
+            if code != 0 and not early:
                 self.find("shutdown failed", f"{node.name}: {code}")
         except asyncio.TimeoutError:
             self.find("shutdown took too long", node.name)
