--- /dev/null
+++ b/chervilspindle/platform/samples.py
@@ -0,0 +1,107 @@
+"""Settings, documents and announcements as the platform writes them.
+
+The stand-ins play the platform with these; each is the inverse of a decoder
+in this folder.
+"""
+
+
+def build_settings(
+    name, ip, addresses, ports, seeds, first_start, data_folder, lost, grace_s
+) -> dict:
+    """Return the settings file of a process.
+
+    Parameters
+    ----------
+    name, ip : str
+    addresses : dict
+        ``control``, or ``front`` and ``ready``, each ``IP:PORT``.
+    ports : list of int
+        First and last port for links.
+    seeds : list of str
+        Control addresses.
+    first_start : bool
+    data_folder : str or None
+    lost : int
+        Control VMs that may be lost at once.
+    grace_s : float
+    """
+    names = {"front": "front", "ready": "readiness-addr", "control": "control"}
+    return {
+        "node-name": name,
+        "ip-address": ip,
+        "zone": "z1",
+        "bind-addrs": {names[k]: v for k, v in addresses.items()},
+        "internal-ports": ports,
+        "seed-nodes": seeds,
+        "bootstrap": first_start,
+        "data-dir": data_folder,
+        "fault-tolerance": {"machines": lost},
+        "policy-values": {
+            "grace-s": grace_s,
+            "retry-budget-ratio": 0.2,
+            "retry-budget-base": 100,
+            "budget-window-s": 10,
+        },
+    }
+
+
+def build_route(name, host, prefix, idempotent, **service) -> dict:
+    """Return a route; `service` are the fields from `to_one` or `to_all`."""
+    return {
+        "name": name,
+        "hostname": host,
+        "path-prefix": prefix,
+        "route-type": "safe" if idempotent else "unsafe",
+        "timeout-ms": 1500,
+        "slo-ms": 150,
+        "priority": 1,
+        "max-attempts": 2,
+        **service,
+    }
+
+
+def to_one(service) -> dict:
+    """Return the fields of a route to one service."""
+    return {"service": service}
+
+
+def to_all(shards, top_k, min_coverage) -> dict:
+    """Return the fields of a route to all shards."""
+    return {
+        "fanout-services": shards,
+        "top-k": top_k,
+        "min-coverage": min_coverage,
+    }
+
+
+def build_configuration(version, routes, services, connections) -> dict:
+    """Return a whole configuration."""
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {
+                "name": name,
+                "health-path": "/health",
+                "max-connections": connections,
+            }
+            for name in services
+        ],
+    }
+
+
+def build_announcement(
+    service, address, zone, state, sequence, born_ms
+) -> dict:
+    """Return what an endpoint says of itself."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "version": "v1",
+        "concurrency-limit": 2,
+        "state": state,
+        "cold-left-ms": 0,
+        "sequence": sequence,
+        "born": born_ms,
+    }
--- a/chervilspindle/tools/backends.py
+++ b/chervilspindle/tools/backends.py
@@ -9,6 +9,7 @@
 
 from chervilspindle.core import timers as timers_module
 from chervilspindle.platform import names
+from chervilspindle.platform import samples
 from chervilspindle.wire import http_server
 
 RECORD_BYTES = 16
@@ -92,17 +93,14 @@
     def build_announcement(self) -> dict:
         """Return the next announcement, as the platform words it."""
         self.sequence += 1
-        return {
-            "service": self.service,
-            "address": self.address,
-            "zone": self.zone,
-            "version": "v1",
-            "concurrency-limit": 2,
-            "state": self.state,
-            "cold-left-ms": 0,
-            "sequence": self.sequence,
-            "born": self.born,
-        }
+        return samples.build_announcement(
+            self.service,
+            self.address,
+            self.zone,
+            self.state,
+            self.sequence,
+            self.born,
+        )
 
     def _handle(self, exchange):
         request = exchange.request
--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -21,11 +21,14 @@
 
 from chervilspindle.core import loops
 from chervilspindle.platform import names
+from chervilspindle.platform import samples
 from chervilspindle.routing import merge
 from chervilspindle.tools import backends
 from chervilspindle.tools import fault_proxy
 
 SHARDS = tuple(f"shard-{i}" for i in range(6))
+HOST = "soak.example"
+CONNECTIONS = 60
 TOP_K = 5
 MIN_COVERAGE = 0.5
 APPLY_S = 3.0  # an accepted change is in force everywhere after this
@@ -72,25 +75,19 @@
         if not self.serves_control:
             addresses = {
                 "front": f"{self.ip}:{front}",
-                "readiness-addr": f"{self.ip}:{ready}",
+                "ready": f"{self.ip}:{ready}",
             }
-        found = {
-            "node-name": self.name,
-            "ip-address": self.ip,
-            "zone": "z1",
-            "bind-addrs": addresses,
-            "internal-ports": [inner, inner + 1],
-            "seed-nodes": seeds,
-            "bootstrap": first_start,
-            "data-dir": self.data if self.serves_control else None,
-            "fault-tolerance": {"machines": MEMBERS // 2},
-            "policy-values": {
-                "grace-s": GRACE_S,
-                "retry-budget-ratio": 0.2,
-                "retry-budget-base": 100,
-                "budget-window-s": 10,
-            },
-        }
+        found = samples.build_settings(
+            self.name,
+            self.ip,
+            addresses,
+            [inner, inner + 1],
+            seeds,
+            first_start,
+            self.data if self.serves_control else None,
+            MEMBERS // 2,
+            GRACE_S,
+        )
         with open(self.settings, "w", encoding="utf-8") as handle:
             json.dump(found, handle)
 
@@ -261,47 +258,17 @@
 
     def _build_document(self):
         self.version += self.random.randint(1, 3)
-        route = {
-            "hostname": "soak.example",
-            "timeout-ms": 1500,
-            "slo-ms": 150,
-            "priority": 1,
-            "max-attempts": 2,
-        }
+        newest = f"v{self.version}"
+        to_desk = samples.to_one("desk")
+        to_shards = samples.to_all(SHARDS, TOP_K, MIN_COVERAGE)
         routes = [
-            {
-                **route,
-                "name": "all",
-                "path-prefix": "/all/",
-                "route-type": "safe",
-                "fanout-services": SHARDS,
-                "top-k": TOP_K,
-                "min-coverage": MIN_COVERAGE,
-            },
-            {
-                **route,
-                "name": "once",
-                "path-prefix": "/once/",
-                "route-type": "unsafe",
-                "service": "desk",
-            },
-            {
-                **route,
-                "name": f"v{self.version}",
-                "path-prefix": f"/v{self.version}/",
-                "route-type": "safe",
-                "service": "desk",
-            },
+            samples.build_route("all", HOST, "/all/", True, **to_shards),
+            samples.build_route("once", HOST, "/once/", False, **to_desk),
+            samples.build_route(newest, HOST, f"/{newest}/", True, **to_desk),
         ]
-        services = [
-            {"name": n, "health-path": "/health", "max-connections": 60}
-            for n in (*SHARDS, "desk")
-        ]
-        return {
-            "version": self.version,
-            "routes": routes,
-            "services": services,
-        }
+        return samples.build_configuration(
+            self.version, routes, (*SHARDS, "desk"), CONNECTIONS
+        )
 
     async def _put_document(self):
         document = self._build_document()
@@ -637,7 +604,7 @@
     """
     reader, writer = await asyncio.open_connection(host, port)
     try:
-        lines = [f"{method} {path} HTTP/1.1", "Host: soak.example"]
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}"]
         lines += [f"{k}: {v}" for k, v in headers.items()]
         lines += [f"Content-Length: {len(body)}", "", ""]
         writer.write("\r\n".join(lines).encode() + body)
