Try the member of control that failed the longest ago

Cause: the next member was drawn at random, and with two of five cut off the draw went back and forth between them at a second or more each. Ruled out: members that lag.

--- a/chervilspindle/routing/follower.py
+++ b/chervilspindle/routing/follower.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 import random
 
 from twisted.internet import defer
@@ -17,7 +18,7 @@
 
 LOGGER = logging.getLogger(__name__)
 
-CALL_TIMEOUT_S = 1.6  # twice the time for which a member holds a call
+CALL_TIMEOUT_S = 1.1  # longer than a member holds a call
 RETRY_S = 0.1
 FIRST_RETRY_S = 0.03  # callers wait for an entry that has nothing yet
 AGE_LIMIT_MS = 1500.0  # a member that elects a leader catches up meanwhile
@@ -67,6 +68,7 @@
         self.random = random.Random(seed)
         self.addresses = ()
         self.member = None
+        self.failed_s_by_address = {}
         self.version = 0
         self.in_touch = False
         self.counts = []
@@ -99,10 +101,16 @@
         deferred.addErrback(self._call_failed)
 
     def _pick(self):
-        """Return a member, not the one that was tried last if others are."""
+        """Return a member that never failed, or failed the longest ago.
+
+        With two members out of reach, a choice at random could try them
+        again and again for longer than a change may take to be in force.
+        """
         known = sorted({*self.seeds, *self.addresses})
-        others = [a for a in known if a != self.member] or known
-        return self.random.choice(others)
+        self.random.shuffle(known)
+        return min(
+            known, key=lambda a: self.failed_s_by_address.get(a, -math.inf)
+        )
 
     def _take_reply(self, reply):
         self.addresses = reply.addresses or self.addresses
@@ -144,6 +152,7 @@
                 version=self.version,
                 why=reason,
             )
+        self.failed_s_by_address[self.member] = self.timers.clock.seconds()
         self.member = self._pick()
         delay = RETRY_S if self.version else FIRST_RETRY_S
         self.timers.call_later(delay, self._watch)
--- a/chervilspindle/routing/follower_test.py
+++ b/chervilspindle/routing/follower_test.py
@@ -2,6 +2,7 @@
 
 import math
 
+import pytest
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -10,6 +11,7 @@
 from chervilspindle.core import timers as timers_module
 from chervilspindle.routing import follower as follower_module
 from chervilspindle.wire import messages
+from chervilspindle.wire import streams
 
 SEEDS = ("10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000")
 
@@ -148,3 +150,36 @@
     )
     decoded = messages.decode_delta(messages.encode_delta(delta))
     assert decoded.document == rows.StoredDocument(4, b"{}")
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_two_of_five_members_that_fall_silent_cost_little_time(seed):
+    """Dead members were tried again and again, for over three seconds."""
+    control = Control()
+    five = tuple(f"10.0.0.{i}:7000" for i in range(1, 6))
+    control.follower.seeds = five
+    control.follower.random.seed(seed)
+    dead = set()
+
+    def answer(address, message):
+        waiting = defer.Deferred()
+        if address not in dead:
+            reply = build_reply(message.known_version + 1, addresses=five)
+            control.clock.callLater(0.2, waiting.callback, reply)
+            return waiting
+        lost = errors.build_error(errors.ErrorKind.CONNECTION_LOST, "lost")
+        limit = streams.CONNECT_TIMEOUT_S
+        if address == control.calls[0][0]:
+            limit = follower_module.CALL_TIMEOUT_S
+        control.clock.callLater(limit, waiting.errback, lost)
+        return waiting
+
+    control.answer = answer
+    control.follower.start()
+    control.clock.pump([0.05] * 20)
+    first = control.follower.member
+    dead.update((first, next(a for a in five if a != first)))
+    before = control.follower.version
+    control.clock.pump([0.05] * 50)
+    assert control.follower.version > before + 1
+    assert control.follower.in_touch
--- a/chervilspindle/wire/streams.py
+++ b/chervilspindle/wire/streams.py
@@ -13,7 +13,7 @@
 from twisted.internet import error as internet_error
 from twisted.python import failure as failure_module
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5  # several round trips between regions
 
 
 class LoopStreams:
