Give test listeners loopback addresses of their own

test_bad_input...[data2-431] failed once in a run of all units: OSError from create_server (loop.pyx:1791), which a listener on a taken port raises at the same line with errno 98. Cause: the port was drawn on 127.0.0.1, released and taken by another test process or an outgoing connection before it was used. Random 127.x.y.z addresses are nobody else's.

--- a/chervilspindle/wire/streams_test.py
+++ b/chervilspindle/wire/streams_test.py
@@ -1,6 +1,7 @@
 """Tests of framed protocols over an asyncio loop."""
 
 import asyncio
+import random
 import socket
 import struct
 
@@ -49,9 +50,16 @@
 
 
 def find_address():
+    """Return a free address that no other test or client uses.
+
+    On 127.0.0.1 a port that was free a moment ago may have gone to another
+    test process or to an outgoing connection of one.
+    """
+    draw = random.SystemRandom()
+    host = ".".join(["127", *(str(draw.randrange(1, 255)) for _ in "abc")])
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
 
 
 def test_frames_pass_both_ways():
