--- a/chervilspindle/routing/entry.py
+++ b/chervilspindle/routing/entry.py
@@ -33,7 +33,6 @@
         self.document = None
         self.routes = None
         self.draining = False
-        self.in_progress = 0
         self.started_s = context.loop.time()
 
     def put_document(self, document: documents.Document) -> bool:
@@ -92,7 +91,6 @@
 
     def _start(self, incoming):
         route = incoming.route
-        self.in_progress += 1
         if route.shards:
             fanout.FanOut(incoming, self.context, self._finish).start()
             return
@@ -100,7 +98,6 @@
         single.Forward(incoming, service, self.context, self._finish).start()
 
     def _finish(self, incoming, status, fields):
-        self.in_progress -= 1
         now = self.context.loop.time()
         request = incoming.exchange.request
         seconds = now - request.received_s
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -12,7 +12,6 @@
 
 RECHECK_MS = 2.0  # a small part of the least time until a hedge
 LOGGED_SENDS = 8  # second sends that the line of a request names
-MAX_REFUSED_SENDS = 3  # sends of a shard beyond the attempts that may run
 
 
 class Shard:
@@ -157,7 +156,7 @@
         attempts = self.incoming.route.max_attempts
         if shard.may_have_run >= attempts:
             return False
-        return shard.sends < attempts + MAX_REFUSED_SENDS
+        return shard.sends < attempts + routed.MAX_REFUSED_SENDS
 
     def _hedge(self):
         if self.done:
--- a/chervilspindle/routing/routed.py
+++ b/chervilspindle/routing/routed.py
@@ -8,6 +8,7 @@
 from chervilspindle.routing import policy
 from chervilspindle.wire import endpoint_http
 
+MAX_REFUSED_SENDS = 3  # sends beyond the attempts that may run
 CALLER_LEFT_STATUS = 499  # in logs and counters; nobody is there to get it
 
 
--- a/chervilspindle/routing/single.py
+++ b/chervilspindle/routing/single.py
@@ -4,7 +4,6 @@
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import http_server
 
-MAX_REFUSED_SENDS = 3  # sends beyond the attempts that may run
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 
 
@@ -72,7 +71,7 @@
 
     def _may_send(self) -> bool:
         route = self.incoming.route
-        if self.sends >= route.max_attempts + MAX_REFUSED_SENDS:
+        if self.sends >= route.max_attempts + routed.MAX_REFUSED_SENDS:
             return False
         if route.idempotent:
             return self.may_have_run < route.max_attempts
