Divide wide queries among relays of the zone

Cause: on a third of a core and a link of 13.5 Mbit/s, a query over 90 shards takes an entry 12.5 ms of processor time and 21 ms of its link, and each entry has one every 4.5 s only, so its connections are cold.

An entry sends groups of shards to entries of its zone, which keep connections for their groups, merge what they got and report it. A relay decides nothing: each message stands for one send of each shard, so that the limit of attempts holds whatever becomes of the relay. Hedges go to relays of another zone, where the other replicas are near.

Ruled out: hedges at the relay (the limit would not hold when it falls silent); merged late parts (a shard that was sent twice could not be taken out of a merged set).

A request that waits for a connection is not sent any more with less than 50 ms left: one that got a connection 30 ms before its end ran in vain (data_path_test, under load).

--- a/bench/data_path_cost.py
+++ b/bench/data_path_cost.py
@@ -21,15 +21,15 @@
 from chervilspindle.core import rows
 from chervilspindle.core import timers as timers_module
 from chervilspindle.platform import names as platform_names
+from chervilspindle.routing import contexts
 from chervilspindle.routing import documents
-from chervilspindle.routing import endpoints
 from chervilspindle.routing import entry as entry_module
-from chervilspindle.routing import forwarding
-from chervilspindle.routing import metrics as metrics_module
 from chervilspindle.routing import retry_budget
 from chervilspindle.tools import backends
 from chervilspindle.tools import soak
 from chervilspindle.wire import http_server
+from chervilspindle.wire import peer
+from chervilspindle.wire import streams
 
 PAUSE_S = 0.02  # between queries
 WARM_UP = 20
@@ -50,22 +50,17 @@
 
 def build_entry(loop, addresses):
     """Build an entry whose one route fans out to all addresses."""
-    names = forwarding.build_names(platform_names.HEADERS)
-    metrics = metrics_module.RoutingMetrics()
-    generator = random.Random(1)
-    table = endpoints.EndpointTable(
-        loop, "a", names.lower.request_id, generator, metrics.count_event
-    )
-    rule = retry_budget.Rule(0.2, 100.0, 10.0)
-    context = forwarding.Context(
+    clock = loops.LoopClock(loop)
+    timers = timers_module.TimerService(clock)
+    context = contexts.build_context(
         loop,
-        names,
-        table,
-        retry_budget.RetryBudget(rule, loop.time),
-        forwarding.Pace(),
-        metrics,
-        generator,
+        contexts.Place("vm-1", "a"),
+        platform_names.HEADERS,
+        retry_budget.Rule(0.2, 100.0, 10.0),
+        peer.PeerNetwork(clock, timers, b"", None, streams.LoopStreams(loop)),
+        "bench",
     )
+    table = context.table
     entry = entry_module.RoutingEntry(context)
     shards = tuple(f"s-{i}" for i in range(len(addresses)))
     route = documents.Route(
--- a/chervilspindle/control/desk.py
+++ b/chervilspindle/control/desk.py
@@ -10,6 +10,7 @@
 import functools
 import logging
 import math
+import zlib
 
 from twisted.internet import defer
 
@@ -28,6 +29,10 @@
 WATCHER_MEMORY_MS = 2500.0
 MEMBER_MEMORY_MS = 5000.0
 COUNT_AFTER_MS = 3000.0  # all members have reported to a new leader
+# Bounds what lists of relays weigh in large deployments; a query needs a few
+# for each of its groups.
+RELAYS_PER_ZONE = 48
+NO_RELAYS = messages.RelayList(0, ())
 
 
 class Desk:
@@ -47,9 +52,10 @@
         self.network = network
         self.read_clock = read_clock
         self.heard = set()
-        # Rows (time, requests) of entries.
+        # Rows (time, call) of entries.
         self.seen_by_watcher = {}
         self.totals = messages.MemberReportReply(0, 0)
+        self.relay_list = NO_RELAYS
         # As the leader: rows (report, time) by member, times by endpoint.
         self.count_by_member = {}
         self.heard_ms_by_id = {}
@@ -119,9 +125,9 @@
             return messages.NotLeader(self.node.get_leader_vm())
         return answer_call(message, self)
 
-    def note_watcher(self, vm_id: str, requests: int):
+    def note_watcher(self, call: messages.WatchCall):
         """Take in that an entry watches this member."""
-        self.seen_by_watcher[vm_id] = (self.read_clock(), requests)
+        self.seen_by_watcher[call.vm_id] = (self.read_clock(), call)
 
     def _check_reply(self, reply):
         if isinstance(reply, messages.NotLeader):
@@ -140,11 +146,19 @@
             if now - seen > WATCHER_MEMORY_MS:
                 del self.seen_by_watcher[vm_id]
         heard, self.heard = self.heard, set()
+        calls = [call for _, call in self.seen_by_watcher.values()]
+        found = [
+            messages.Relay(c.vm_id, c.zone, c.relay_address)
+            for c in calls
+            if c.relay_address
+        ]
         report = messages.MemberReport(
             self.node.identity.member_id,
-            len(self.seen_by_watcher),
-            sum(requests for _, requests in self.seen_by_watcher.values()),
+            len(calls),
+            sum(c.requests for c in calls),
             tuple(heard),
+            select_relays(found),
+            self.relay_list.mark,
         )
         deferred = self.call_leader(report)
         deferred.addCallbacks(
@@ -155,6 +169,8 @@
 
     def _take_count(self, reply):
         self.totals = reply
+        if reply.relays is not None:
+            self.relay_list = reply.relays
 
     def _report_failed(self, failure, heard):
         failure.trap(errors.ProblemError)
@@ -175,8 +191,11 @@
             for found, seen in self.count_by_member.values()
             if now - seen < MEMBER_MEMORY_MS
         ]
+        found = build_relay_list([r for f in fresh for r in f.relays])
         return messages.MemberReportReply(
-            sum(r.watchers for r in fresh), sum(r.requests for r in fresh)
+            sum(r.watchers for r in fresh),
+            sum(r.requests for r in fresh),
+            None if found.mark == report.known_relays else found,
         )
 
     def _expire(self, now):
@@ -212,6 +231,33 @@
         self.node.propose(command).addErrback(_log_unless_problem)
 
 
+def select_relays(relays) -> tuple[messages.Relay, ...]:
+    """Return each relay once, and so many of a zone at most.
+
+    Which of them stay depends on each relay by itself, so that one that
+    comes or goes moves no other.
+    """
+    relay_by_id = {r.vm_id: r for r in relays}
+    ranked = sorted(
+        relay_by_id.values(), key=lambda r: zlib.crc32(r.vm_id.encode())
+    )
+    found = []
+    count_by_zone = {}
+    for relay in ranked:
+        count = count_by_zone.get(relay.zone, 0)
+        if count < RELAYS_PER_ZONE:
+            found.append(relay)
+            count_by_zone[relay.zone] = count + 1
+    return tuple(found)
+
+
+def build_relay_list(relays) -> messages.RelayList:
+    """Return the list of relays and its mark, which is never 0."""
+    found = select_relays(relays)
+    text = " ".join("/".join(relay) for relay in found)
+    return messages.RelayList(zlib.crc32(text.encode()) or 1, found)
+
+
 @functools.singledispatch
 def answer_call(message, desk: Desk):
     """As the leader, answer one call of a member."""
--- a/chervilspindle/control/watch.py
+++ b/chervilspindle/control/watch.py
@@ -50,7 +50,7 @@
 
     def watch(self, call: messages.WatchCall):
         """Answer now if something is new, else when it is."""
-        self.desk.note_watcher(call.vm_id, call.requests)
+        self.desk.note_watcher(call)
         if self.node.tables.version > call.known_version:
             return self._build_reply(call)
         due = self.read_clock() + HOLD_S * 1000.0
@@ -84,12 +84,15 @@
 
     def _build_reply(self, call):
         node = self.node
+        known = self.desk.relay_list
+        is_news = known.mark and known.mark != call.known_relays
         return messages.WatchReply(
             self._read_age_ms(),
             self.desk.totals.watchers,
             self.desk.totals.requests,
             tuple(sorted(m.address for m in node.raft.members)),
             node.feed.get_delta(node.tables, call.known_version),
+            known if is_news else None,
         )
 
     def _read_age_ms(self) -> float:
--- a/chervilspindle/platform/settings.py
+++ b/chervilspindle/platform/settings.py
@@ -30,6 +30,7 @@
     core_share: float = msgspec.field(default=1.0, name="cpu-share")
     # How many times as fast as one core, not a count of cores.
     speed: float = msgspec.field(default=1.0, name="cpu-cores")
+    link_mbps: float = msgspec.field(default=1000.0, name="link-speed-mbps")
 
 
 class Bounds(msgspec.Struct):
@@ -95,4 +96,5 @@
         ),
         grace_s=bounds.grace_s,
         core_share=found.limits.core_share * found.limits.speed,
+        link_mbps=found.limits.link_mbps,
     )
--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -12,15 +12,16 @@
 from chervilspindle.core import rows
 from chervilspindle.core import timers as timers_module
 from chervilspindle.platform import names as platform_names
+from chervilspindle.routing import contexts
 from chervilspindle.routing import documents
-from chervilspindle.routing import endpoints
 from chervilspindle.routing import entry as entry_module
 from chervilspindle.routing import forwarding
 from chervilspindle.routing import merge
-from chervilspindle.routing import metrics as metrics_module
 from chervilspindle.routing import retry_budget
 from chervilspindle.tools import backends
 from chervilspindle.wire import http_server
+from chervilspindle.wire import peer
+from chervilspindle.wire import streams
 
 SHARDS = tuple(f"shard-{i}" for i in range(4))
 ROUTES = (
@@ -82,20 +83,20 @@
         self.loop = loop
         clock = loops.LoopClock(loop)
         self.timers = timers_module.TimerService(clock)
-        generator = random.Random(1)
-        names = forwarding.build_names(platform_names.HEADERS)
-        metrics = metrics_module.RoutingMetrics()
-        table = endpoints.EndpointTable(
-            loop, "a", names.lower.request_id, generator, metrics.count_event
+        network = peer.PeerNetwork(
+            clock, self.timers, b"", None, streams.LoopStreams(loop)
         )
-        budget = retry_budget.RetryBudget(
-            retry_budget.Rule(0.2, base, 10.0), loop.time
-        )
-        budget.vms = 1
-        context = forwarding.Context(
-            loop, names, table, budget, forwarding.Pace(), metrics, generator
+        context = contexts.build_context(
+            loop,
+            contexts.Place("vm-1", "a"),
+            platform_names.HEADERS,
+            retry_budget.Rule(0.2, base, 10.0),
+            network,
+            "test",
         )
-        self.table = table
+        context.budget.vms = 1
+        context.pace.lag_ms = 0.0
+        self.table = context.table
         self.entry = entry_module.RoutingEntry(context)
         self.address = find_address()
         self.server = http_server.HttpServer(
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -98,6 +98,10 @@
             limit = self._get_limit(target.endpoint.service)
             target.pool.max_connections = limit
 
+    def count_endpoints(self, service: str) -> int:
+        """Return how many endpoints of a service may be sent to."""
+        return len(self.targets_by_service.get(service, ()))
+
     def choose(self, service: str, excluded=()) -> Target | None:
         """Return the endpoint with the lowest cost, None without one."""
         best = None
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -1,47 +1,68 @@
 """A request to all shards: send, hedge, retry, merge and answer.
 
 All shards come from the one document that was in force when the request
-was read. The answer goes out when every shard has answered, or shortly
-before the objective with the parts that are there, if they cover enough.
+was read. They are sent from this process or, where a query would take it
+too long, in groups through relays. The answer goes out when every shard has
+answered, or shortly before the objective with the parts that are there, if
+they cover enough.
 """
 
 from chervilspindle.policy import hedging
 from chervilspindle.routing import merge
+from chervilspindle.routing import parts
+from chervilspindle.routing import parts_query
 from chervilspindle.routing import policy
 from chervilspindle.routing import routed
+from chervilspindle.wire import messages
 
 RECHECK_MS = 2.0  # a small part of the least time until a hedge
 LOGGED_SENDS = 8  # second sends that the line of a request names
 
 
 class Shard:
-    """One shard of a request; a mutable row."""
+    """One shard of a request; a mutable row.
+
+    Attributes
+    ----------
+    service : str
+    group : relays.Group or None
+        None if it is sent from this process.
+    open_sends : list
+        `parts_query.PartsQuery` or `relaying.RelayedParts` in progress.
+    tried : list of str
+        Endpoints that it was sent to, as far as they are known.
+    relays_tried : list of str
+        Addresses.
+    may_have_run, sends : int
+    lost : bool
+        Whether it can get no part any more.
+    reason : str
+        Of the last failure.
+    """
 
     __slots__ = (
         "service",
-        "calls",
+        "group",
+        "open_sends",
         "tried",
+        "relays_tried",
         "may_have_run",
         "sends",
-        "stamp",
-        "body",
+        "lost",
         "reason",
     )
 
-    def __init__(self, service):
+    def __init__(self, service, group=None):
         self.service = service
-        self.calls = []
+        self.group = group
+        self.open_sends = []
         self.tried = []
+        self.relays_tried = []
         self.may_have_run = 0
         self.sends = 0
-        self.stamp = None
-        self.body = b""
+        self.lost = False
         self.reason = ""
 
-    def is_open(self) -> bool:
-        """Tell whether an answer may still come."""
-        return self.stamp is None and bool(self.calls)
-
 
 class FanOut(routed.RoutedRequest):
     """One request to all shards of its route."""
@@ -49,34 +70,30 @@
     def __init__(self, incoming, context, on_done):
         super().__init__(incoming, context, on_done)
         route = incoming.route
-        self.shards = [Shard(service) for service in route.shards]
-        self.needed = policy.count_needed(len(self.shards), route.min_coverage)
-        self.answered = 0
+        self.shard_by_service = {s: Shard(s) for s in route.shards}
+        self.needed = policy.count_needed(
+            len(route.shards), route.min_coverage
+        )
+        self.part_set_by_service = {}
+        self.sends = []  # all that may still be in progress
         self.lost = 0  # shards that can get no part any more
         self.hedges = 0
         self.retries = 0
         self.again = []
+        self.relayed = []
         self.ran = False
         self.past_answer_time = False
 
     def start(self):
         """Send to all shards, or refuse if too few have an endpoint."""
-        route = self.incoming.route
+        services = self.incoming.route.shards
         table = self.context.table
-        self.context.budget.count_requests(route.shards)
-        targets = [table.choose(s.service) for s in self.shards]
-        if sum(1 for t in targets if t is not None) < self.needed:
+        self.context.budget.count_requests(services)
+        found = sum(1 for s in services if table.count_endpoints(s))
+        if found < self.needed:
             self.refuse("no_endpoint")
             return
-        for shard, target in zip(self.shards, targets):
-            if self.done:
-                # Too many shards were lost while the first were sent.
-                return
-            if target is None:
-                shard.reason = "no_endpoint"
-                self.lost += 1
-            else:
-                self._send(shard, target)
+        self._send_first()
         if self.done:
             return
         timing = self.timing
@@ -86,54 +103,148 @@
         self.call_at(timing.deadline_ms, self._expire)
         self.watch_caller()
 
-    def _send(self, shard, target):
-        endpoint_id = target.endpoint.endpoint_id
-        call = self.build_call(endpoint_id, self._end_call)
-        call.context = (shard, target)
-        shard.calls.append(call)
-        shard.tried.append(endpoint_id)
-        shard.sends += 1
-        shard.may_have_run += 1
-        target.pool.submit(call)
-
-    def _end_call(self, call, answer):
-        shard, target = call.context
-        shard.calls.remove(call)
-        verdict = self.judge(call, target, answer)
-        if not verdict.ran:
-            shard.may_have_run -= 1
-        else:
-            self.ran = True
-        if self.done:
-            return
-        if verdict.good:
-            if shard.stamp is None:
-                self._take_part(shard, call, answer)
+    def _send_first(self):
+        relays = self.context.relays
+        shards = list(self.shard_by_service.values())
+        for group in relays.table.get_groups(self.incoming.route.shards):
+            relay = relays.table.pick(group)
+            if relay is None:
+                continue
+            grouped = [self.shard_by_service[s] for s in group.services]
+            for shard in grouped:
+                shard.group = group
+            self._send_through(relay, grouped, ())
+        direct = [s for s in shards if s.group is None]
+        if direct and not self.done:
+            self._send_from_here(direct)
+
+    def _note_sends(self, sent, shards):
+        self.sends.append(sent)
+        for shard in shards:
+            shard.open_sends.append(sent)
+            shard.sends += 1
+            shard.may_have_run += 1
+
+    def _send_from_here(self, shards):
+        left_ms = self.timing.deadline_ms - self.read_elapsed_ms()
+        sent = parts_query.PartsQuery(
+            self.context,
+            self.message,
+            self.incoming.request_id,
+            self.loop.time() + left_ms / 1000.0,
+            self,
+        )
+        self._note_sends(sent, shards)
+        tried = {s.service: tuple(s.tried) for s in shards if s.tried}
+        sent.start([s.service for s in shards], tried)
+
+    def _send_through(self, relay, shards, tried):
+        elapsed_ms = self.read_elapsed_ms()
+        report_ms = max(
+            policy.LEAST_REPORT_MS, self.timing.report_ms - elapsed_ms
+        )
+        request = messages.RelayedRequest(
+            self.incoming.request_id,
+            self.timing.deadline_ms - elapsed_ms,
+            report_ms,
+            self.incoming.route.top_k,
+        )
+        sent = self.context.relays.send(
+            relay,
+            tuple(s.service for s in shards),
+            tried,
+            self.message,
+            request,
+            self,
+        )
+        self._note_sends(sent, shards)
+        self.relayed.append(relay.vm_id)
+        for shard in shards:
+            shard.relays_tried.append(relay.address)
+
+    # What sends tell their listener.
+
+    def note_endpoint(self, sent, service, endpoint_id):
+        """Take in which endpoint got a shard."""
+        self.shard_by_service[service].tried.append(endpoint_id)
+
+    def take_part(self, sent, service, stamp, body, took_ms):
+        """Take in a part that this process got."""
+        self.shard_by_service[service].open_sends.remove(sent)
+        self.ran = True
+        if not self.done and service not in self.part_set_by_service:
+            self.note_usual(took_ms)
+            self._add(messages.PartSet((service,), stamp, body))
+
+    def take_part_set(self, sent, part_set, usual_ms):
+        """Take in parts that a relay reported."""
+        for service in part_set.services:
+            self.shard_by_service[service].open_sends.remove(sent)
+        self.ran = True
+        if not self.done:
+            self.note_usual(usual_ms)
+            self._add(part_set)
+
+    def lose_part(self, sent, loss):
+        """Take in that this process got no part."""
+        self.lose_parts(sent, (loss,))
+
+    def lose_parts(self, sent, losses):
+        """Take in that shards got no part; send them again."""
+        again = []
+        for loss in losses:
+            shard = self.shard_by_service[loss.service]
+            shard.open_sends.remove(sent)
+            if loss.ran:
+                self.ran = True
+            else:
+                shard.may_have_run -= 1
+            shard.reason = loss.reason
+            if loss.endpoint_id and loss.endpoint_id not in shard.tried:
+                shard.tried.append(loss.endpoint_id)
+            if not self._is_settled(shard) and not self._is_awaited(shard):
+                again.append(shard)
+        if self.done or not again:
             return
-        shard.reason = verdict.reason
-        self.context.metrics.count_failure(verdict.reason)
-        if shard.stamp is None and not shard.calls:
-            self._retry(shard)
-
-    def _take_part(self, shard, call, answer):
-        shard.stamp = answer.get_header(self.context.names.lower.stamp)
-        shard.body = answer.body
-        self.answered += 1
-        self.note_usual(call)
-        if self.answered == len(self.shards):
+        sent_again = self._send_again(again, again[0].reason)
+        self.retries += len(sent_again)
+        for _ in sent_again:
+            self.context.metrics.count_extra("retry")
+        for shard in again:
+            if not self._is_awaited(shard) and not self._is_settled(shard):
+                shard.lost = True
+                self.lost += 1
+        self._check_progress()
+
+    def _is_settled(self, shard) -> bool:
+        return shard.lost or shard.service in self.part_set_by_service
+
+    def _is_awaited(self, shard) -> bool:
+        return any(not sent.presumed_lost for sent in shard.open_sends)
+
+    def _add(self, part_set):
+        held = self.part_set_by_service
+        before = len(held)
+        for service in parts.add_parts(held, part_set):
+            shard = self.shard_by_service[service]
+            if shard.lost:
+                shard.lost = False
+                self.lost -= 1
+        if len(held) == len(self.shard_by_service):
             self._answer("complete")
-        else:
+        elif len(held) > before:
             self._check_progress()
 
     def _check_progress(self):
         """Answer if nothing better can come, or at last if enough is there."""
         if self.done:
             return
-        settled = self.answered + self.lost
-        if self.answered >= self.needed:
-            if self.past_answer_time or settled == len(self.shards):
+        answered = len(self.part_set_by_service)
+        shards = len(self.shard_by_service)
+        if answered >= self.needed:
+            if self.past_answer_time or answered + self.lost >= shards:
                 self._answer("partial")
-        elif len(self.shards) - self.lost < self.needed:
+        elif shards - self.lost < self.needed:
             self._fail(502, "too_few_parts")
 
     def _reach_answer_time(self):
@@ -141,76 +252,135 @@
         pace = self.context.pace
         late_ms = self.read_elapsed_ms() - self.timing.answer_ms
         pace.lag_ms = policy.smooth_lag(pace.lag_ms, late_ms)
-        if not self.done and self.answered >= self.needed:
+        if not self.done and len(self.part_set_by_service) >= self.needed:
             self._answer("objective")
 
     def _expire(self):
         if self.done:
             return
-        if self.answered >= self.needed:
+        if len(self.part_set_by_service) >= self.needed:
             self._answer("deadline")
         else:
             self._fail(504, "deadline")
 
-    def _may_send(self, shard) -> bool:
-        attempts = self.incoming.route.max_attempts
-        if shard.may_have_run >= attempts:
-            return False
-        return shard.sends < attempts + routed.MAX_REFUSED_SENDS
-
     def _hedge(self):
         if self.done:
             return
         elapsed = self.read_elapsed_ms()
-        unsettled = len(self.shards) - self.answered
+        shards = len(self.shard_by_service)
+        unsettled = shards - len(self.part_set_by_service)
         late = elapsed / self.timing.hedge_ms
         if not hedging.is_straggler(
-            len(self.shards), unsettled, late, policy.HEDGED_SHARE
+            shards, unsettled, late, policy.HEDGED_SHARE
         ):
             self.call_at(elapsed + RECHECK_MS, self._hedge)
             return
-        for shard in self.shards:
-            if shard.is_open() and self._send_again(shard, "hedge"):
-                self.hedges += 1
-                self.context.metrics.count_extra("hedge")
-
-    def _retry(self, shard):
-        if self._send_again(shard, shard.reason):
-            self.retries += 1
-            self.context.metrics.count_extra("retry")
-        else:
-            self.lost += 1
-            self._check_progress()
+        # A relay that is about to report may have the parts by now.
+        grace = elapsed < self.timing.hedge_ms + policy.REPORT_GRACE_MS
+        late_shards = []
+        waits = False
+        for shard in self.shard_by_service.values():
+            if self._is_settled(shard) or len(shard.open_sends) != 1:
+                continue
+            sent = shard.open_sends[0]
+            if sent.is_silent():
+                if grace:
+                    waits = True
+                    continue
+                self._presume_lost(sent)
+            late_shards.append(shard)
+        hedged = self._send_again(late_shards, "hedge")
+        self.hedges += len(hedged)
+        for _ in hedged:
+            self.context.metrics.count_extra("hedge")
+        if waits and not self.done:
+            self.call_at(elapsed + RECHECK_MS, self._hedge)
+
+    def _presume_lost(self, sent):
+        if not sent.presumed_lost:
+            sent.presumed_lost = True
+            table = self.context.relays.table
+            table.note_silence(sent.address, "no report")
 
-    def _send_again(self, shard, cause) -> bool:
-        """Send a shard to another endpoint, if rules and budget allow."""
-        if not self._may_send(shard):
+    def _may_send(self, shard) -> bool:
+        """Tell whether rules and budget allow one more send; take it."""
+        attempts = self.incoming.route.max_attempts
+        if shard.may_have_run >= attempts:
+            return False
+        if shard.sends >= attempts + routed.MAX_REFUSED_SENDS:
             return False
-        target = self.choose_again(shard.service, shard.tried)
-        if target is None:
+        table = self.context.table
+        if table.count_endpoints(shard.service) <= len(set(shard.tried)):
+            return False
+        if not self.context.budget.spend(shard.service):
+            self.context.metrics.count_extra("over_budget")
             return False
-        if len(self.again) < LOGGED_SENDS:
-            elapsed = round(self.read_elapsed_ms(), 1)
-            endpoint_id = target.endpoint.endpoint_id
-            self.again.append([shard.service, endpoint_id, cause, elapsed])
-        self._send(shard, target)
         return True
 
+    def _send_again(self, shards, cause) -> list:
+        """Send shards to other endpoints, as far as that is allowed.
+
+        Returns
+        -------
+        list of Shard
+            Those that were sent.
+        """
+        allowed = [s for s in shards if self._may_send(s)]
+        direct = []
+        shards_by_relay = {}
+        for shard in allowed:
+            relay = self._pick_again(shard)
+            if relay is None:
+                direct.append(shard)
+            else:
+                shards_by_relay.setdefault(relay, []).append(shard)
+        self._note_again(allowed, cause)
+        for relay, found in shards_by_relay.items():
+            self._send_through(
+                relay, found, tuple(tuple(s.tried) for s in found)
+            )
+        if direct:
+            self._send_from_here(direct)
+        return allowed
+
+    def _pick_again(self, shard):
+        """Return a relay for a second send, None to send from here.
+
+        Another relay of the zone, if the first one is silent; otherwise the
+        endpoint was, and the others are near the relays of other zones.
+        """
+        if shard.group is None:
+            return None
+        table = self.context.relays.table
+        tried = shard.relays_tried
+        if shard.tried:
+            return table.pick_far(shard.group, tried)
+        near = table.pick(shard.group, tried)
+        return near or table.pick_far(shard.group, tried)
+
+    def _note_again(self, shards, cause):
+        elapsed = round(self.read_elapsed_ms(), 1)
+        for shard in shards[: LOGGED_SENDS - len(self.again)]:
+            tried = shard.tried[-1] if shard.tried else ""
+            self.again.append([shard.service, tried, cause, elapsed])
+
     def _fail(self, status, reason):
-        if not self.ran and self.count_unsent() == len(self.list_calls()):
+        if not self.ran and not any(s.may_have_run() for s in self.sends):
             self.refuse(reason)
         else:
             self.finish(status, (), b"", reason)
 
     def _answer(self, reason):
         names = self.context.names.sent
-        parts = [s for s in self.shards if s.stamp is not None]
+        held = self.part_set_by_service
+        found = list({id(p): p for p in held.values()}.values())
         body = merge.merge_top(
-            [s.body for s in parts], self.incoming.route.top_k
+            [p.body for p in found], self.incoming.route.top_k
         )
+        missing = len(self.shard_by_service) - len(held)
         headers = (
-            (names.part_stamps, b", ".join(s.stamp for s in parts)),
-            (names.missing_parts, b"%d" % (len(self.shards) - len(parts))),
+            (names.part_stamps, b", ".join(p.stamps for p in found)),
+            (names.missing_parts, b"%d" % missing),
             (b"Content-Type", b"application/octet-stream"),
         )
         self.finish(200, headers, body, reason)
@@ -219,18 +389,27 @@
         """Return the fields of the request's log line."""
         missing = [
             f"{s.service}:{s.reason or 'late'}"
-            for s in self.shards
-            if s.stamp is None
+            for s in self.shard_by_service.values()
+            if s.service not in self.part_set_by_service
         ]
-        return {
-            "shards": len(self.shards),
-            "answered": self.answered,
+        fields = {
+            "shards": len(self.shard_by_service),
+            "answered": len(self.part_set_by_service),
             "hedges": self.hedges,
             "retries": self.retries,
             "missing": missing,
             "again": self.again,
         }
+        if self.relayed:
+            fields["relays"] = self.relayed
+        return fields
+
+    def stop_sends(self):
+        """Send nothing more; what was sent ends by itself."""
+        for sent in self.sends:
+            sent.stop()
 
-    def list_calls(self) -> list:
-        """Return the sends that are in progress."""
-        return [call for shard in self.shards for call in shard.calls]
+    def cancel_sends(self):
+        """Give up what is in progress."""
+        for sent in self.sends:
+            sent.cancel()
--- a/chervilspindle/routing/follower.py
+++ b/chervilspindle/routing/follower.py
@@ -9,6 +9,7 @@
 import logging
 import math
 import random
+import typing
 
 from twisted.internet import defer
 
@@ -25,12 +26,27 @@
 COUNT_MEMORY_S = 15.0  # a window of the retry budget, with a margin
 
 
+class Watcher(typing.NamedTuple):
+    """What an entry tells of itself.
+
+    Parameters
+    ----------
+    vm_id, zone : str
+    relay_address : str
+        Where it gathers shards for others; empty if it does not.
+    """
+
+    vm_id: str
+    zone: str = ""
+    relay_address: str = ""
+
+
 class Follower:
     """Watches control for one entry.
 
     Parameters
     ----------
-    vm_id : str
+    watcher : Watcher
     seeds : tuple of str
         Peer addresses at which members may be found.
     call : callable
@@ -43,28 +59,33 @@
         the sum of their requests.
     read_requests : callable
         Returns what this entry reports as its requests.
+    take_relays : callable
+        ``take_relays(mark, relays)``.
     seed : str
         Spreads entries over members.
     """
 
     def __init__(
         self,
-        vm_id,
+        watcher,
         seeds,
         call,
         timers,
         take_delta,
         take_count,
         read_requests,
+        take_relays,
         seed=None,
     ):
-        self.vm_id = vm_id
+        self.watcher = watcher
         self.seeds = tuple(seeds)
         self.call = call
         self.timers = timers
         self.take_delta = take_delta
         self.take_count = take_count
         self.read_requests = read_requests
+        self.take_relays = take_relays
+        self.known_relays = 0
         self.random = random.Random(seed)
         self.addresses = ()
         self.member = None
@@ -82,6 +103,10 @@
         """Ask for nothing more."""
         self.stopped = True
 
+    def leave_relays(self):
+        """Gather for no other entry; told with the next call."""
+        self.watcher = self.watcher._replace(relay_address="")
+
     def set_seeds(self, seeds):
         """Take over seeds from changed settings."""
         self.seeds = tuple(seeds)
@@ -91,8 +116,14 @@
             return
         if self.member is None:
             self.member = self._pick()
+        watcher = self.watcher
         message = messages.WatchCall(
-            self.vm_id, self.version, self.read_requests()
+            watcher.vm_id,
+            self.version,
+            self.read_requests(),
+            watcher.zone,
+            watcher.relay_address,
+            self.known_relays,
         )
         deferred = defer.maybeDeferred(
             self.call, self.member, message, CALL_TIMEOUT_S
@@ -129,6 +160,9 @@
         self.take_delta(delta)
         self.version = delta.version
         self._note_count(reply.watchers, reply.requests)
+        if reply.relays is not None:
+            self.known_relays = reply.relays.mark
+            self.take_relays(*reply.relays)
         if not self.in_touch:
             self.in_touch = True
             logs.log_decision(
--- a/chervilspindle/routing/follower_test.py
+++ b/chervilspindle/routing/follower_test.py
@@ -25,14 +25,16 @@
         self.answer = lambda address, message: defer.Deferred()
         self.deltas = []
         self.counts = []
+        self.relays = []
         self.follower = follower_module.Follower(
-            "vm-1",
+            follower_module.Watcher("vm-1"),
             SEEDS,
             self.call,
             timers_module.TimerService(self.clock),
             self.deltas.append,
             lambda watchers, requests: self.counts.append(watchers),
             lambda: 3,
+            lambda mark, relays: self.relays.append(mark),
             seed="test",
         )
 
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -102,6 +102,7 @@
     pace : Pace
     metrics : RoutingMetrics
     random : random.Random
+    relays : relaying.RelayClient
     """
 
     loop: object
@@ -111,6 +112,7 @@
     pace: Pace
     metrics: object
     random: object
+    relays: object
 
 
 class Incoming(typing.NamedTuple):
@@ -135,23 +137,22 @@
 
 
 class Message:
-    """The request as endpoints get it, but for what differs by send."""
+    """The request as endpoints get it, but for what differs by send.
+
+    Parameters
+    ----------
+    head, tail : bytes
+        What stands before and after that.
+    names : HeaderNames
+        As sent.
+    """
 
     __slots__ = ("head", "tail", "names")
 
-    def __init__(self, incoming: Incoming, names: Names):
-        request = incoming.exchange.request
-        kept = select_headers(request.headers, names.lower)
-        lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
-        lines += [b"%s: %s\r\n" % header for header in kept]
-        if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
-            lines.append(b"Content-Length: %d\r\n" % len(request.body))
-        lines.append(
-            b"%s: %s\r\n" % (names.sent.request_id, incoming.request_id)
-        )
-        self.head = b"".join(lines)
-        self.tail = b"\r\n\r\n" + request.body
-        self.names = names.sent
+    def __init__(self, head: bytes, tail: bytes, names: HeaderNames):
+        self.head = head
+        self.tail = tail
+        self.names = names
 
     def build(self, endpoint_id: str, left_ms: float) -> bytes:
         """Return the bytes for one endpoint."""
@@ -165,6 +166,19 @@
         )
 
 
+def build_message(incoming: Incoming, names: Names) -> Message:
+    """Return a caller's request as endpoints get it."""
+    request = incoming.exchange.request
+    kept = select_headers(request.headers, names.lower)
+    lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
+    lines += [b"%s: %s\r\n" % header for header in kept]
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    lines.append(b"%s: %s\r\n" % (names.sent.request_id, incoming.request_id))
+    tail = b"\r\n\r\n" + request.body
+    return Message(b"".join(lines), tail, names.sent)
+
+
 def select_headers(headers, lower: HeaderNames):
     """Return the headers that are passed on."""
     dropped = set(http_server.HOP_BY_HOP)
--- a/chervilspindle/routing/keeper.py
+++ b/chervilspindle/routing/keeper.py
@@ -59,8 +59,11 @@
         if document is None or self.entry.draining:
             return
         table = self.entry.context.table
-        if (document.version, table.revision) != self.planned_for:
-            self._plan(document, table)
+        relays = self.entry.context.relays.table
+        basis = (document.version, table.revision, relays.revision)
+        if basis != self.planned_for:
+            self.planned_for = basis
+            self._plan(document, table, relays)
         now = self.entry.context.loop.time()
         self._close_spare(table, now)
         left = OPENED_A_TICK
@@ -72,11 +75,12 @@
             if not left:
                 return
 
-    def _plan(self, document, table):
+    def _plan(self, document, table, relays):
         """Find the endpoints whose connections are kept."""
-        self.planned_for = (document.version, table.revision)
-        services = set()
+        services = relays.list_own_services()
         for route in document.routes:
+            if relays.get_groups(route.shards):
+                continue
             if is_worth_keeping(
                 len(route.shards), route.objective_ms, self.core_share
             ):
--- a/chervilspindle/routing/keeper_test.py
+++ b/chervilspindle/routing/keeper_test.py
@@ -7,6 +7,8 @@
 from chervilspindle.core import timers as timers_module
 from chervilspindle.routing import documents
 from chervilspindle.routing import keeper
+from chervilspindle.routing import relays as relays_module
+from chervilspindle.wire import messages
 
 
 class Pool:
@@ -55,9 +57,18 @@
     connections_by_service: object = {}
     vms: int = 1
     revision: int = 0
-
-
-def build(shards, core_share, objective_ms=47.0, connections=0, vms=1):
+    relays: object = None
+
+
+def build(
+    shards,
+    core_share,
+    objective_ms=47.0,
+    connections=0,
+    vms=1,
+    link_mbps=1000.0,
+    relays=(),
+):
     clock = task.Clock()
     names = tuple(f"s-{i}" for i in range(shards))
     targets = {
@@ -82,9 +93,18 @@
         connections_by_service={name: connections for name in names},
         vms=vms,
     )
+    document = documents.Document(1, (route,), {}, documents.Limits())
+    relay_table = relays_module.RelayTable(
+        "vm-1", "a", core_share, link_mbps, clock.seconds
+    )
+    if relays:
+        relay_table.put_document(document)
+        relay_table.put_relays(1, relays)
     entry = Fake(
-        documents.Document(1, (route,), {}, documents.Limits()),
-        context=Fake(table=table, loop=Loop(clock)),
+        document,
+        context=Fake(
+            table=table, loop=Loop(clock), relays=Fake(table=relay_table)
+        ),
     )
     timers = timers_module.TimerService(clock)
     keeper.ConnectionKeeper(entry, timers, "vm-1", core_share)
@@ -143,3 +163,33 @@
     clock.advance(keeper.TICK_S)
     pools = [t.pool for d in targets.values() for t in d.values()]
     assert not any(p.closed_s for p in pools)
+
+
+def test_a_relay_keeps_connections_for_its_own_groups_only():
+    entries = [
+        messages.Relay(f"vm-{i}", "a", f"10.0.0.{i}:1") for i in range(34)
+    ]
+    table = relays_module.RelayTable("vm-1", "a", 0.361, 13.5, lambda: 0.0)
+    clock, targets = build(90, 0.361, link_mbps=13.5, relays=entries)
+    clock.pump([keeper.TICK_S] * 12)
+    opened = {
+        name
+        for name, by_id in targets.items()
+        if any(t.pool.opened for t in by_id.values())
+    }
+    assert opened == find_own(table, tuple(targets), entries)
+    assert len(opened) < 45
+
+
+def find_own(table, services, entries):
+    groups = relays_module.divide(
+        sorted(services),
+        relays_module.count_groups(90, 47.0, 0.361, 13.5),
+    )
+    return {
+        service
+        for group in groups
+        for relay in relays_module.rank_relays(entries, "a", group)
+        for service in group.services
+        if relay.vm_id == table.vm_id
+    }
--- a/chervilspindle/routing/policy.py
+++ b/chervilspindle/routing/policy.py
@@ -22,6 +22,9 @@
 # Endpoints that pause or are slow are few at a time; more parts than that
 # are late when the VM itself is.
 HEDGED_SHARE = 0.25
+REPORT_LEAD_MS = 2.0  # a relay's report travels and is decoded meanwhile
+LEAST_REPORT_MS = 2.0  # endpoints have had no time before that
+REPORT_GRACE_MS = 6.0  # later than that, a relay is taken to be silent
 RETRY_AFTER_S = 0.25  # endpoints that refused have room again by then
 
 
@@ -43,6 +46,11 @@
     answer_ms: float
     deadline_ms: float
 
+    @property
+    def report_ms(self) -> float:
+        """When relays report, so that a hedge knows what is missing."""
+        return self.hedge_ms - REPORT_LEAD_MS
+
 
 def plan_timing(
     objective_ms: float,
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -7,7 +7,6 @@
 from collections import abc
 import logging
 import os
-import random
 import signal
 import typing
 
@@ -20,13 +19,13 @@
 from chervilspindle.core import errors
 from chervilspindle.core import logs
 from chervilspindle.core import timers as timers_module
-from chervilspindle.routing import endpoints
+from chervilspindle.routing import contexts
 from chervilspindle.routing import entry as entry_module
 from chervilspindle.routing import follower as follower_module
 from chervilspindle.routing import forwarding
 from chervilspindle.routing import keeper as keeper_module
 from chervilspindle.routing import metrics as metrics_module
-from chervilspindle.routing import policy
+from chervilspindle.routing import relaying
 from chervilspindle.routing import retry_budget
 from chervilspindle.wire import http_server
 from chervilspindle.wire import messages
@@ -73,6 +72,10 @@
     budget : retry_budget.Rule
     grace_s : float
         Time between SIGTERM and SIGKILL.
+    core_share : float
+        Part of a core that the process may use.
+    link_mbps : float
+        Bandwidth of the VM's link, in Mbit/s.
     """
 
     vm_id: str
@@ -90,6 +93,7 @@
     budget: retry_budget.Rule
     grace_s: float
     core_share: float
+    link_mbps: float
 
 
 class Adapter(typing.NamedTuple):
@@ -192,44 +196,54 @@
     def __init__(self, *args):
         super().__init__(*args)
         settings = self.settings
-        names = forwarding.build_names(self.adapter.names)
-        generator = random.Random(f"{settings.vm_id} {os.getpid()}")
-        table = endpoints.EndpointTable(
+        context = contexts.build_context(
             self.loop,
-            settings.zone,
-            names.lower.request_id,
-            generator,
-            self.metrics.count_event,
-        )
-        context = forwarding.Context(
-            self.loop,
-            names,
-            table,
-            retry_budget.RetryBudget(settings.budget, self.loop.time),
-            forwarding.Pace(policy.FIRST_LAG_MS / settings.core_share),
-            self.metrics,
-            generator,
+            contexts.Place(
+                settings.vm_id,
+                settings.zone,
+                settings.core_share,
+                settings.link_mbps,
+            ),
+            self.adapter.names,
+            settings.budget,
+            self.network,
+            f"{settings.vm_id} {os.getpid()}",
         )
+        self.metrics = context.metrics
         self.context = context
+        self.relay = relaying.Relay(context)
         self.entry = entry_module.RoutingEntry(context)
         self.keeper = keeper_module.ConnectionKeeper(
             self.entry, self.timers, settings.vm_id, settings.core_share
         )
         self.follower = follower_module.Follower(
-            settings.vm_id,
+            follower_module.Watcher(
+                settings.vm_id, settings.zone, settings.peer_address
+            ),
             settings.seeds,
             self.network.call,
             self.timers,
             self._take_delta,
             self._take_count,
             self.context.budget.read_requests,
+            context.relays.table.put_relays,
         )
         self.front = None
         self.stopped_at = None
 
+    def handle(self, link, message):
+        """Take a message of another entry."""
+        if isinstance(message, messages.RelayReport):
+            client = self.context.relays
+            client.take_report(link.dialled_address, message)
+        else:
+            self.relay.handle(link, message)
+
     async def start(self):
         """Listen and follow control."""
         settings = self.settings
+        listening = self.network.listen(settings.peer_address)
+        await listening.asFuture(self.loop)
         self.front = await self.listen(
             "front",
             settings.entry_address,
@@ -258,6 +272,7 @@
         self.stopping = True
         self.stopped_at = self.loop.time()
         self.entry.draining = True
+        self.follower.leave_relays()
         self.front.start_closing()
         self.timers.subscribe("stop", STOP_CHECK_S, self._check_stop)
         LOGGER.info("draining", extra={"in_progress": self.front.count_busy()})
@@ -267,7 +282,7 @@
         if elapsed < NOTICE_S:
             return
         self.front.close_idle()
-        busy = self.front.count_busy()
+        busy = self.front.count_busy() + self.relay.count_busy()
         if busy and elapsed < self.settings.grace_s - STOP_MARGIN_S:
             return
         self.timers.cancel("stop")
@@ -296,6 +311,7 @@
     def _take_document(self, stored):
         document = self.adapter.decode_document(stored.data)
         if self.entry.put_document(document):
+            self.context.relays.table.put_document(document)
             self._share_connections()
 
     def _take_count(self, vms, requests):
--- a/chervilspindle/routing/routed.py
+++ b/chervilspindle/routing/routed.py
@@ -6,7 +6,6 @@
 
 from chervilspindle.routing import forwarding
 from chervilspindle.routing import policy
-from chervilspindle.wire import endpoint_http
 
 MAX_REFUSED_SENDS = 3  # sends beyond the attempts that may run
 CALLER_LEFT_STATUS = 499  # in logs and counters; nobody is there to get it
@@ -39,7 +38,7 @@
             context.pace.usual_ms_by_route.get(route.name, 0.0),
             context.pace.lag_ms,
         )
-        self.message = forwarding.Message(incoming, context.names)
+        self.message = forwarding.build_message(incoming, context.names)
         self.done = False
         self.timers = []
 
@@ -47,8 +46,12 @@
         """Return the fields of the request's log line."""
         raise NotImplementedError
 
-    def list_calls(self) -> list:
-        """Return the sends that are in progress."""
+    def stop_sends(self):
+        """Send nothing more; what was sent ends by itself."""
+        raise NotImplementedError
+
+    def cancel_sends(self):
+        """Give up what is in progress."""
         raise NotImplementedError
 
     def call_at(self, after_ms, callback):
@@ -60,48 +63,12 @@
         """Return the time since the request was read."""
         return (self.loop.time() - self.started_s) * 1000.0
 
-    def build_call(self, endpoint_id, on_end, reusable=True):
-        """Build a send with what is left of the time."""
-        left_ms = self.timing.deadline_ms - self.read_elapsed_ms()
-        return endpoint_http.Call(
-            self.message.build(endpoint_id, left_ms),
-            self.incoming.request_id,
-            self.loop.time() + left_ms / 1000.0 + forwarding.GIVE_UP_MARGIN_S,
-            on_end,
-            reusable,
-        )
-
-    def judge(self, call, target, answer) -> forwarding.Verdict:
-        """Judge the end of a send and take it in."""
-        names = self.context.names.lower
-        verdict = forwarding.judge_answer(answer, names)
-        forwarding.note_result(target, call, answer, verdict, self.context)
-        return verdict
-
-    def note_usual(self, call):
-        """Take in the time of a good answer."""
-        took_ms = (self.loop.time() - call.sent_s) * 1000.0
+    def note_usual(self, took_ms: float):
+        """Take in the time of good answers."""
         usual = self.context.pace.usual_ms_by_route
         name = self.incoming.route.name
         usual[name] = policy.smooth_usual(usual.get(name), took_ms)
 
-    def count_unsent(self) -> int:
-        """Return how many sends still wait for a connection.
-
-        They are withdrawn when the request ends, so they will never run.
-        """
-        return sum(1 for c in self.list_calls() if c.connection is None)
-
-    def choose_again(self, service, tried):
-        """Return an endpoint for one more send, None without room."""
-        target = self.context.table.choose(service, tried)
-        if target is None:
-            return None
-        if not self.context.budget.spend(service):
-            self.context.metrics.count_extra("over_budget")
-            return None
-        return target
-
     def watch_caller(self):
         """Stop working once the caller leaves."""
         self.incoming.exchange.on_abandoned = self._abandon
@@ -124,18 +91,10 @@
         fields = {"why": "caller_left", **self.describe()}
         self.on_done(self.incoming, CALLER_LEFT_STATUS, fields)
         if self.incoming.route.idempotent:
-            self.loop.call_later(
-                forwarding.ABANDON_DELAY_S, self._cancel_calls
-            )
+            self.loop.call_later(forwarding.ABANDON_DELAY_S, self.cancel_sends)
 
     def _end(self):
         self.done = True
         for timer in self.timers:
             timer.cancel()
-        for call in self.list_calls():
-            if call.connection is None:
-                call.cancel()
-
-    def _cancel_calls(self):
-        for call in self.list_calls():
-            call.cancel()
+        self.stop_sends()
--- a/chervilspindle/routing/single.py
+++ b/chervilspindle/routing/single.py
@@ -1,5 +1,6 @@
 """A request that one endpoint answers, passed through unchanged."""
 
+from chervilspindle.routing import forwarding
 from chervilspindle.routing import routed
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import http_server
@@ -37,8 +38,13 @@
 
     def _send(self, target):
         endpoint_id = target.endpoint.endpoint_id
-        call = self.build_call(
-            endpoint_id, self._end_call, self.incoming.route.idempotent
+        left_ms = self.timing.deadline_ms - self.read_elapsed_ms()
+        call = endpoint_http.Call(
+            self.message.build(endpoint_id, left_ms),
+            self.incoming.request_id,
+            self.loop.time() + left_ms / 1000.0 + forwarding.GIVE_UP_MARGIN_S,
+            self._end_call,
+            self.incoming.route.idempotent,
         )
         call.context = target
         self.calls.append(call)
@@ -50,13 +56,14 @@
     def _end_call(self, call, answer):
         target = call.context
         self.calls.remove(call)
-        verdict = self.judge(call, target, answer)
+        verdict = forwarding.judge_answer(answer, self.context.names.lower)
+        forwarding.note_result(target, call, answer, verdict, self.context)
         if not verdict.ran:
             self.may_have_run -= 1
         if self.done:
             return
         if verdict.good:
-            self.note_usual(call)
+            self.note_usual((self.loop.time() - call.sent_s) * 1000.0)
             self._pass_on(answer, "ok")
             return
         self.last_reason = verdict.reason
@@ -78,9 +85,12 @@
         return self.may_have_run == 0
 
     def _send_again(self, cause) -> bool:
-        target = self.choose_again(self.service, self.tried)
+        target = self.context.table.choose(self.service, self.tried)
         if target is None:
             return False
+        if not self.context.budget.spend(self.service):
+            self.context.metrics.count_extra("over_budget")
+            return False
         self.context.metrics.count_extra(cause)
         self._send(target)
         return True
@@ -92,7 +102,7 @@
     def _expire(self):
         if self.done:
             return
-        if self.may_have_run > self.count_unsent():
+        if self.may_have_run > self._count_unsent():
             self.finish(504, (), b"", "deadline")
         else:
             self.refuse("deadline")
@@ -119,9 +129,23 @@
             "endpoints": list(self.tried),
         }
 
-    def list_calls(self) -> list:
-        """Return the sends that are in progress."""
-        return list(self.calls)
+    def stop_sends(self):
+        """Send nothing more; what was sent ends by itself."""
+        for call in list(self.calls):
+            if call.connection is None:
+                call.cancel()
+
+    def cancel_sends(self):
+        """Give up what is in progress."""
+        for call in list(self.calls):
+            call.cancel()
+
+    def _count_unsent(self) -> int:
+        """Return how many sends still wait for a connection.
+
+        They are withdrawn when the request ends, so they will never run.
+        """
+        return sum(1 for c in self.calls if c.connection is None)
 
 
 def _may_pass_on(answer) -> bool:
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -20,6 +20,7 @@
 FRESH_IDLE_S = 1.0  # idle time after which a request that runs once may reuse
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 MAX_WAITING = 64  # requests of this VM that wait for a connection
+LEAST_LEFT_S = 0.05  # with less, an endpoint would work in vain
 
 
 class Ending(enum.Enum):
@@ -241,11 +242,15 @@
         if self.closed or connection.must_close:
             connection.transport.close()
             return
-        if self.waiting:
+        now = self.loop.time()
+        while self.waiting:
             call = self.waiting.popleft()
+            if call.deadline_s - now < LEAST_LEFT_S:
+                self.end(call, Answer(Ending.NOT_SENT))
+                continue
             connection.send(call)
             return
-        connection.idle_since_s = self.loop.time()
+        connection.idle_since_s = now
         self.idle.append(connection)
 
     def drop(self, connection):
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -333,16 +333,158 @@
     address: str
 
 
+class Relay(typing.NamedTuple):
+    """An entry that gathers shards for others.
+
+    Parameters
+    ----------
+    vm_id, zone : str
+    address : str
+        Where its links come in.
+    """
+
+    vm_id: str
+    zone: str
+    address: str
+
+
+class RelayList(typing.NamedTuple):
+    """All relays; lists with the same mark are the same."""
+
+    mark: int
+    relays: tuple[Relay, ...]
+
+
+class RelayedRequest(typing.NamedTuple):
+    """What a relay has to know of a query besides its shards.
+
+    Parameters
+    ----------
+    request_id : bytes
+    left_ms : float
+        Until the deadline of the query.
+    report_ms : float
+        When the relay reports what it has.
+    top_k : int
+        Records in the answer of the query.
+    """
+
+    request_id: bytes
+    left_ms: float
+    report_ms: float
+    top_k: int
+
+
+class RelayCall(typing.NamedTuple):
+    """Asks a relay to send shards, each to one endpoint.
+
+    Parameters
+    ----------
+    query_id : int
+        Unique on the link.
+    head, tail : bytes
+        The request around what differs by endpoint.
+    services : tuple of str
+    tried : tuple of tuple of str
+        Endpoints that got a shard before, by shard; may be empty.
+    request : RelayedRequest
+    """
+
+    query_id: int
+    head: bytes
+    tail: bytes
+    services: tuple[str, ...]
+    tried: tuple[tuple[str, ...], ...]
+    request: RelayedRequest
+
+
+class PartSet(typing.NamedTuple):
+    """Good answers of some shards.
+
+    Parameters
+    ----------
+    services : tuple of str
+        The shards.
+    stamps : bytes
+        Their signatures, separated by commas.
+    body : bytes
+        Their records, or the greatest of them.
+    """
+
+    services: tuple[str, ...]
+    stamps: bytes
+    body: bytes
+
+
+class Loss(typing.NamedTuple):
+    """A shard that got no part.
+
+    Parameters
+    ----------
+    service, endpoint_id : str
+        The endpoint is empty if there was none to send to, or if it is not
+        known.
+    reason : str
+    ran : bool
+        False only if the endpoint certainly has not run the request.
+    """
+
+    service: str
+    endpoint_id: str
+    reason: str
+    ran: bool
+
+
+class RelayReport(typing.NamedTuple):
+    """What became of shards that a relay has sent.
+
+    Parameters
+    ----------
+    query_id : int
+    parts : tuple of PartSet
+    losses : tuple of Loss
+    sent : tuple of (service, endpoint_id)
+        Shards that are still in progress, in the first report.
+    usual_ms : float
+        Mean time of the parts, 0 without any.
+    """
+
+    query_id: int
+    parts: tuple[PartSet, ...]
+    losses: tuple[Loss, ...]
+    sent: tuple[tuple[str, str], ...]
+    usual_ms: float
+
+
+class RelayCancel(typing.NamedTuple):
+    """Has a relay give up what is in progress."""
+
+    query_id: int
+
+
 class WatchCall(typing.NamedTuple):
     """Asks a control member for rows that changed, as soon as some have.
 
-    `requests` is the most that the entry had for one service within a
-    window of the retry budget.
+    Parameters
+    ----------
+    vm_id : str
+    known_version : int
+    requests : int
+        The most that the entry had for one service within a window of the
+        retry budget.
+    zone, relay_address : str
+        Where the entry gathers shards for others; empty while it is not
+        ready to.
+    known_relays : int
+        Mark of the relays that the entry knows.
     """
 
     vm_id: str
     known_version: int
     requests: int
+    zone: str = ""
+    relay_address: str = ""
+    known_relays: int = 0
 
 
 class WatchReply(typing.NamedTuple):
@@ -360,6 +502,8 @@
         Peer addresses of all members.
     delta : bytes
         Encoded `Delta`.
+    relays : RelayList or None
+        None if the entry knows them, or the member does not.
     """
 
     age_ms: float
@@ -367,6 +511,7 @@
     requests: int
     addresses: tuple[str, ...]
     delta: bytes
+    relays: RelayList | None = None
 
 
 class AnnounceCall(typing.NamedTuple):
@@ -387,19 +532,29 @@
         Sum of their requests.
     heard : tuple of str
         Endpoints that announced themselves.
+    relays : tuple of Relay
+        Among the entries that watch this member.
+    known_relays : int
+        Mark of the relays of all members that this one knows.
     """
 
     member_id: str
     watchers: int
     requests: int
     heard: tuple[str, ...]
+    relays: tuple[Relay, ...] = ()
+    known_relays: int = 0
 
 
 class MemberReportReply(typing.NamedTuple):
-    """Sums over all members, 0 if the leader does not know them yet."""
+    """Sums over all members, 0 if the leader does not know them yet.
+
+    `relays` is None as well if the member knows them.
+    """
 
     watchers: int
     requests: int
+    relays: RelayList | None = None
 
 
 class DocumentCall(typing.NamedTuple):
@@ -461,6 +616,9 @@
         ExplainReply,
         ProblemReply,
         Replicate,
+        RelayCall,
+        RelayReport,
+        RelayCancel,
         WatchCall,
         WatchReply,
         AnnounceCall,
