Weigh samples of endpoints by age and try slow ones again

Cause: an endpoint that an entry seldom sends to kept its estimate for several slow answers (a weight of 0.1 each), and one that was given up as slow was never tried again, as nothing new was learnt of it.

Ruled out: a mean over the service as the value to fade to (a slow near endpoint would raise what is expected of replicas never tried).

--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -1,6 +1,7 @@
 """The endpoints that this VM may send to, and choices among them."""
 
 import logging
+import math
 import typing
 
 from chervilspindle.core import logs
@@ -110,16 +111,17 @@
         targets = self.targets_by_service.get(service)
         if not targets:
             return None
+        best_ms = find_best_ms(targets.values())
         for target in targets.values():
             if target.endpoint.endpoint_id in excluded:
                 continue
-            cost = self.compute_cost(target, now)
+            cost = self.compute_cost(target, now, best_ms)
             cost *= 1.0 + 0.1 * self.random.random()
             if best is None or cost < best_cost:
                 best, best_cost = target, cost
         return best
 
-    def compute_cost(self, target: Target, now: float) -> float:
+    def compute_cost(self, target: Target, now: float, best_ms) -> float:
         """Return the cost of sending to an endpoint; see `selection`."""
         pool = target.pool
         view = selection.View(
@@ -129,7 +131,7 @@
             target.endpoint.state == "warming",
             pool.has_room(),
         )
-        return selection.compute_cost(target.health, view, now)
+        return selection.compute_cost(target.health, view, now, best_ms)
 
     def _build(self, endpoint):
         pool = endpoint_http.EndpointPool(
@@ -152,6 +154,16 @@
         return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS, share))
 
 
+def find_best_ms(targets) -> float:
+    """Return the least typical time of some endpoints, in ms."""
+    best = math.inf
+    for target in targets:
+        typical = target.health.typical_ms
+        if typical is not None and typical < best:
+            best = typical
+    return selection.FIRST_GUESS_MS if best == math.inf else best
+
+
 def _is_same_process(known, endpoint):
     return (known.incarnation, known.address, known.service) == (
         endpoint.incarnation,
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -245,7 +245,7 @@
         if parsed is not None:
             selection.note_load(health, *parsed, now)
     if verdict.good:
-        selection.note_answer(health, (now - call.sent_s) * 1000.0)
+        selection.note_answer(health, (now - call.sent_s) * 1000.0, now)
     elif verdict.reason == "other_endpoint":
         health.refused = True
     elif answer.ending not in OWN_CHOICE:
--- a/chervilspindle/routing/policy_test.py
+++ b/chervilspindle/routing/policy_test.py
@@ -1,10 +1,13 @@
 """Tests of decisions on times, choices and budgets, on loads they answer."""
 
 import random
+import typing
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
+from chervilspindle.routing import endpoints
 from chervilspindle.routing import merge
 from chervilspindle.routing import policy
 from chervilspindle.routing import retry_budget
@@ -91,10 +94,48 @@
     assert selection.compute_cost(health, VIEW, 5.0) > before + 100.0
     later = 5.0 + selection.FAILURE_MEMORY_S
     assert selection.compute_cost(health, VIEW, later) == before
-    selection.note_answer(health, selection.FIRST_GUESS_MS)
+    selection.note_answer(health, selection.FIRST_GUESS_MS, later)
     assert health.failures == 0
 
 
+def replay_slow_endpoint(gap_s, slow_from_s, slow_to_s, until_s):
+    """Send to the better of two replicas, of which the near one turns slow.
+
+    Returns
+    -------
+    list of (time, is_near)
+    """
+    near, far = selection.Health(2), selection.Health(2)
+    view_far = VIEW._replace(same_zone=False)
+    sent = []
+    now = 0.0
+    while now < until_s:
+        best = endpoints.find_best_ms([Known(h) for h in (near, far)])
+        is_near = selection.compute_cost(near, VIEW, now, best) <= (
+            selection.compute_cost(far, view_far, now, best)
+        )
+        slow = is_near and slow_from_s <= now < slow_to_s
+        took_ms = 60.0 if slow else 8.0
+        selection.note_answer(near if is_near else far, took_ms, now)
+        sent.append((now, is_near))
+        now += gap_s
+    return sent
+
+
+class Known(typing.NamedTuple):
+    health: selection.Health
+
+
+@pytest.mark.parametrize("gap_s", [0.02, 0.2, 0.7, 2.0])
+def test_a_slow_endpoint_is_left_at_any_rate_and_tried_again(gap_s):
+    sent = replay_slow_endpoint(gap_s, 5.0, 13.0, 30.0)
+    assert all(is_near for now, is_near in sent if now < 5.0)
+    during = [is_near for now, is_near in sent if 5.0 + gap_s < now < 13.0]
+    assert sum(during) <= 4 + 0.05 * len(during)
+    after = [is_near for now, is_near in sent if now > 20.0]
+    assert sum(after) >= 0.9 * len(after)
+
+
 def replay_budget(vms, rate, seconds, wanted):
     """Play requests spread over VMs, each asking for `wanted` extra sends.
 
--- a/chervilspindle/routing/selection.py
+++ b/chervilspindle/routing/selection.py
@@ -6,10 +6,15 @@
 endpoint stated with its last answer, which counts for less the older it is.
 """
 
+import math
 import typing
 
-FIRST_GUESS_MS = 10.0  # service time before the first answer
-SMOOTHING = 0.1  # weight of a new sample
+FIRST_GUESS_MS = 10.0  # service time before the first answer of any
+SMOOTHING = 0.1  # least weight of a new sample
+# What an answer took says less the longer ago it was: troubles of endpoints
+# last some seconds.
+USUAL_MEMORY_S = 3.0
+TYPICAL_MEMORY_S = 20.0  # longer than such a trouble
 LOAD_MEMORY_S = 0.25  # after this a stated load says nothing any more
 SILENCE_FACTOR = 3.0  # times the usual time make a silence
 SILENCE_LEAST_MS = 12.0
@@ -28,8 +33,12 @@
 
     Attributes
     ----------
-    usual_ms : float
-        Smoothed time of answers, without queueing at the endpoint.
+    usual_ms : float or None
+        Smoothed time of answers; None before the first.
+    usual_s : float
+        Loop time of the last answer.
+    typical_ms : float or None
+        The same as `usual_ms`, over a longer time.
     load : float
         Requests that ran or waited there, as last stated.
     load_s : float
@@ -45,6 +54,8 @@
 
     __slots__ = (
         "usual_ms",
+        "usual_s",
+        "typical_ms",
         "load",
         "load_s",
         "slots",
@@ -54,7 +65,9 @@
     )
 
     def __init__(self, slots: int):
-        self.usual_ms = FIRST_GUESS_MS
+        self.usual_ms = None
+        self.usual_s = 0.0
+        self.typical_ms = None
         self.load = 0.0
         self.load_s = 0.0
         self.slots = max(1, slots)
@@ -82,13 +95,44 @@
     has_room: bool
 
 
-def note_answer(health: Health, took_ms: float):
-    """Take in a good answer."""
-    bounded = min(took_ms, 3.0 * health.usual_ms + 5.0)
-    health.usual_ms += SMOOTHING * (bounded - health.usual_ms)
+def note_answer(health: Health, took_ms: float, now: float):
+    """Take in a good answer.
+
+    A sample weighs more the longer ago the last one was, so that an entry
+    that seldom sends to an endpoint notices too when it turns slow.
+    """
+    usual = health.usual_ms
+    if usual is None:
+        health.usual_ms = took_ms
+        health.typical_ms = took_ms
+    else:
+        elapsed = now - health.usual_s
+        weight = max(SMOOTHING, 1.0 - math.exp(-elapsed / USUAL_MEMORY_S))
+        bounded = min(took_ms, 3.0 * usual + 5.0)
+        health.usual_ms = usual + weight * (bounded - usual)
+        weight = 1.0 - math.exp(-elapsed / TYPICAL_MEMORY_S)
+        bounded = min(took_ms, 2.0 * health.typical_ms)
+        health.typical_ms += weight * (bounded - health.typical_ms)
+    health.usual_s = now
     health.failures = 0
 
 
+def estimate_usual(health: Health, best_ms: float, now: float) -> float:
+    """Return the time of an answer that is expected now, in ms.
+
+    Parameters
+    ----------
+    best_ms : float
+        Least typical time of the service's endpoints. What is known of a
+        slower one fades towards it, so that it is tried again.
+    """
+    usual = health.usual_ms
+    if usual is None or usual <= best_ms:
+        return best_ms
+    fading = math.exp((health.usual_s - now) / USUAL_MEMORY_S)
+    return best_ms + (usual - best_ms) * fading
+
+
 def note_load(health: Health, running: int, waiting: int, slots: int, now):
     """Take in the load that an endpoint stated with an answer."""
     health.load = max(0.0, running + waiting - 1.0)
@@ -102,13 +146,16 @@
     health.failed_s = now
 
 
-def compute_cost(health: Health, view: View, now: float) -> float:
+def compute_cost(
+    health: Health, view: View, now: float, best_ms: float = FIRST_GUESS_MS
+) -> float:
     """Return the expected time to an answer and its penalties, in ms."""
+    usual_ms = estimate_usual(health, best_ms, now)
     age = now - health.load_s
     stated = health.load * max(0.0, 1.0 - age / LOAD_MEMORY_S)
     load = max(stated, view.outstanding)
-    cost = health.usual_ms * (1.0 + max(0.0, load - health.slots + 1))
-    silence_limit = max(SILENCE_LEAST_MS, SILENCE_FACTOR * health.usual_ms)
+    cost = usual_ms * (1.0 + max(0.0, load - health.slots + 1))
+    silence_limit = max(SILENCE_LEAST_MS, SILENCE_FACTOR * usual_ms)
     if view.silence_ms > silence_limit:
         cost += SILENCE_PENALTY_MS + view.silence_ms
     if health.failures:
