Plan the time to build an answer by core share and link

Cause: answers that went out at the objective left 2 to 5 ms after the time planned for them, on a third of a core and with 4 KB of signatures on a link of 13.5 Mbit/s; callers got them just late.

Ruled out: late parts (129 or more of 135 shards were in at that time in 95 of 100 queries).

--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -6,7 +6,6 @@
 from chervilspindle.routing import endpoints
 from chervilspindle.routing import forwarding
 from chervilspindle.routing import metrics as metrics_module
-from chervilspindle.routing import policy
 from chervilspindle.routing import relaying
 from chervilspindle.routing import relays
 from chervilspindle.routing import retry_budget
@@ -73,7 +72,7 @@
         names,
         table,
         retry_budget.RetryBudget(rule, loop.time),
-        forwarding.Pace(policy.FIRST_LAG_MS / place.core_share),
+        forwarding.Pace(place.core_share, place.link_mbps),
         metrics,
         generator,
         relaying.RelayClient(network, relay_table),
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -5,6 +5,7 @@
 
 from chervilspindle.routing import documents
 from chervilspindle.routing import endpoints
+from chervilspindle.routing import policy
 from chervilspindle.routing import retry_budget
 from chervilspindle.routing import selection
 from chervilspindle.wire import endpoint_http
@@ -81,13 +82,28 @@
         Usual time of the parts of each route.
     lag_ms : float
         How late answers that are due at some time usually are.
+
+    Parameters
+    ----------
+    core_share : float
+        Part of a core that the process has.
+    link_mbps : float
+        Bandwidth of the VM's link, in Mbit/s.
     """
 
-    __slots__ = ("usual_ms_by_route", "lag_ms")
+    __slots__ = ("usual_ms_by_route", "lag_ms", "core_share", "link_mbps")
 
-    def __init__(self, lag_ms: float = 0.0):
+    def __init__(self, core_share: float = 1.0, link_mbps: float = 1000.0):
         self.usual_ms_by_route = {}
-        self.lag_ms = lag_ms
+        self.lag_ms = policy.FIRST_LAG_MS / core_share
+        self.core_share = core_share
+        self.link_mbps = link_mbps
+
+    def compute_answer_ms(self, route: documents.Route) -> float:
+        """Return how long it takes to build and send an answer, in ms."""
+        return policy.compute_answer_ms(
+            len(route.shards), self.core_share, self.link_mbps
+        )
 
 
 class Context(typing.NamedTuple):
--- a/chervilspindle/routing/policy.py
+++ b/chervilspindle/routing/policy.py
@@ -13,7 +13,9 @@
 DEFAULT_HEDGE_MS = 50.0  # routes without an objective
 TRIP_MS = 3.0  # one way between callers and entries
 CONNECT_MS = 6.0  # first request on a caller's connection, one round trip
-ANSWER_MS = 2.5  # to build an answer and write it
+ANSWER_MS = 2.5  # to build an answer and write it, at least
+ANSWER_CORE_MS = 1.0  # the same on a whole core
+STAMP_BYTES = 32  # of one shard in the head of an answer
 USUAL_SMOOTHING = 0.05
 LAG_RISE = 0.5  # lag is taken in fast and forgotten slowly
 LAG_FALL = 0.1
@@ -58,7 +60,7 @@
     caller_ms: float | None,
     is_first: bool,
     usual_ms: float,
-    lag_ms: float = 0.0,
+    late_ms: float = ANSWER_MS,
 ) -> Timing:
     """Plan a request from its route and from what its caller said.
 
@@ -72,8 +74,8 @@
         Whether the caller had to connect for the request.
     usual_ms : float
         Usual time of the route's parts.
-    lag_ms : float
-        How late this process usually is; it answers that much sooner.
+    late_ms : float
+        From the time of an answer until it is sent.
     """
     deadline = timeout_ms
     if caller_ms is not None:
@@ -81,11 +83,28 @@
     if not objective_ms:
         return Timing(DEFAULT_HEDGE_MS, math.inf, deadline)
     spent = TRIP_MS + (CONNECT_MS if is_first else 0.0)
-    answer = max(0.0, objective_ms - spent - TRIP_MS - ANSWER_MS - lag_ms)
+    answer = max(0.0, objective_ms - spent - TRIP_MS - late_ms)
     hedge = max(HEDGE_LEAST_MS, HEDGE_FACTOR * usual_ms)
     return Timing(min(hedge, answer * HEDGE_AIM_SHARE), answer, deadline)
 
 
+def compute_answer_ms(
+    shards: int, core_share: float, link_mbps: float
+) -> float:
+    """Return how long it takes to build and send an answer, in ms.
+
+    Parameters
+    ----------
+    shards : int
+    core_share : float
+        Part of a core that the process has.
+    link_mbps : float
+        Bandwidth of the VM's link, in Mbit/s.
+    """
+    link_ms = shards * STAMP_BYTES * 8 / (link_mbps * 1000.0)
+    return max(ANSWER_MS, ANSWER_CORE_MS / core_share + link_ms)
+
+
 def smooth_usual(usual_ms: float | None, sample_ms: float) -> float:
     """Return the usual time after one more sample.
 
--- a/chervilspindle/routing/policy_test.py
+++ b/chervilspindle/routing/policy_test.py
@@ -24,14 +24,26 @@
     assert first.hedge_ms < first.answer_ms / 2
 
 
+def test_an_answer_leaves_sooner_on_a_slow_vm_and_its_link():
+    assert policy.compute_answer_ms(20, 0.731, 350.0) == policy.ANSWER_MS
+    narrow = policy.compute_answer_ms(90, 0.361, 13.5)
+    wide = policy.compute_answer_ms(135, 0.361, 13.5)
+    assert wide > narrow > 4.0
+    soon = policy.plan_timing(95.0, 600.0, 601.0, False, 4.0, wide)
+    late = policy.plan_timing(95.0, 600.0, 601.0, False, 4.0)
+    sooner_ms = late.answer_ms - soon.answer_ms
+    assert sooner_ms == pytest.approx(wide - policy.ANSWER_MS)
+
+
 def test_a_process_that_is_late_answers_sooner():
     lag = 0.0
     for _ in range(10):
         lag = policy.smooth_lag(lag, 6.0)
     assert 5.0 < lag <= 6.0
     calm = policy.plan_timing(44.0, 600.0, 601.0, False, 4.0)
-    busy = policy.plan_timing(44.0, 600.0, 601.0, False, 4.0, lag)
-    assert busy.answer_ms == calm.answer_ms - lag
+    late_ms = policy.ANSWER_MS + lag
+    busy = policy.plan_timing(44.0, 600.0, 601.0, False, 4.0, late_ms)
+    assert busy.answer_ms == pytest.approx(calm.answer_ms - lag)
     assert policy.smooth_lag(lag, 500.0) <= policy.MAX_LAG_MS
 
 
--- a/chervilspindle/routing/routed.py
+++ b/chervilspindle/routing/routed.py
@@ -36,7 +36,7 @@
             incoming.caller_ms,
             request.is_first,
             context.pace.usual_ms_by_route.get(route.name, 0.0),
-            context.pace.lag_ms,
+            context.pace.lag_ms + context.pace.compute_answer_ms(route),
         )
         self.message = forwarding.build_message(incoming, context.names)
         self.done = False
