Send entries of the log again after 2 s, not with each heartbeat

Cause: while a member of control was frozen for 7 s, the leader sent it all entries that it missed with each heartbeat and each new entry: documents of 60 KB, 25 of them in a storm, some hundred times. They weighed 0.1 to 0.4 GB between zones and 80 to 250 MB of the leader's memory (limit 296).

Ruled out: watches of the entries (deltas compressed and gathered changed little).

--- a/chervilspindle/control/raft.py
+++ b/chervilspindle/control/raft.py
@@ -21,6 +21,10 @@
 QUORUM_MARGIN_MS = 100.0
 BATCH_ENTRIES = 256
 INSTALL_RETRY_MS = 1000.0
+# Entries without acknowledgement go out again after this, the time in which a
+# silent link is closed. Sent with each heartbeat, they would pile up for a
+# member that is frozen.
+RESEND_MS = 2000.0
 NEVER_MS = -math.inf
 
 DATA = 0
@@ -53,6 +57,7 @@
     match_index: int
     acked_sent_ms: float
     install_sent_ms: float = -math.inf
+    entries_sent_ms: float = -math.inf
 
 
 class RaftState(typing.NamedTuple):
@@ -437,13 +442,18 @@
     previous_term = get_term_at(state, previous)
     if previous_term is None:
         return _build_install(state, other, now)
-    entries = get_entries(
-        state, progress.next_index, progress.next_index + BATCH_ENTRIES - 1
-    )
+    in_step = progress.match_index == previous
+    entries = ()
+    if in_step or now >= progress.entries_sent_ms + RESEND_MS:
+        entries = get_entries(
+            state, progress.next_index, progress.next_index + BATCH_ENTRIES - 1
+        )
     message = messages.Append(
         state.term, previous, previous_term, entries, state.commit_index, now
     )
-    if entries and progress.match_index == previous:
+    if entries:
+        state = _set_progress(state, other, entries_sent_ms=now)
+    if entries and in_step:
         # The member follows in step, so the next batch goes out unasked.
         state = _set_progress(state, other, next_index=entries[-1].index + 1)
     return state, message
--- a/chervilspindle/control/raft_test.py
+++ b/chervilspindle/control/raft_test.py
@@ -421,6 +421,32 @@
     return cluster, leader, away
 
 
+def test_a_silent_member_is_not_sent_all_that_it_misses_over_and_over():
+    cluster = Cluster(12)
+    cluster.run(2000)
+    leader = get_leader(cluster)
+    silent = next(m for m in cluster.state_by_id if m != leader)
+    cluster.cuts.update({(leader, silent), (silent, leader)})
+    sent = []
+
+    def note(sender, receiver, message, send=cluster.send):
+        if receiver == silent and isinstance(message, messages.Append):
+            sent.extend(e.data for e in message.entries)
+        send(sender, receiver, message)
+
+    cluster.send = note
+    document = b"x" * 60000
+    for _ in range(25):
+        cluster.propose(document)
+        cluster.run(60)
+    cluster.run(5500)
+    resends = 1 + 7000 / raft.RESEND_MS
+    assert sum(map(len, sent)) <= resends * 25 * len(document)
+    cluster.cuts.clear()
+    cluster.run(1000)
+    assert cluster.applied_by_id[silent] == cluster.applied_by_id[leader]
+
+
 def test_doubled_refusals_cause_no_message_storm():
     cluster, leader, away = build_cluster_with_late_member(8)
     cluster.cuts.add((leader, away))
