Give a group as many relays as its queries need

Cause: with four or five relays of each group in a zone, each saw an endpoint once in 0.7 s and learnt anew for itself which were slow or dark.

Ruled out: telling other relays of slow endpoints (weighed: 15 messages for each of 84 endpoints; not built).

--- a/chervilspindle/routing/keeper_test.py
+++ b/chervilspindle/routing/keeper_test.py
@@ -189,7 +189,7 @@
     return {
         service
         for group in groups
-        for relay in relays_module.rank_relays(entries, "a", group)
+        for relay in relays_module.rank_relays(entries, "a", group, 0.0)
         for service in group.services
         if relay.vm_id == table.vm_id
     }
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -17,8 +17,8 @@
 from chervilspindle.control import storage as storage_module
 from chervilspindle.control import watch as watch_module
 from chervilspindle.core import errors
-from chervilspindle.core import loops
 from chervilspindle.core import logs
+from chervilspindle.core import loops
 from chervilspindle.core import timers as timers_module
 from chervilspindle.routing import contexts
 from chervilspindle.routing import entry as entry_module
@@ -317,7 +317,10 @@
             self._share_connections()
 
     def _take_count(self, vms, requests):
-        self.context.budget.total_requests = requests
+        budget = self.context.budget
+        budget.total_requests = requests
+        rate = requests / budget.rule.window_s
+        self.context.relays.table.put_rate(rate)
         if vms != self.context.budget.vms:
             self.context.budget.vms = vms
             self._share_connections()
--- a/chervilspindle/routing/relaying_test.py
+++ b/chervilspindle/routing/relaying_test.py
@@ -227,9 +227,14 @@
         world.backend_by_id["shard-03-a"].paused = True
         answer = await world.ask("id-1")
         world.check(answer, "id-1", 24)
-        far = [e for e in world.entries if e.row.zone == "b" and e.calls]
-        assert [c.services for e in far for c in e.calls] == [("shard-03",)]
-        assert far[0].calls[0].tried == (("shard-03-a",),)
+        far = [
+            call
+            for e in world.entries
+            for call in e.calls
+            if e.row.zone == "b" and call.request.request_id == b"id-1"
+        ]
+        assert [c.services for c in far] == [("shard-03",)]
+        assert far[0].tried == (("shard-03-a",),)
 
     play(test)
 
--- a/chervilspindle/routing/relays.py
+++ b/chervilspindle/routing/relays.py
@@ -18,7 +18,10 @@
 SHARD_BYTES = 400  # a part with its headers
 ALONE_SHARE = 0.1  # of the objective that a group may take its relay
 LEAST_GROUP = 8  # shards; smaller groups cost more messages than they save
-LEAST_RELAYS = 3  # of a group in a zone, so that two may be lost
+LEAST_RELAYS = 2  # of a group in a zone, so that one may be lost
+# Queries of a zone for each relay of a group: with fewer, a relay would see
+# its endpoints too seldom to know which are slow; with many more, it is busy.
+QUERIES_PER_RELAY_S = 10.0
 FAILURE_MEMORY_S = 8.0  # longer than an entry waits for its next query
 
 
@@ -74,11 +77,31 @@
     )
 
 
-def rank_relays(relays, zone: str, group: Group) -> list[messages.Relay]:
+def count_relays(near: int, spread: int, queries_per_s: float) -> int:
+    """Return how many relays a group has in a zone.
+
+    Parameters
+    ----------
+    near : int
+        Entries of the zone.
+    spread : int
+        Groups that divide them.
+    queries_per_s : float
+        Of the zone. Doubling steps keep the relays the same while it varies.
+    """
+    wanted = LEAST_RELAYS
+    while wanted * QUERIES_PER_RELAY_S < queries_per_s:
+        wanted *= 2
+    return max(LEAST_RELAYS, min(wanted, math.ceil(near / spread)))
+
+
+def rank_relays(
+    relays, zone: str, group: Group, queries_per_s: float
+) -> list[messages.Relay]:
     """Return the relays of a group in a zone, by rendezvous hashing."""
     near = [r for r in relays if r.zone == zone]
     near.sort(key=lambda r: _hash(group.services[0], r.vm_id))
-    return near[: max(LEAST_RELAYS, math.ceil(len(near) / group.spread))]
+    return near[: count_relays(len(near), group.spread, queries_per_s)]
 
 
 class RelayTable:
@@ -105,6 +128,7 @@
         self.groups_by_shards = {}
         self.ranked_by_group = {}
         self.failed_s_by_address = {}
+        self.queries_per_s = 0.0
 
     def put_relays(self, mark: int, relays):
         """Take over the relays that control knows."""
@@ -114,6 +138,12 @@
         self.revision += 1
         logs.log_decision("relays-known", mark=mark, relays=len(relays))
 
+    def put_rate(self, queries_per_s: float):
+        """Take over how many queries a second the whole system has."""
+        zones = len({r.zone for r in self.relays})
+        self.queries_per_s = queries_per_s / max(1, zones)
+        self.ranked_by_group = {}
+
     def put_document(self, document):
         """Divide the shards of all routes into groups."""
         objective_by_shards = {}
@@ -145,9 +175,14 @@
         """Return a relay in this zone for a group, None without one.
 
         An entry keeps to the same relay, whose pace it knows, until that
-        one fails.
+        one fails. If all relays of the zone have failed lately, the relay is
+        of another zone.
         """
-        return self._pick(group, self.zone, tried)
+        near = self._pick(group, self.zone, tried)
+        if near is None or self._is_fit(near):
+            return near
+        far = self.pick_far(group, tried)
+        return far if far is not None and self._is_fit(far) else near
 
     def pick_far(self, group: Group, tried=()) -> messages.Relay | None:
         """Return a relay of another zone, where other replicas are near."""
@@ -185,7 +220,7 @@
         key = (group, zone)
         ranked = self.ranked_by_group.get(key)
         if ranked is None:
-            ranked = rank_relays(self.relays, zone, group)
+            ranked = rank_relays(self.relays, zone, group, self.queries_per_s)
             # Another one for each group, so that they work side by side.
             words = (self.vm_id, group.services[0])
             ranked.sort(key=lambda r: _hash(*words, r.vm_id))
@@ -200,12 +235,15 @@
         ]
         if not found:
             return None
-        limit = self.read_clock() - FAILURE_MEMORY_S
         for relay in found:
-            if self._read_failed_s(relay) < limit:
+            if self._is_fit(relay):
                 return relay
         return min(found, key=self._read_failed_s)
 
+    def _is_fit(self, relay) -> bool:
+        limit = self.read_clock() - FAILURE_MEMORY_S
+        return self._read_failed_s(relay) < limit
+
     def _read_failed_s(self, relay) -> float:
         return self.failed_s_by_address.get(relay.address, -math.inf)
 
--- a/chervilspindle/routing/relays_test.py
+++ b/chervilspindle/routing/relays_test.py
@@ -29,6 +29,10 @@
     return table
 
 
+def rank(table, group):
+    return relays.rank_relays(table.relays, "a", group, table.queries_per_s)
+
+
 def test_a_wide_query_on_a_part_of_a_core_is_divided():
     groups = relays.count_groups(90, 47.0, 0.361, 13.5)
     assert 4 <= groups <= 11
@@ -42,20 +46,29 @@
 
 def test_groups_share_the_relays_of_a_zone():
     table = build_table()
+    table.put_rate(600.0)
     counts = collections.Counter()
     for group in table.get_groups(SHARDS):
-        ranked = relays.rank_relays(table.relays, "a", group)
+        ranked = rank(table, group)
         assert len(ranked) >= relays.LEAST_RELAYS
         counts.update(r.vm_id for r in ranked)
     assert len(counts) > 12 and max(counts.values()) <= 4
 
 
+def test_few_queries_go_to_few_relays_and_many_to_all():
+    counts = [
+        relays.count_relays(34, 7, rate) for rate in (0.0, 7.0, 30.0, 1e6)
+    ]
+    assert counts == [2, 2, 4, 5]
+    assert relays.count_relays(1, 7, 7.0) == relays.LEAST_RELAYS
+
+
 def test_a_relay_that_leaves_moves_few_others():
     table = build_table()
     for group in table.get_groups(SHARDS):
-        before = relays.rank_relays(table.relays, "a", group)
+        before = relays.rank_relays(table.relays, "a", group, 200.0)
         fewer = [r for r in table.relays if r != before[0]]
-        after = relays.rank_relays(fewer, "a", group)
+        after = relays.rank_relays(fewer, "a", group, 200.0)
         assert len(set(after) - set(before)) <= 1
 
 
@@ -84,12 +97,23 @@
     assert table.pick(group) == first
 
 
+def test_when_a_zone_has_no_relay_left_another_zone_is_asked():
+    clock = [100.0]
+    table = build_table(clock=clock)
+    group = table.get_groups(SHARDS)[0]
+    for relay in rank(table, group):
+        assert table.pick(group).zone == "a"
+        table.note_silence(relay.address, "no report")
+    assert table.pick(group).zone != "a"
+
+
 def test_when_all_relays_are_silent_the_one_that_was_first_is_tried():
     clock = [100.0]
     table = build_table(clock=clock)
+    table.put_relays(8, [r for r in table.relays if r.zone == "a"])
     group = table.get_groups(SHARDS)[0]
     silent = []
-    for _ in relays.rank_relays(table.relays, "a", group):
+    for _ in rank(table, group):
         silent.append(table.pick(group))
         table.note_silence(silent[-1].address, "no report")
         clock[0] += 0.1
