--- a/chervilspindle/routing/follower.py
+++ b/chervilspindle/routing/follower.py
@@ -23,6 +23,7 @@
 RETRY_S = 0.1
 FIRST_RETRY_S = 0.03  # callers wait for an entry that has nothing yet
 AGE_LIMIT_MS = 1500.0  # a member that elects a leader catches up meanwhile
+COUNT_FRESH_S = 2.0  # a member without a leader can't count for a while
 COUNT_MEMORY_S = 15.0  # a window of the retry budget, with a margin
 
 
@@ -198,6 +199,8 @@
             self.counts.append((now, watchers, requests))
         self.counts = [c for c in self.counts if now - c[0] < COUNT_MEMORY_S]
         if self.counts:
+            is_fresh = now - self.counts[-1][0] < COUNT_FRESH_S
             self.take_count(
-                max(c[1] for c in self.counts), max(c[2] for c in self.counts)
+                max(c[1] for c in self.counts),
+                max(c[2] for c in self.counts) if is_fresh else 0,
             )
--- a/chervilspindle/routing/policy.py
+++ b/chervilspindle/routing/policy.py
@@ -17,6 +17,7 @@
 ANSWER_CORE_MS = 1.0  # the same on a whole core
 STAMP_BYTES = 32  # of one shard in the head of an answer
 USUAL_SMOOTHING = 0.05
+FIRST_USUAL_MS = 15.0  # before the first answer, connections are new as well
 LAG_RISE = 0.5  # lag is taken in fast and forgotten slowly
 LAG_FALL = 0.1
 MAX_LAG_MS = 15.0
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -318,11 +318,11 @@
 
     def _take_count(self, vms, requests):
         budget = self.context.budget
-        budget.total_requests = requests
+        known_vms = budget.vms
+        budget.note_total(vms, requests)
         rate = requests / budget.rule.window_s
         self.context.relays.table.put_rate(rate)
-        if vms != self.context.budget.vms:
-            self.context.budget.vms = vms
+        if vms != known_vms:
             self._share_connections()
 
     def _share_connections(self):
--- a/chervilspindle/routing/retry_budget.py
+++ b/chervilspindle/routing/retry_budget.py
@@ -11,12 +11,14 @@
 """
 
 import collections
+import math
 import typing
 
 SAFETY = 0.8  # part of the budget that is used; VMs may be counted late
 SLICES = 20  # slices of a window, rounds its edge
 FREE_MARGIN = 1.25  # requests may grow before control has counted them
 UNKNOWN_VMS = 64  # VMs assumed until control has counted them
+COUNT_FRESH_S = 3.0  # requests may have grown by any factor after this
 
 
 class Rule(typing.NamedTuple):
@@ -51,9 +53,16 @@
         self.read_clock = read_clock
         self.vms = UNKNOWN_VMS
         self.total_requests = 0  # 0 while control has not told
+        self.counted_s = -math.inf
         # Mutable rows [slice number, requests, extra sends], oldest first.
         self.slices_by_service = {}
 
+    def note_total(self, vms: int, requests: int):
+        """Take over what control counts over all VMs, 0 if it can't tell."""
+        self.vms = vms
+        self.total_requests = requests
+        self.counted_s = self.read_clock()
+
     def count_requests(self, services):
         """Count one request for each of the services."""
         number = self._read_slice()
@@ -95,9 +104,12 @@
         )
 
     def _is_free(self) -> bool:
+        if self.read_clock() - self.counted_s > COUNT_FRESH_S:
+            return False
         total = FREE_MARGIN * self.total_requests
         rule = self.rule
-        return 0 < total <= rule.ratio * self.total_requests + rule.base
+        room = rule.ratio * self.total_requests + rule.base
+        return 0 < total <= SAFETY * room
 
     def _read_slice(self) -> int:
         return int(self.read_clock() * SLICES / self.rule.window_s)
--- a/chervilspindle/routing/routed.py
+++ b/chervilspindle/routing/routed.py
@@ -35,7 +35,9 @@
             route.timeout_ms,
             incoming.caller_ms,
             request.is_first,
-            context.pace.usual_ms_by_route.get(route.name, 0.0),
+            context.pace.usual_ms_by_route.get(
+                route.name, policy.FIRST_USUAL_MS
+            ),
             context.pace.lag_ms + context.pace.compute_answer_ms(route),
         )
         self.message = forwarding.build_message(incoming, context.names)
