Tell relays apart by rate steps; entries answer what is not theirs as before

An entry that gets a call meant for control says so again instead of failing with an internal error; the number of relays only changes with the step of the rate.

--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -302,8 +302,8 @@
             table = self.context.relays.table
             table.note_silence(sent.address, "no report")
 
-    def _may_send(self, shard) -> bool:
-        """Tell whether rules and budget allow one more send; take it."""
+    def _reserve_send(self, shard) -> bool:
+        """Take room for one more send, if rules and budget allow it."""
         attempts = self.incoming.route.max_attempts
         if shard.may_have_run >= attempts:
             return False
@@ -325,7 +325,7 @@
         list of Shard
             Those that were sent.
         """
-        allowed = [s for s in shards if self._may_send(s)]
+        allowed = [s for s in shards if self._reserve_send(s)]
         direct = []
         shards_by_relay = {}
         for shard in allowed:
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -237,8 +237,10 @@
         if isinstance(message, messages.RelayReport):
             client = self.context.relays
             client.take_report(link.dialled_address, message)
-        else:
+        elif isinstance(message, relaying.FOR_RELAYS):
             self.relay.handle(link, message)
+        else:
+            super().handle(link, message)
 
     async def start(self):
         """Listen and follow control."""
--- a/chervilspindle/routing/relaying.py
+++ b/chervilspindle/routing/relaying.py
@@ -16,6 +16,7 @@
 from chervilspindle.wire import messages
 
 GATHER_S = 0.002  # parts that come together are reported together
+FOR_RELAYS = (messages.RelayCall, messages.RelayCancel)
 
 
 class RelayedParts:
--- a/chervilspindle/routing/relays.py
+++ b/chervilspindle/routing/relays.py
@@ -87,12 +87,21 @@
     spread : int
         Groups that divide them.
     queries_per_s : float
-        Of the zone. Doubling steps keep the relays the same while it varies.
+        Of the zone.
+    """
+    wanted = count_wanted(queries_per_s)
+    return max(LEAST_RELAYS, min(wanted, math.ceil(near / spread)))
+
+
+def count_wanted(queries_per_s: float) -> int:
+    """Return how many relays the queries of a zone need for each group.
+
+    Doubling steps keep the relays the same while the rate varies.
     """
     wanted = LEAST_RELAYS
     while wanted * QUERIES_PER_RELAY_S < queries_per_s:
         wanted *= 2
-    return max(LEAST_RELAYS, min(wanted, math.ceil(near / spread)))
+    return wanted
 
 
 def rank_relays(
@@ -123,7 +132,7 @@
         self.link_mbps = link_mbps
         self.read_clock = read_clock
         self.mark = 0
-        self.revision = 0  # grows with each change of relays or document
+        self.revision = 0  # grows when other relays may gather for a group
         self.relays = ()
         self.groups_by_shards = {}
         self.ranked_by_group = {}
@@ -140,9 +149,12 @@
 
     def put_rate(self, queries_per_s: float):
         """Take over how many queries a second the whole system has."""
-        zones = len({r.zone for r in self.relays})
-        self.queries_per_s = queries_per_s / max(1, zones)
-        self.ranked_by_group = {}
+        zones = max(1, len({r.zone for r in self.relays}))
+        before = count_wanted(self.queries_per_s)
+        self.queries_per_s = queries_per_s / zones
+        if count_wanted(self.queries_per_s) != before:
+            self.ranked_by_group = {}
+            self.revision += 1
 
     def put_document(self, document):
         """Divide the shards of all routes into groups."""
--- a/chervilspindle/routing/relays_test.py
+++ b/chervilspindle/routing/relays_test.py
@@ -63,6 +63,16 @@
     assert relays.count_relays(1, 7, 7.0) == relays.LEAST_RELAYS
 
 
+def test_relays_stay_the_same_while_the_rate_varies_a_little():
+    table = build_table()
+    table.put_rate(20.0)
+    before = table.revision
+    table.put_rate(45.0)
+    assert table.revision == before
+    table.put_rate(90.0)
+    assert table.revision == before + 1
+
+
 def test_a_relay_that_leaves_moves_few_others():
     table = build_table()
     for group in table.get_groups(SHARDS):
