--- a/chervilspindle/control/desk_test.py
+++ b/chervilspindle/control/desk_test.py
@@ -172,6 +172,34 @@
     assert (reply.watchers, reply.requests) == (10, 100)
 
 
+def test_entries_learn_of_relays_when_their_list_changes(parts):
+    clock, _, desk, watch = parts
+    far = messages.Relay("entry-9", "b", "10.0.0.9:1")
+    clock.advance(desk_module.COUNT_AFTER_MS / 1000.0)
+    call = messages.WatchCall("entry-1", 0, 0, "a", "10.0.0.1:1")
+    desk.note_watcher(call)
+    desk.take_report(messages.MemberReport("vm-2#b", 1, 0, (), (far,), 0))
+    clock.advance(desk_module.REPORT_S)
+    reply = watch._build_reply(call)
+    near = messages.Relay("entry-1", "a", "10.0.0.1:1")
+    assert set(reply.relays.relays) == {near, far}
+    known = call._replace(known_relays=reply.relays.mark)
+    assert watch._build_reply(known).relays is None
+    desk.note_watcher(known._replace(relay_address=""))
+    clock.advance(desk_module.REPORT_S)
+    assert watch._build_reply(known).relays.relays == (far,)
+
+
+def test_a_list_of_relays_is_bounded_for_each_zone_and_stable():
+    relays = [
+        messages.Relay(f"entry-{i}", "ab"[i % 2], "x") for i in range(3900)
+    ]
+    found = desk_module.select_relays(relays)
+    assert len(found) == 2 * desk_module.RELAYS_PER_ZONE
+    fewer = desk_module.select_relays([r for r in relays if r != found[0]])
+    assert len(set(fewer) - set(found)) == 1
+
+
 def test_a_watch_is_answered_by_a_change_or_after_a_while(parts):
     clock, _, desk, watch = parts
     replies = []
--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -19,6 +19,7 @@
 from chervilspindle.routing import merge
 from chervilspindle.routing import retry_budget
 from chervilspindle.tools import backends
+from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import http_server
 from chervilspindle.wire import peer
 from chervilspindle.wire import streams
@@ -317,6 +318,37 @@
     play(test)
 
 
+def test_a_request_with_hardly_any_time_left_is_not_sent(play):
+    async def test(world):
+        pool = world.table.targets_by_service["desk"]["desk-a"].pool
+        pool.max_connections = 1
+        now = world.loop.time()
+        ends = []
+        first, late = (
+            endpoint_http.Call(
+                b"GET /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n"
+                % (platform_names.HEADERS.request_id.encode(), name),
+                name,
+                now + left_s,
+                lambda call, answer: ends.append((call.request_id, answer)),
+            )
+            for name, left_s in (
+                (b"first", 2.0),
+                (b"late", 0.15 + endpoint_http.LEAST_LEFT_S),
+            )
+        )
+        world.backend_by_id["desk-a"].work_s = 0.18
+        pool.submit(first)
+        pool.submit(late)
+        await asyncio.sleep(0.5)
+        endings = {name: answer.ending for name, answer in ends}
+        assert endings[b"first"] is endpoint_http.Ending.ANSWERED
+        assert endings[b"late"] is endpoint_http.Ending.NOT_SENT
+        assert [r.request_id for r in world.list_runs("desk")] == ["first"]
+
+    play(test)
+
+
 def test_what_still_waits_for_a_connection_is_not_sent_after_the_answer(play):
     async def test(world):
         busy = [world.backend_by_id[f"shard-0-{zone}"] for zone in "ab"]
