Pass requests to join on to the leader

Ruled out: a late promotion (no membership line at all), load. Tests: three with five nodes and two seeds, red before.

--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -241,9 +241,11 @@
             return
         if self.raft.role == "leader":
             self._tend_members(now)
-        elif now >= self.join_due_ms:
-            self.join_due_ms = now + JOIN_PERIOD_MS
-            self._ask_to_join()
+        else:
+            self.joins.clear()
+            if now >= self.join_due_ms:
+                self.join_due_ms = now + JOIN_PERIOD_MS
+                self._ask_to_join()
         if was_leader and self.raft.role != "leader":
             logs.log_decision(
                 "leadership",
@@ -270,7 +272,7 @@
 
     def _step(self, sender, message):
         if isinstance(message, raft_messages.Join):
-            self.joins[message.member_id] = message.address
+            self._take_join(sender, message)
             return ()
         if isinstance(message, raft_messages.Install):
             return self._install(sender, message)
@@ -500,13 +502,30 @@
         if self.identity.member_id in known and silent_ms < REJOIN_AFTER_MS:
             return
         join = raft_messages.Join(self.identity.member_id, self.address)
-        data = raft_messages.encode_envelope(
-            self.identity.group, self.identity.member_id, join
-        )
         found = {*self.address_by_vm.values(), *self.seeds}
         found.update(m.address for m in self.raft.members)
         for address in sorted(found - {self.address}):
-            self.send(address, data)
+            self._send_join(address, join)
+
+    def _take_join(self, sender, join):
+        """Keep a request to join as the leader, else pass it to the leader.
+
+        A new member knows only the seeds, and none of them may lead. It
+        repeats its request, so nothing is kept by others; what a relay sent
+        isn't passed on again, so that no request goes in circles.
+        """
+        if self.raft.role == "leader":
+            self.joins[join.member_id] = join.address
+            return
+        address = self.find_leader_address()
+        if sender == join.member_id and address is not None:
+            self._send_join(address, join)
+
+    def _send_join(self, address, join):
+        data = raft_messages.encode_envelope(
+            self.identity.group, self.identity.member_id, join
+        )
+        self.send(address, data)
 
     def _tend_members(self, now):
         planned = membership.plan_promotion(self.raft, self.voters)
--- /dev/null
+++ b/chervilspindle/control/node_test.py
@@ -0,0 +1,139 @@
+"""Nodes of one group that know each other by seeds alone."""
+
+import functools
+
+import pytest
+from twisted.internet import task
+
+from chervilspindle.control import node as node_module
+from chervilspindle.control import raft
+from chervilspindle.control import storage as storage_module
+from chervilspindle.core import timers
+
+TURN_S = 0.01
+
+
+class Group:
+    """Five nodes over a network in memory; two of them are seeds."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.clock = task.Clock()
+        self.node_by_vm = {}
+        self.cuts = set()
+        self.starts = 0
+        self.vms = tuple(f"core-{n}" for n in range(5))
+        for vm_id in self.vms:
+            self.start(vm_id)
+
+    def start(self, vm_id):
+        """Start a node with an empty disk."""
+        self.starts += 1
+        folder = self.folder / f"{vm_id}-{self.starts}"
+        folder.mkdir()
+        identity = storage_module.create_identity(str(folder), "group", vm_id)
+        node = node_module.ControlNode(
+            identity,
+            vm_id,
+            {},
+            storage_module.Storage(str(folder), fsync=lambda handle: None),
+            functools.partial(self.send, vm_id),
+            timers.TimerService(self.clock),
+            self.read_ms,
+            lambda: None,
+            seed=self.starts,
+            seeds=self.vms[:2],
+            voters=len(self.vms),
+        )
+        if self.starts == 1:
+            node.initialise()
+        self.node_by_vm[vm_id] = node
+        node.start()
+
+    def read_ms(self):
+        """Return the time of the group, in ms."""
+        return 1e6 + self.clock.seconds() * 1000.0
+
+    def send(self, sender, address, data):
+        """Deliver a message in the next turn, unless its path is cut."""
+        self.clock.callLater(TURN_S, self._deliver, sender, address, data)
+
+    def _deliver(self, sender, address, data):
+        if not {sender, address} & self.cuts:
+            self.node_by_vm[address].receive(data, sender)
+
+    def run(self, seconds):
+        """Let time pass."""
+        for _ in range(round(seconds / TURN_S)):
+            self.clock.advance(TURN_S)
+
+    def lose_disk(self, vm_id):
+        """Replace a node by one with an empty disk."""
+        self.node_by_vm[vm_id].stop()
+        self.start(vm_id)
+
+    def find_leader(self):
+        """Return the VM that leads."""
+        return next(v for v, n in self.node_by_vm.items() if n.is_leader())
+
+    def list_voters(self):
+        """Return the voters as the leader knows them."""
+        leader = self.node_by_vm[self.find_leader()]
+        return raft.list_voters(leader.raft)
+
+    def list_ids(self):
+        """Return the member ids of the nodes as they are now."""
+        nodes = self.node_by_vm.values()
+        return {n.identity.member_id for n in nodes}
+
+    def move_leader(self, targets):
+        """Cut leaders off for a while until one of `targets` leads."""
+        for _ in range(50):
+            leader = self.find_leader()
+            if leader in targets:
+                return
+            self.cuts = {leader}
+            self.run(4.0)
+            self.cuts = set()
+            self.run(1.0)
+        raise AssertionError("no such leader")
+
+
+@pytest.fixture
+def group(tmp_path):
+    """A group whose five members all vote."""
+    group = Group(tmp_path)
+    group.run(10.0)
+    assert len(group.list_voters()) == 5
+    yield group
+    for node in group.node_by_vm.values():
+        node.stop()
+
+
+def test_new_disk_joins_though_no_seed_leads(group):
+    group.move_leader(group.vms[2:])
+    group.lose_disk(next(v for v in group.vms[2:] if v != group.find_leader()))
+    group.run(5.0)
+    assert set(group.list_voters()) == group.list_ids()
+
+
+def test_two_more_disks_are_lost_after_one_was_replaced(group):
+    group.move_leader(group.vms[2:])
+    group.lose_disk(next(v for v in group.vms[2:] if v != group.find_leader()))
+    group.run(5.0)
+    for vm_id in [v for v in group.vms[2:] if v != group.find_leader()]:
+        group.lose_disk(vm_id)
+    group.run(10.0)
+    assert set(group.list_voters()) == group.list_ids()
+
+
+def test_requests_to_join_do_not_outlive_their_disk(group):
+    group.move_leader(group.vms[:1])
+    stale = group.node_by_vm["core-4"].identity.member_id
+    group.lose_disk("core-4")
+    group.run(5.0)
+    assert set(group.list_voters()) == group.list_ids()
+    group.move_leader(group.vms[1:2])
+    group.run(1.0)
+    members = group.node_by_vm["core-1"].raft.members
+    assert stale not in {m.member_id for m in members}
