--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -30,7 +30,7 @@
         `parts_query.PartsQuery` or `relaying.RelayedParts` in progress.
     tried : list of str
         Endpoints that it was sent to, as far as they are known.
-    relays_tried : list of str
+    relays_tried : tuple of str
         Addresses.
     may_have_run, sends : int
     lost : bool
@@ -56,7 +56,7 @@
         self.group = None
         self.open_sends = []
         self.tried = []
-        self.relays_tried = []
+        self.relays_tried = ()
         self.may_have_run = 0
         self.sends = 0
         self.lost = False
@@ -157,7 +157,7 @@
         self._note_sends(sent, shards)
         self.relayed.append(relay.vm_id)
         for shard in shards:
-            shard.relays_tried.append(relay.address)
+            shard.relays_tried += (relay.address,)
 
     # What sends tell their listener.
 
--- a/chervilspindle/routing/parts.py
+++ b/chervilspindle/routing/parts.py
@@ -23,6 +23,9 @@
     tuple of str
         Shards that are covered now and were not before.
     """
+    if len(new.services) == 1 and new.services[0] not in part_set_by_service:
+        part_set_by_service[new.services[0]] = new
+        return new.services
     overlapping = {}
     for service in new.services:
         held = part_set_by_service.get(service)
