Keep the queues of endpoints short while a crowd comes

Ruled out: processors of entries (1.5 % of a core), the retry budget, refusals by endpoints. Change: a shard is hedged only to an endpoint with a free place; of the queries beyond one request a place the share that is too much is refused at once.

--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -5,6 +5,7 @@
 
 from chervilspindle.routing import endpoints
 from chervilspindle.routing import forwarding
+from chervilspindle.routing import overload
 from chervilspindle.routing import relaying
 from chervilspindle.routing import relays
 from chervilspindle.routing import retry_budget
@@ -76,4 +77,5 @@
         metrics,
         generator,
         relaying.RelayClient(network, relay_table),
+        overload.Shedder(generator),
     )
--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -578,3 +578,40 @@
         assert sum(len(world.list_runs(s)) for s in SHARDS) == len(SHARDS)
 
     play(test)
+
+
+def state_load(world, endpoint_ids, load):
+    """Let endpoints have stated a load just now."""
+    for endpoint_id in endpoint_ids:
+        health = world.table.target_by_id[endpoint_id].health
+        health.load = load
+        health.load_s = world.loop.time()
+
+
+def test_a_shard_is_not_hedged_to_an_endpoint_with_a_queue(play):
+    async def test(world):
+        await world.ask("/all/x", "warm")
+        world.backend_by_id["shard-0-a"].paused = True
+        state_load(world, ["shard-0-b"], 5.0)
+        world.backend_by_id["shard-0-b"].runs.clear()
+        status, headers, _ = await world.ask("/all/x", "id-2")
+        assert status == 200 and read_missing(headers) == 1
+        assert not world.backend_by_id["shard-0-b"].runs
+
+    play(test)
+
+
+def test_a_crowd_is_refused_in_part_and_what_is_refused_never_runs(play):
+    async def test(world):
+        statuses = []
+        for number in range(10):
+            state_load(world, list(world.table.target_by_id), 4.0)
+            status, headers, _ = await world.ask("/all/x", f"id-{number}")
+            statuses.append(status)
+            if status == 503:
+                assert "retry-after" in headers
+        ran = {run.request_id for s in SHARDS for run in world.list_runs(s)}
+        assert 4 <= statuses.count(503) <= 6
+        assert len(ran) == statuses.count(200) == 10 - statuses.count(503)
+
+    play(test)
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -6,6 +6,7 @@
 
 from chervilspindle.core import logs
 from chervilspindle.core import rows
+from chervilspindle.routing import overload
 from chervilspindle.routing import selection
 from chervilspindle.wire import endpoint_http
 
@@ -103,6 +104,20 @@
         """Return how many endpoints of a service may be sent to."""
         return len(self.targets_by_service.get(service, ()))
 
+    def list_healths(self, service: str) -> list:
+        """Return what is known of the endpoints of a service."""
+        targets = self.targets_by_service.get(service, {})
+        return [t.health for t in targets.values()]
+
+    def has_place(self, service: str, excluded) -> bool:
+        """Tell whether another endpoint would start a request at once."""
+        now = self.loop.time()
+        return any(
+            overload.has_place(target.health, now)
+            for endpoint_id, target in self.targets_by_service[service].items()
+            if endpoint_id not in excluded
+        )
+
     def choose(self, service: str, excluded=()) -> Target | None:
         """Return the endpoint with the lowest cost, None without one."""
         best = None
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -8,6 +8,7 @@
 """
 
 from chervilspindle.policy import hedging
+from chervilspindle.routing import overload
 from chervilspindle.routing import parts
 from chervilspindle.routing import parts_query
 from chervilspindle.routing import policy
@@ -82,6 +83,7 @@
         self.relayed = []
         self.ran = False
         self.past_answer_time = False
+        self.occupancy = 0.0  # of the endpoints, when the query came
 
     def start(self):
         """Send to all shards, or refuse if too few have an endpoint."""
@@ -92,6 +94,9 @@
         if found < self.needed:
             self.refuse("no_endpoint")
             return
+        if self._is_too_much():
+            self.refuse("overload")
+            return
         self._send_first()
         if self.done:
             return
@@ -102,6 +107,16 @@
         self.call_at(timing.deadline_ms, self._expire)
         self.watch_caller()
 
+    def _is_too_much(self) -> bool:
+        """Tell whether the query would only lengthen full queues."""
+        table = self.context.table
+        route = self.incoming.route
+        self.occupancy = overload.estimate_occupancy(
+            map(table.list_healths, route.shards), self.loop.time()
+        )
+        share = overload.compute_refused_share(self.occupancy)
+        return self.context.shedder.is_refused(route.name, share)
+
     def _send_first(self):
         relays = self.context.relays
         for group in relays.table.get_groups(self.incoming.route.shards):
@@ -274,6 +289,7 @@
             return
         # A relay that is about to report may have the parts by now.
         grace = elapsed < self.timing.hedge_ms + policy.REPORT_GRACE_MS
+        table = self.context.table
         late_shards = []
         waits = False
         for shard in self.shard_by_service.values():
@@ -285,7 +301,8 @@
                     waits = True
                     continue
                 self._presume_lost(sent)
-            late_shards.append(shard)
+            if table.has_place(shard.service, shard.tried):
+                late_shards.append(shard)
         hedged = self._send_again(late_shards, "hedge")
         self.hedges += len(hedged)
         for _ in hedged:
@@ -390,6 +407,7 @@
         fields = {
             "shards": len(self.shard_by_service),
             "answered": len(self.part_set_by_service),
+            "occupancy": round(self.occupancy, 2),
             "hedges": self.hedges,
             "retries": self.retries,
             "missing": missing,
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -119,6 +119,7 @@
     metrics : RoutingMetrics
     random : random.Random
     relays : relaying.RelayClient
+    shedder : overload.Shedder
     """
 
     loop: object
@@ -129,6 +130,7 @@
     metrics: object
     random: object
     relays: object
+    shedder: object
 
 
 class Incoming(typing.NamedTuple):
--- a/chervilspindle/routing/selection.py
+++ b/chervilspindle/routing/selection.py
@@ -140,6 +140,12 @@
     health.slots = max(1, slots)
 
 
+def read_load(health: Health, now: float, memory_s: float) -> float:
+    """Return the stated load, which fades with its age."""
+    freshness = 1.0 - (now - health.load_s) / memory_s
+    return health.load * freshness if freshness > 0.0 else 0.0
+
+
 def note_failure(health: Health, now: float):
     """Take in that a request got no good answer."""
     health.failures = min(FAILURES_COUNTED, health.failures + 1)
@@ -151,8 +157,7 @@
 ) -> float:
     """Return the expected time to an answer and its penalties, in ms."""
     usual_ms = estimate_usual(health, best_ms, now)
-    age = now - health.load_s
-    stated = health.load * max(0.0, 1.0 - age / LOAD_MEMORY_S)
+    stated = read_load(health, now, LOAD_MEMORY_S)
     load = max(stated, view.outstanding)
     cost = usual_ms * (1.0 + max(0.0, load - health.slots + 1))
     silence_limit = max(SILENCE_LEAST_MS, SILENCE_FACTOR * usual_ms)
