Relays are known 1 s after an election, and stay while their rate is unknown

Besides, a member that lost its leader told a rate of 0 and shrank the relays of each group to two. Tests for both, red before.

--- a/chervilspindle/control/desk.py
+++ b/chervilspindle/control/desk.py
@@ -29,6 +29,9 @@
 WATCHER_MEMORY_MS = 2500.0
 MEMBER_MEMORY_MS = 5000.0
 COUNT_AFTER_MS = 3000.0  # all members have reported to a new leader
+# Most have by then. A list that lacks some relays serves queries; a count
+# that lacks some VMs would let the others overdraw what they share.
+RELAYS_AFTER_MS = 1000.0
 # Bounds what lists of relays weigh in large deployments; a query needs a few
 # for each of its groups.
 RELAYS_PER_ZONE = 48
@@ -184,7 +187,8 @@
         self.count_by_member[report.member_id] = (report, now)
         for endpoint_id in report.heard:
             self.heard_ms_by_id[endpoint_id] = now
-        if now - self.led_since_ms < COUNT_AFTER_MS:
+        led_ms = now - self.led_since_ms
+        if led_ms < RELAYS_AFTER_MS:
             return messages.MemberReportReply(0, 0)
         fresh = [
             found
@@ -192,9 +196,10 @@
             if now - seen < MEMBER_MEMORY_MS
         ]
         found = build_relay_list([r for f in fresh for r in f.relays])
+        counted = fresh if led_ms >= COUNT_AFTER_MS else ()
         return messages.MemberReportReply(
-            sum(r.watchers for r in fresh),
-            sum(r.requests for r in fresh),
+            sum(r.watchers for r in counted),
+            sum(r.requests for r in counted),
             None if found.mark == report.known_relays else found,
         )
 
--- a/chervilspindle/control/desk_test.py
+++ b/chervilspindle/control/desk_test.py
@@ -190,6 +190,20 @@
     assert watch._build_reply(known).relays.relays == (far,)
 
 
+def test_relays_are_known_before_all_is_counted(parts):
+    clock, _, desk, watch = parts
+    far = messages.Relay("entry-9", "b", "10.0.0.9:1")
+    desk.take_report(messages.MemberReport("vm-2#b", 1, 9, (), (far,), 0))
+    clock.advance(desk_module.RELAYS_AFTER_MS / 1000.0 - 0.1)
+    assert (
+        watch._build_reply(messages.WatchCall("entry-1", 0, 0)).relays is None
+    )
+    clock.advance(0.1 + desk_module.REPORT_S)
+    reply = watch._build_reply(messages.WatchCall("entry-1", 0, 0))
+    assert reply.relays.relays == (far,)
+    assert (reply.watchers, reply.requests) == (0, 0)
+
+
 def test_a_list_of_relays_is_bounded_for_each_zone_and_stable():
     relays = [
         messages.Relay(f"entry-{i}", "ab"[i % 2], "x") for i in range(3900)
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -322,7 +322,7 @@
         budget = self.context.budget
         known_vms = budget.vms
         budget.note_total(vms, requests)
-        rate = requests / budget.rule.window_s
+        rate = requests / budget.rule.window_s if vms else None
         self.context.relays.table.put_rate(rate)
         if vms != known_vms:
             self._share_connections()
--- a/chervilspindle/routing/relays.py
+++ b/chervilspindle/routing/relays.py
@@ -145,8 +145,13 @@
         self.revision += 1
         logs.log_decision("relays-known", mark=mark, relays=len(relays))
 
-    def put_rate(self, queries_per_s: float):
-        """Take over how many queries a second the whole system has."""
+    def put_rate(self, queries_per_s: float | None):
+        """Take over how many queries a second the whole system has.
+
+        While control can't tell (None), as many are expected as before.
+        """
+        if queries_per_s is None:
+            return
         zones = max(1, len({r.zone for r in self.relays}))
         before = count_wanted(self.queries_per_s)
         self.queries_per_s = queries_per_s / zones
--- a/chervilspindle/routing/relays_test.py
+++ b/chervilspindle/routing/relays_test.py
@@ -73,6 +73,14 @@
     assert table.revision == before + 1
 
 
+def test_relays_stay_while_control_cannot_tell_the_rate():
+    table = build_table()
+    table.put_rate(90.0)
+    before = table.revision, table.queries_per_s
+    table.put_rate(None)
+    assert (table.revision, table.queries_per_s) == before
+
+
 def test_a_relay_that_leaves_moves_few_others():
     table = build_table()
     for group in table.get_groups(SHARDS):
