--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -615,3 +615,16 @@
         assert len(ran) == statuses.count(200) == 10 - statuses.count(503)
 
     play(test)
+
+
+def test_a_refused_query_earns_no_extra_sends(play):
+    async def test(world):
+        budget = world.entry.context.budget
+        statuses = []
+        for number in range(6):
+            state_load(world, list(world.table.target_by_id), 4.0)
+            status, _, _ = await world.ask("/all/x", f"id-{number}")
+            statuses.append(status)
+        assert budget.read_requests() == statuses.count(200) < 6
+
+    play(test)
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -89,14 +89,18 @@
         """Send to all shards, or refuse if too few have an endpoint."""
         services = self.incoming.route.shards
         table = self.context.table
-        self.context.budget.count_requests(services)
         found = sum(1 for s in services if table.count_endpoints(s))
         if found < self.needed:
             self.refuse("no_endpoint")
             return
-        if self._is_too_much():
+        self.occupancy = overload.estimate_occupancy(
+            map(table.list_healths, services), self.loop.time()
+        )
+        share = overload.compute_refused_share(self.occupancy)
+        if self.context.shedder.is_refused(self.incoming.route.name, share):
             self.refuse("overload")
             return
+        self.context.budget.count_requests(services)
         self._send_first()
         if self.done:
             return
@@ -107,16 +111,6 @@
         self.call_at(timing.deadline_ms, self._expire)
         self.watch_caller()
 
-    def _is_too_much(self) -> bool:
-        """Tell whether the query would only lengthen full queues."""
-        table = self.context.table
-        route = self.incoming.route
-        self.occupancy = overload.estimate_occupancy(
-            map(table.list_healths, route.shards), self.loop.time()
-        )
-        share = overload.compute_refused_share(self.occupancy)
-        return self.context.shedder.is_refused(route.name, share)
-
     def _send_first(self):
         relays = self.context.relays
         for group in relays.table.get_groups(self.incoming.route.shards):
