--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -97,7 +97,7 @@
             map(table.list_healths, services), self.loop.time()
         )
         share = overload.compute_refused_share(self.occupancy)
-        if self.context.shedder.is_refused(self.incoming.route.name, share):
+        if self.context.shedder.refuse_next(self.incoming.route.name, share):
             self.refuse("overload")
             return
         self.context.budget.count_requests(services)
--- a/chervilspindle/routing/overload.py
+++ b/chervilspindle/routing/overload.py
@@ -80,9 +80,16 @@
         self.random = random
         self.due_by_route = {}
 
-    def is_refused(self, route_name: str, share: float) -> bool:
-        """Tell whether the next query of a route is one to refuse."""
+    def refuse_next(self, route_name: str, share: float) -> bool:
+        """Decide on the next query of a route.
+
+        Returns
+        -------
+        bool
+            True if it is one to refuse.
+        """
         if share <= 0.0:
+            self.due_by_route.pop(route_name, None)
             return False
         due = self.due_by_route.get(route_name)
         if due is None:
--- a/chervilspindle/routing/overload_test.py
+++ b/chervilspindle/routing/overload_test.py
@@ -37,7 +37,7 @@
     assert overload.estimate_occupancy(shards, 3 * half) == 0.0
 
 
-def test_without_endpoints_nothing_is_refused():
+def test_without_endpoints_nothing_refuse_next():
     assert overload.estimate_occupancy([[], []], 0.0) == 0.0
     assert overload.compute_refused_share(0.0) == 0.0
 
@@ -59,7 +59,7 @@
 
 def test_refusals_are_spaced_evenly():
     shedder = overload.Shedder(random.Random(1))
-    refused = [shedder.is_refused("r", 0.25) for _ in range(400)]
+    refused = [shedder.refuse_next("r", 0.25) for _ in range(400)]
     assert sum(refused) == pytest.approx(100, abs=1)
     assert all(1 <= sum(refused[i : i + 8]) <= 3 for i in range(392))
 
@@ -67,8 +67,8 @@
 def test_routes_are_counted_apart():
     shedder = overload.Shedder(random.Random(1))
     for _ in range(10):
-        shedder.is_refused("a", 0.9)
-    refused = [shedder.is_refused("b", 0.5) for _ in range(100)]
+        shedder.refuse_next("a", 0.9)
+    refused = [shedder.refuse_next("b", 0.5) for _ in range(100)]
     assert sum(refused) == pytest.approx(50, abs=1)
 
 
@@ -122,7 +122,7 @@
         if self.sheds:
             occupancy = overload.estimate_occupancy(self.healths, now)
             share = overload.compute_refused_share(occupancy)
-            if self.shedder.is_refused("r", share):
+            if self.shedder.refuse_next("r", share):
                 return None
         return max(self.run(n, now) for n in range(SHARDS)) - now
 
@@ -159,7 +159,7 @@
 
 
 @pytest.mark.parametrize("seed", range(5))
-def test_at_half_of_what_fits_hardly_anything_is_refused(seed):
+def test_at_half_of_what_fits_hardly_anything_refuse_next(seed):
     capacity = REPLICAS * SLOTS / WORK_S
     times = Crowd(capacity * 0.5, True, seed).play()
     assert sum(1 for t in times if t is None) <= 0.01 * len(times)
