A service that nobody announced has no place, and is no error

has_place looked a service up that the table may not hold; a relayed shard without any endpoint known here would have ended the hedging timer with an error. Found by reading.

--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -511,7 +511,7 @@
         """Keep a request to join as the leader, else pass it to the leader.
 
         A new member knows only the seeds, and none of them may lead. It
-        repeats its request, so nothing is kept by others; what a relay sent
+        repeats its request, so nobody else keeps it. What was passed on
         isn't passed on again, so that no request goes in circles.
         """
         if self.raft.role == "leader":
--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -628,3 +628,12 @@
         assert budget.read_requests() == statuses.count(200) < 6
 
     play(test)
+
+
+def test_a_service_that_nobody_announced_has_no_place(play):
+    async def test(world):
+        assert world.table.has_place("desk", ())
+        assert not world.table.has_place("desk", ("desk-a", "desk-b"))
+        assert not world.table.has_place("unheard-of", ())
+
+    play(test)
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -112,9 +112,10 @@
     def has_place(self, service: str, excluded) -> bool:
         """Tell whether another endpoint would start a request at once."""
         now = self.loop.time()
+        targets = self.targets_by_service.get(service, {})
         return any(
             overload.has_place(target.health, now)
-            for endpoint_id, target in self.targets_by_service[service].items()
+            for endpoint_id, target in targets.items()
             if endpoint_id not in excluded
         )
 
