Tests state loads by the product's function, and pause a service in one place

Three places set the load of an endpoint's health by hand beside selection.note_load; two tests paused a service with the same lines. Assertions unchanged; units, linter and formatter green.

--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -19,6 +19,7 @@
 from chervilspindle.routing import merge
 from chervilspindle.routing import metrics as metrics_module
 from chervilspindle.routing import retry_budget
+from chervilspindle.routing import selection
 from chervilspindle.tools import backends
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import http_server
@@ -295,13 +296,19 @@
     play(test)
 
 
+def pause_service(world, service):
+    """Pause both endpoints, with one connection each; return them."""
+    paused = [world.backend_by_id[f"{service}-{zone}"] for zone in "ab"]
+    for backend in paused:
+        backend.paused = True
+    for target in world.table.targets_by_service[service].values():
+        target.pool.max_connections = 1
+    return paused
+
+
 def test_a_request_that_was_never_sent_is_refused_as_not_run(play):
     async def test(world):
-        desks = [world.backend_by_id[f"desk-{zone}"] for zone in "ab"]
-        for backend in desks:
-            backend.paused = True
-        for target in world.table.targets_by_service["desk"].values():
-            target.pool.max_connections = 1
+        desks = pause_service(world, "desk")
         asking = [
             world.loop.create_task(
                 world.ask("/once/x", f"id-{number}", "POST", b"b")
@@ -351,11 +358,7 @@
 
 def test_what_still_waits_for_a_connection_is_not_sent_after_the_answer(play):
     async def test(world):
-        busy = [world.backend_by_id[f"shard-0-{zone}"] for zone in "ab"]
-        for backend in busy:
-            backend.paused = True
-        for target in world.table.targets_by_service["shard-0"].values():
-            target.pool.max_connections = 1
+        busy = pause_service(world, "shard-0")
         for request_id in ("id-1", "id-2"):
             status, headers, _ = await world.ask("/all/x", request_id)
             assert status == 200 and read_missing(headers) == 1
@@ -584,8 +587,9 @@
     """Let endpoints have stated a load just now."""
     for endpoint_id in endpoint_ids:
         health = world.table.target_by_id[endpoint_id].health
-        health.load = load
-        health.load_s = world.loop.time()
+        now = world.loop.time()
+        # An endpoint counts the request that it answers.
+        selection.note_load(health, load + 1.0, 0, health.slots, now)
 
 
 def test_a_shard_is_not_hedged_to_an_endpoint_with_a_queue(play):
--- a/chervilspindle/routing/overload_test.py
+++ b/chervilspindle/routing/overload_test.py
@@ -19,8 +19,8 @@
 def build_health(load, slots=SLOTS, load_s=0.0):
     """Return the health of an endpoint that stated a load."""
     health = selection.Health(slots)
-    health.load = load
-    health.load_s = load_s
+    # An endpoint counts the request that it answers.
+    selection.note_load(health, load + 1.0, 0, slots, load_s)
     return health
 
 
@@ -117,8 +117,8 @@
         """Play one query."""
         while self.stated and self.stated[0][0] <= now:
             at, shard, replica, load = heapq.heappop(self.stated)
-            self.healths[shard][replica].load = load
-            self.healths[shard][replica].load_s = at
+            health = self.healths[shard][replica]
+            selection.note_load(health, load + 1.0, 0, SLOTS, at)
         if self.sheds:
             occupancy = overload.estimate_occupancy(self.healths, now)
             share = overload.compute_refused_share(occupancy)
