Limit what endpoints may send: head, body and all answers of a VM

Cause: the data path's client bounded bodies only (head lines, interim answers and trailers were read until the deadline, 9 to 25 MiB in 2 s), and the client of owners bounded nothing and read on past its deadline.

Change: wire/receive_limits has one limit for the bytes outside a body, one for the body (of a part: by the records asked for) and a budget for all unfinished answers of a process, from the VM's memory (memory-mb of the platform's settings, memory_mb of the product's own). Over the budget the largest answer is dropped. Such a connection is closed at once, the endpoint counts as failing, the request as one that may have run, and a line names endpoint and figure. Large parts are cut to the records that may be among the greatest. Peer links take nothing longer than a nonce before their handshake.

Ruled out: a limit on the total alone; 4 MiB of header lines from 45 endpoints are more than the VM has.

--- a/chervilspindle/config/options.py
+++ b/chervilspindle/config/options.py
@@ -122,6 +122,14 @@
         "Hedges allowed, as a share of all sends; as much again for "
         "parts that are truly late.",
     ),
+    Option(
+        "memory_mb",
+        float,
+        256.0,
+        "MB",
+        "Memory that the process may use; an eighth of it may hold answers "
+        "that endpoints have not finished.",
+    ),
 )
 
 OPTION_BY_NAME = {option.name: option for option in OPTIONS}
--- a/chervilspindle/config/settings.py
+++ b/chervilspindle/config/settings.py
@@ -45,6 +45,7 @@
     drain_seconds: float
     baselines: tuple[str, ...]
     extra_load_share: float
+    memory_mb: float
 
 
 def load_settings(path: str):
@@ -172,6 +173,8 @@
         yield "drain_seconds", "must be in (0, 600]"
     if not 0 <= document.get("extra_load_share", 0.05) <= 0.5:
         yield "extra_load_share", "must be in [0, 0.5]"
+    if document.get("memory_mb", 256.0) < 64:
+        yield "memory_mb", "must be at least 64"
 
 
 VALIDATIONS = (
--- a/chervilspindle/platform/samples.py
+++ b/chervilspindle/platform/samples.py
@@ -6,7 +6,16 @@
 
 
 def build_settings(
-    name, ip, addresses, ports, seeds, first_start, data_folder, lost, grace_s
+    name,
+    ip,
+    addresses,
+    ports,
+    seeds,
+    first_start,
+    data_folder,
+    lost,
+    grace_s,
+    memory_mb,
 ) -> dict:
     """Return the content of a process's settings file.
 
@@ -24,6 +33,8 @@
     lost : int
         Number of control VMs that may fail at the same time.
     grace_s : float
+    memory_mb : float
+        Memory that the process may use.
     """
     names = {"front": "front", "ready": "readiness-addr", "control": "control"}
     return {
@@ -35,6 +46,7 @@
         "seed-nodes": seeds,
         "bootstrap": first_start,
         "data-dir": data_folder,
+        "limits": {"memory-mb": memory_mb},
         "fault-tolerance": {"machines": lost},
         "policy-values": {
             "grace-s": grace_s,
--- a/chervilspindle/platform/settings.py
+++ b/chervilspindle/platform/settings.py
@@ -32,6 +32,7 @@
     # Speed relative to one core, not a number of cores.
     speed: float = msgspec.field(default=1.0, name="cpu-cores")
     link_mbps: float = msgspec.field(default=1000.0, name="link-speed-mbps")
+    memory_mb: float = msgspec.field(default=256.0, name="memory-mb")
 
 
 class PolicyValues(msgspec.Struct):
@@ -98,4 +99,5 @@
         grace_s=policy.grace_s,
         core_share=file.limits.core_share * file.limits.speed,
         link_mbps=file.limits.link_mbps,
+        memory_mb=file.limits.memory_mb,
     )
--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -9,6 +9,7 @@
 from chervilspindle.routing import relay_selection
 from chervilspindle.routing import relayed_query
 from chervilspindle.routing import retry_budget
+from chervilspindle.wire import receive_limits
 
 
 class VmProfile(typing.NamedTuple):
@@ -21,12 +22,15 @@
         Share of a CPU core that the process may use.
     link_mbps : float
         Bandwidth of the VM's link, in Mbit/s.
+    memory_mb : float
+        Memory that the process may use, in MB.
     """
 
     vm_id: str
     zone: str
     core_share: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 256.0
 
 
 def build_context(
@@ -60,6 +64,9 @@
         names.lower.request_id,
         generator,
         metrics.count_event,
+        receive_limits.ReceiveBudget(
+            receive_limits.compute_budget_bytes(profile.memory_mb)
+        ),
     )
     relay_table = relay_selection.RelayTable(
         profile.vm_id,
--- a/chervilspindle/routing/direct_dispatch.py
+++ b/chervilspindle/routing/direct_dispatch.py
@@ -6,7 +6,9 @@
 """
 
 from chervilspindle.routing import endpoint_calls
+from chervilspindle.routing import record_merging
 from chervilspindle.wire import messages
+from chervilspindle.wire import receive_limits
 
 
 class DirectDispatch:
@@ -19,6 +21,8 @@
     request_id : bytes
     deadline_s : float
         Loop time until which endpoints may answer.
+    top_k : int
+        Number of greatest records that the query asks for.
     listener
         Gets ``on_part(dispatch, service, stamp, body, took_ms)``,
         ``on_part_lost(dispatch, loss)`` and ``on_endpoint_chosen(dispatch,
@@ -27,11 +31,17 @@
 
     presumed_lost = False  # only relays are presumed lost as a whole
 
-    def __init__(self, context, template, request_id, deadline_s, listener):
+    def __init__(
+        self, context, template, request_id, deadline_s, top_k, listener
+    ):
         self.context = context
         self.template = template
         self.request_id = request_id
         self.deadline_s = deadline_s
+        self.top_k = top_k
+        self.part_limit_bytes = receive_limits.compute_part_limit(
+            top_k, record_merging.RECORD_BYTES
+        )
         self.listener = listener
         self.call_by_service = {}
         self.stopped = False
@@ -56,6 +66,7 @@
                 self.deadline_s,
                 now,
                 self._on_call_ended,
+                max_body_bytes=self.part_limit_bytes,
             )
             call.context = (service, target)
             self.call_by_service[service] = call
@@ -93,7 +104,8 @@
         if outcome.succeeded:
             took_ms = (context.loop.time() - call.sent_s) * 1000.0
             stamp = answer.get_header(context.names.lower.stamp)
-            self.listener.on_part(self, service, stamp, answer.body, took_ms)
+            body = record_merging.trim_part(answer.body, self.top_k)
+            self.listener.on_part(self, service, stamp, body, took_ms)
             return
         context.metrics.count_failure(outcome.reason)
         endpoint_id = target.endpoint.endpoint_id
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -13,6 +13,7 @@
 from chervilspindle.routing import selection
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import http_server
+from chervilspindle.wire import receive_limits
 
 LOGGER = logging.getLogger(__name__)
 
@@ -266,6 +267,7 @@
     now: float,
     on_end,
     reusable: bool = True,
+    max_body_bytes: int = receive_limits.MAX_BODY_BYTES,
 ) -> endpoint_http.Call:
     """Build the call to one endpoint with the remaining time."""
     return endpoint_http.Call(
@@ -274,6 +276,7 @@
         deadline_s + DEADLINE_GRACE_S,
         on_end,
         reusable,
+        max_body_bytes,
     )
 
 
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -40,14 +40,19 @@
     random : random.Random
     on_event : callable
         ``on_event(name)``, called to count connection events.
+    receive_budget : receive_limits.ReceiveBudget
+        For the answers of all endpoints together.
     """
 
-    def __init__(self, loop, zone, id_header, random, on_event):
+    def __init__(
+        self, loop, zone, id_header, random, on_event, receive_budget
+    ):
         self.loop = loop
         self.zone = zone
         self.id_header = id_header
         self.random = random
         self.on_event = on_event
+        self.receive_budget = receive_budget
         self.vms = 1
         self.revision = 0  # incremented when an endpoint is put or dropped
         self.connections_by_service = {}
@@ -174,6 +179,7 @@
             self.id_header,
             self._get_limit(endpoint.service),
             self.on_event,
+            self.receive_budget,
         )
         return Target(
             endpoint,
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -144,6 +144,7 @@
             self.template,
             self.incoming.request_id,
             self.read_deadline_s(),
+            self.incoming.route.top_k,
             self,
         )
         self._register_dispatch(dispatch, shards)
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -80,6 +80,8 @@
         Share of a CPU core that the process may use.
     link_mbps : float
         Bandwidth of the VM's link, in Mbit/s.
+    memory_mb : float
+        Memory that the process may use, in MB.
     """
 
     vm_id: str
@@ -98,6 +100,7 @@
     grace_s: float
     core_share: float
     link_mbps: float
+    memory_mb: float
 
 
 class Adapter(typing.NamedTuple):
@@ -207,6 +210,7 @@
                 settings.zone,
                 settings.core_share,
                 settings.link_mbps,
+                settings.memory_mb,
             ),
             self.adapter.names,
             settings.budget,
--- a/chervilspindle/routing/record_merging.py
+++ b/chervilspindle/routing/record_merging.py
@@ -3,6 +3,9 @@
 import heapq
 
 RECORD_BYTES = 16
+# Parts with more records than this multiple of the top k are trimmed when
+# they arrive, which bounds the memory of queries in progress.
+TRIM_FACTOR = 4
 
 
 def split_records(body: bytes) -> list[bytes]:
@@ -20,3 +23,10 @@
     for body in bodies:
         records.extend(split_records(body))
     return b"".join(heapq.nlargest(count, records))
+
+
+def trim_part(body: bytes, count: int) -> bytes:
+    """Return the records of a part that may be among the `count` greatest."""
+    if len(body) <= TRIM_FACTOR * count * RECORD_BYTES:
+        return body
+    return merge_top((body,), count)
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -218,6 +218,7 @@
             ),
             request.request_id,
             started_s + request.left_ms / 1000.0,
+            request.top_k,
             self,
         )
         self.pending_count = len(call.services)
--- a/chervilspindle/serve.py
+++ b/chervilspindle/serve.py
@@ -21,6 +21,7 @@
 from chervilspindle.wire import nng
 from chervilspindle.wire import peer
 from chervilspindle.wire import reactor_streams
+from chervilspindle.wire import receive_limits
 
 LOGGER = logging.getLogger(__name__)
 
@@ -146,9 +147,13 @@
         return node
 
     def _build_entry(self):
+        receive_budget = receive_limits.ReceiveBudget(
+            receive_limits.compute_budget_bytes(self.settings.memory_mb)
+        )
+
         def build_client(address, connections):
             return endpoint_client.EndpointClient(
-                self.reactor, address, connections
+                self.reactor, address, connections, receive_budget
             )
 
         return entry_module.Entry(
--- a/chervilspindle/tools/backends.py
+++ b/chervilspindle/tools/backends.py
@@ -14,6 +14,37 @@
 from chervilspindle.wire import http_server
 
 RECORD_BYTES = 16
+ENDLESS_BLOCK_BYTES = 65536
+ENDLESS_PERIOD_S = 0.0005
+# What an endpoint in trouble may send until its caller closes: a start, and
+# bytes that are repeated.
+ENDLESS_BY_NAME = {
+    "status line": (b"HTTP/1.1 200 ", b"o" * 1024),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-Filler: 0123456789\r\n"),
+    "header value": (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"v" * 1024),
+    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\nLink: /\r\n\r\n"),
+    "body to the close": (b"HTTP/1.1 200 OK\r\n\r\n", b"b" * 1024),
+    "length": (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n",
+        b"b" * 1024,
+    ),
+    "chunks": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"400\r\n" + b"b" * 1024 + b"\r\n",
+    ),
+    "small chunks": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nb\r\n",
+    ),
+    "chunk extension": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;e=",
+        b"e" * 1024,
+    ),
+    "trailers": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Filler: 0123456789\r\n",
+    ),
+}
 LIMITS = http_server.ServerLimits(65536, 4194304, 30000.0, 60000.0)
 
 
@@ -50,6 +81,9 @@
     lost_answer_share : float
         Share of the requests that run but whose connection is then
         aborted instead of an answer.
+    endless : str
+        Name of the row of `ENDLESS_BY_NAME` that it sends instead of
+        answers; empty for a sound endpoint.
     """
 
     def __init__(
@@ -66,6 +100,8 @@
         self.refusing = False
         self.failing = False
         self.lost_answer_share = 0.0
+        self.endless = ""
+        self.endless_bytes = 0
         self.runs = []
         self.paused_exchanges = []
         self.sequence = 0
@@ -157,6 +193,11 @@
         if self.random.random() < self.lost_answer_share:
             transport.abort()
             return
+        if self.endless:
+            head, filler = ENDLESS_BY_NAME[self.endless]
+            transport.write(head)
+            self._send_endless(transport, filler)
+            return
         stamp = f"{self.endpoint_id}.{request_id.decode()}"
         headers = (
             (names.HEADERS.stamp.encode(), stamp.encode()),
@@ -168,6 +209,17 @@
             return
         exchange.respond(200, headers, self.build_body(request_id))
 
+    def _send_endless(self, transport, filler):
+        if transport.is_closing():
+            return
+        if transport.get_write_buffer_size() < ENDLESS_BLOCK_BYTES:
+            block = filler * (ENDLESS_BLOCK_BYTES // len(filler))
+            self.endless_bytes += len(block)
+            transport.write(block)
+        self.loop.call_later(
+            ENDLESS_PERIOD_S, self._send_endless, transport, filler
+        )
+
     def build_body(self, request_id: bytes) -> bytes:
         """Return the records for a request, equal on all replicas."""
         generator = random.Random(f"{self.service} {request_id!r}")
--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -41,6 +41,7 @@
 SHUTDOWN_GRACE_S = 6.0
 MEMBERS = 3
 ENTRIES = 4
+MEMORY_MB = 152.0  # of the smallest VM that the product is made for
 
 
 class Finding(typing.NamedTuple):
@@ -88,6 +89,7 @@
             self.data if self.serves_control else None,
             MEMBERS // 2,
             SHUTDOWN_GRACE_S,
+            MEMORY_MB,
         )
         with open(self.settings, "w", encoding="utf-8") as handle:
             json.dump(settings, handle)
@@ -145,6 +147,8 @@
     def __init__(self, loop, seed: int, seconds: float, folder: str):
         self.loop = loop
         self.random = random.Random(seed)
+        # A stream of its own keeps the faults of earlier seeds as they were.
+        self.endless_random = random.Random(f"endless {seed}")
         self.seconds = seconds
         self.folder = folder
         self.findings = []
@@ -211,6 +215,8 @@
                 self._generate_load,
                 self._run_operator,
                 self._inject_faults,
+                self._inject_endless_answers,
+                self._watch_memory,
             ):
                 tasks.append(self.loop.create_task(activity()))
             await asyncio.sleep(self.seconds)
@@ -443,6 +449,25 @@
         if running:
             await asyncio.wait(running, timeout=20)
 
+    async def _inject_endless_answers(self):
+        rng = self.endless_random
+        while not self.stopping:
+            await asyncio.sleep(rng.uniform(0.5, 4.0))
+            backend = rng.choice(self.backends)
+            backend.endless = rng.choice(sorted(backends.ENDLESS_BY_NAME))
+            self.counts["endpoint endless"] += 1
+            await asyncio.sleep(rng.uniform(0.2, 2.0))
+            backend.endless = ""
+
+    async def _watch_memory(self):
+        while not self.stopping:
+            for node in (*self.members, *self.entries):
+                peak_mb = read_peak_memory_mb(node.process)
+                if peak_mb > MEMORY_MB:
+                    text = f"{node.name}: {peak_mb:.0f} MB"
+                    self.record_violation("memory above the limit", text)
+            await asyncio.sleep(0.5)
+
     def _acquire_node(self, nodes):
         """Reserve a random node for a fault, or return None.
 
@@ -554,6 +579,7 @@
     def _clear_endpoint_faults(self, backend):
         self.proxy_by_id[backend.endpoint_id].clear_faults()
         backend.failing = backend.refusing = False
+        backend.endless = ""
         backend.lost_answer_share = 0.0
         backend.resume()
 
@@ -629,6 +655,18 @@
                 self.record_violation("ran though refused", request_id)
 
 
+def read_peak_memory_mb(process) -> float:
+    """Return the peak resident memory of a process, 0 if it has ended."""
+    try:
+        with open(f"/proc/{process.pid}/status", encoding="ascii") as handle:
+            for line in handle:
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) / 1000.0
+    except OSError:
+        return 0.0
+    return 0.0
+
+
 async def exchange(host, port, method, path, headers, body):
     """Send one request on a new connection.
 
--- a/chervilspindle/tools/soak_test.py
+++ b/chervilspindle/tools/soak_test.py
@@ -1,5 +1,7 @@
 """Runs short seeded soaks and tests that the soak's checks can fail."""
 
+import asyncio
+
 import pytest
 import uvloop
 
@@ -20,6 +22,36 @@
     assert counts["all 200"] > 50 and counts["once 200"] > 30
 
 
+class EndlessSoak(soak.Soak):
+    """One copy of each shard sends without end; nothing else fails."""
+
+    async def _inject_faults(self):
+        kinds = sorted(soak.backends.ENDLESS_BY_NAME)
+        for number, backend in enumerate(self.backends[:-2:2]):
+            backend.endless = kinds[number % len(kinds)]
+        while not self.stopping:
+            await asyncio.sleep(0.1)
+        self.endless_bytes = [b.endless_bytes for b in self.backends[:-2:2]]
+
+    async def _inject_endless_answers(self):
+        """Do nothing: `_inject_faults` decides which endpoints fail."""
+
+
+def test_queries_are_served_while_half_of_the_endpoints_never_stop(tmp_path):
+    loop = uvloop.new_event_loop()
+    run = EndlessSoak(loop, 5, 6.0, str(tmp_path))
+    try:
+        findings = loop.run_until_complete(run.run())
+    finally:
+        loop.close()
+    assert findings == []
+    assert all(count > 0 for count in run.endless_bytes)
+    failed = sum(n for name, n in run.counts.items() if name == "all 502")
+    failed += run.counts["all 504"] + run.counts["no answer"]
+    assert failed <= 0.01 * run.counts["all 200"]
+    assert run.counts["all 200"] > 100
+
+
 @pytest.fixture
 def checker(tmp_path):
     loop = uvloop.new_event_loop()
--- a/chervilspindle/wire/endpoint_client.py
+++ b/chervilspindle/wire/endpoint_client.py
@@ -1,30 +1,39 @@
 """HTTP client of one endpoint, over persistent connections.
 
-Requests to run are sent with the Twisted agent that treq wraps: treq's
-handling of URLs, cookies and redirects took a quarter of the time of a request
-and is not needed. The HTTP library never retries requests: only the callers of
-this module decide whether a request may run again.
+Requests are sent with the Twisted agent that treq wraps: treq's handling of
+URLs, cookies and redirects took a quarter of the time of a request and is not
+needed. The agent reads without limit, so its connections limit answers. The
+HTTP library never retries requests: only the callers of this module decide
+whether a request may run again.
 """
 
 import typing
 
 import hyperlink
 import msgspec
-import treq.client
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error as internet_error
+from twisted.internet import protocol as internet_protocol
+from twisted.protocols import policies
 from twisted.web import client as web_client
+from twisted.web import http
 from twisted.web import http_headers
 from twisted.web import iweb
 import zope.interface
 
 from chervilspindle.core import errors
+from chervilspindle.core import logs
 from chervilspindle.wire import messages
+from chervilspindle.wire import receive_limits
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_S = 20.0
 PROBE_TIMEOUT_S = 0.15
+CANCEL_TIMEOUT_S = 2.0
+# An endpoint ends a request at its deadline; later its slot is free, even if
+# it is still sending.
+DEADLINE_OVERRUN_S = 2.0
 
 _NOT_CONNECTED = (
     internet_error.ConnectError,
@@ -79,19 +88,128 @@
 
 @zope.interface.implementer(iweb.IAgentEndpointFactory)
 class Dialler:
-    """Connects to IP addresses without name resolution."""
+    """Connects to IP addresses without name resolution.
 
-    def __init__(self, reactor):
+    Parameters
+    ----------
+    reactor : IReactorTCP
+    receive_budget : receive_limits.ReceiveBudget
+
+    Attributes
+    ----------
+    receiving : LimitedConnection or None
+        The connection whose bytes are being processed. The agent does not
+        tell on which connection a response arrives.
+    """
+
+    def __init__(self, reactor, receive_budget):
         self.reactor = reactor
+        self.receive_budget = receive_budget
+        self.receiving = None
 
     def endpointForURI(self, uri):
         """Return the TCP endpoint of a URI."""
-        return endpoints.TCP4ClientEndpoint(
+        inner = endpoints.TCP4ClientEndpoint(
             self.reactor,
             uri.host.decode(),
             uri.port,
             timeout=CONNECT_TIMEOUT_S,
         )
+        return _LimitedEndpoint(inner, self)
+
+
+class _LimitedEndpoint(typing.NamedTuple):
+    """A TCP endpoint that makes each connection a `LimitedConnection`."""
+
+    inner: endpoints.TCP4ClientEndpoint
+    dialler: Dialler
+
+    def connect(self, factory):
+        wrapping = policies.WrappingFactory(factory)
+        wrapping.protocol = LimitedConnection
+        wrapping.dialler = self.dialler
+        connecting = self.inner.connect(wrapping)
+        return connecting.addCallback(lambda wrapper: wrapper.wrappedProtocol)
+
+
+class LimitedConnection(policies.ProtocolWrapper):
+    """Closes the connection of an answer that exceeds a limit."""
+
+    received_bytes = 0
+    body_bytes = 0
+    dropped = False
+
+    def dataReceived(self, data):
+        """Pass on received bytes and check the limits."""
+        if self.dropped:
+            return
+        dialler = self.factory.dialler
+        self.received_bytes += len(data)
+        dialler.receive_budget.hold(self, len(data))
+        dialler.receiving = self
+        super().dataReceived(data)
+        dialler.receiving = None
+        if self.body_bytes > receive_limits.MAX_BODY_BYTES:
+            self.drop_answer("body_limit")
+        elif receive_limits.is_overhead_exceeded(
+            self.received_bytes, self.body_bytes
+        ):
+            self.drop_answer("overhead_limit")
+
+    def connectionLost(self, reason=internet_protocol.connectionDone):
+        """Return the bytes of the answer to the budget."""
+        self.end_answer()
+        super().connectionLost(reason)
+
+    def end_answer(self):
+        """Return the bytes of the answer to the budget."""
+        self.received_bytes = 0
+        self.body_bytes = 0
+        self.factory.dialler.receive_budget.release(self)
+
+    def drop_answer(self, reason: str):
+        """Close the connection; the request may have run."""
+        if self.dropped:
+            return
+        self.dropped = True
+        peer = self.transport.getPeer()
+        logs.log_decision(
+            "answer-too-large",
+            endpoint_address=f"{peer.host}:{peer.port}",
+            why=reason,
+            received_bytes=self.received_bytes,
+            body_bytes=self.body_bytes,
+        )
+        self.end_answer()
+        self.transport.abortConnection()
+
+
+class _BodyCollector(internet_protocol.Protocol):
+    """Collects the body of a response.
+
+    Attributes
+    ----------
+    done : Deferred of bytes
+        Cancelling it closes the connection.
+    """
+
+    def __init__(self, connection):
+        self.connection = connection
+        self.pieces = []
+        self.done = defer.Deferred(lambda _: self.transport.loseConnection())
+
+    def dataReceived(self, data):
+        self.connection.body_bytes += len(data)
+        self.pieces.append(data)
+
+    def connectionLost(self, reason=internet_protocol.connectionDone):
+        # Without a length, a body ends with its connection.
+        ended = reason.check(web_client.ResponseDone, http.PotentialDataLoss)
+        if ended and not self.connection.dropped:
+            self.connection.end_answer()
+            self.done.callback(b"".join(self.pieces))
+        else:
+            self.done.errback(reason)
 
 
 @zope.interface.implementer(iweb.IBodyProducer)
@@ -132,9 +250,13 @@
         ``IP:PORT``.
     connections : int
         Maximum number of persistent connections.
+    receive_budget : receive_limits.ReceiveBudget
+        Shared by all clients of the process.
     """
 
-    def __init__(self, reactor, address: str, connections: int):
+    def __init__(
+        self, reactor, address: str, connections: int, receive_budget
+    ):
         self.reactor = reactor
         # Parsing a URL takes longer than sending it, so URLs are built once.
         self.base = hyperlink.DecodedURL.from_text(f"http://{address}/")
@@ -146,14 +268,12 @@
         self.pool.maxPersistentPerHost = connections
         self.pool.retryAutomatically = False
         self.pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        self.dialler = Dialler(reactor, receive_budget)
         self.agent = self._build_agent(self.pool)
-        self.persistent_client = treq.client.HTTPClient(self.agent)
         # Probes use new connections, since a middlebox may silently have
         # dropped the state of an existing one.
-        self.probe_client = treq.client.HTTPClient(
-            self._build_agent(
-                web_client.HTTPConnectionPool(reactor, persistent=False)
-            )
+        self.probe_agent = self._build_agent(
+            web_client.HTTPConnectionPool(reactor, persistent=False)
         )
 
     def run_query(self, run_id, query, snapshot, low, high, deadline_ms):
@@ -186,10 +306,12 @@
     def cancel(self, run_id: str):
         """Ask the endpoint to cancel a request; failures are ignored."""
         try:
-            response = yield self.persistent_client.delete(
-                self._build_run_url(run_id)
+            yield self._exchange(
+                self.agent,
+                b"DELETE",
+                self._build_run_url(run_id),
+                CANCEL_TIMEOUT_S,
             )
-            yield treq.content(response)
         except Exception:
             return
 
@@ -202,11 +324,13 @@
         Deferred of RunState or None
             None if the endpoint gave no valid answer in time.
         """
-        request = self.probe_client.get(self._build_run_url(run_id))
-        request.addTimeout(PROBE_TIMEOUT_S, self.reactor)
         try:
-            response = yield request
-            data = yield treq.content(response)
+            _, data = yield self._exchange(
+                self.probe_agent,
+                b"GET",
+                self._build_run_url(run_id),
+                PROBE_TIMEOUT_S,
+            )
             return read_state(data)
         except Exception:
             return None
@@ -216,13 +340,35 @@
         self.pool.closeCachedConnections()
 
     def _build_run_url(self, run_id):
-        return self.base.child("run", run_id)
+        return self.base.child("run", run_id).to_uri().to_text().encode()
 
     def _build_agent(self, pool):
         return web_client.Agent.usingEndpointFactory(
-            self.reactor, Dialler(self.reactor), pool
+            self.reactor, self.dialler, pool
         )
 
+    def _exchange(
+        self, agent, method, url, timeout_s, headers=None, producer=None
+    ):
+        """Send one request.
+
+        Returns
+        -------
+        Deferred of (int, bytes)
+            Status and body. Cancelling it closes the connection.
+        """
+        exchange = self._request(agent, method, url, headers, producer)
+        return exchange.addTimeout(timeout_s, self.reactor)
+
+    @defer.inlineCallbacks
+    def _request(self, agent, method, url, headers, producer):
+        response = yield agent.request(method, url, headers, producer)
+        # The agent responds while the bytes of the head are processed.
+        collector = _BodyCollector(self.dialler.receiving)
+        response.deliverBody(collector)
+        body = yield collector.done
+        return response.code, body
+
     @defer.inlineCallbacks
     def _run(self, path, run_id, body, deadline_ms):
         headers = http_headers.Headers(
@@ -234,13 +380,17 @@
         )
         producer = BytesProducer(_ENCODER.encode(body))
         try:
-            response = yield self.agent.request(
-                b"POST", self.url_by_path[path], headers, producer
+            code, data = yield self._exchange(
+                self.agent,
+                b"POST",
+                self.url_by_path[path],
+                max(1, deadline_ms) / 1000.0 + DEADLINE_OVERRUN_S,
+                headers,
+                producer,
             )
-            data = yield treq.content(response)
         except Exception as error:
             return _read_failure(error)
-        return read_answer(response.code, data, run_id)
+        return read_answer(code, data, run_id)
 
 
 def read_answer(code: int, data: bytes, run_id: str) -> RunResult:
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -14,13 +14,15 @@
 
 import httptools
 
+from chervilspindle.core import logs
+from chervilspindle.wire import receive_limits
+
 CONNECT_TIMEOUT_S = 0.5  # several round trips within a region
 DEFAULT_IDLE_LIMIT_S = 4.0  # for endpoints that state no keep-alive timeout
 IDLE_MARGIN_S = 0.5  # stops reuse before the endpoint closes the connection
 # Longest idle time of a connection that a request which must run at most once
 # may reuse; after longer, the endpoint may be closing it.
 SINGLE_RUN_IDLE_LIMIT_S = 1.0
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
 MAX_WAITING = 64  # requests of this VM that wait for a connection
 # With less time left, the endpoint's answer would miss the deadline.
 MIN_REMAINING_S = 0.05
@@ -80,6 +82,8 @@
     reusable : bool
         Whether it may be sent on any idle connection, even if the endpoint
         may be closing that.
+    max_body_bytes : int
+        Largest accepted body of the answer.
     """
 
     __slots__ = (
@@ -88,6 +92,7 @@
         "deadline_s",
         "on_end",
         "reusable",
+        "max_body_bytes",
         "pool",
         "connection",
         "timer",
@@ -97,12 +102,21 @@
         "context",
     )
 
-    def __init__(self, data, request_id, deadline_s, on_end, reusable=True):
+    def __init__(
+        self,
+        data,
+        request_id,
+        deadline_s,
+        on_end,
+        reusable=True,
+        max_body_bytes=receive_limits.MAX_BODY_BYTES,
+    ):
         self.data = data
         self.request_id = request_id
         self.deadline_s = deadline_s
         self.on_end: abc.Callable | None = on_end
         self.reusable = reusable
+        self.max_body_bytes = max_body_bytes
         self.pool = None
         self.connection = None
         self.timer = None
@@ -130,9 +144,19 @@
         This VM's share of the endpoint's connections.
     on_event : callable
         ``on_event(name)``, called for events that are counted.
+    receive_budget : receive_limits.ReceiveBudget
+        Shared by all pools of the process.
     """
 
-    def __init__(self, loop, address, id_header, max_connections, on_event):
+    def __init__(
+        self,
+        loop,
+        address,
+        id_header,
+        max_connections,
+        on_event,
+        receive_budget,
+    ):
         host, port = address.rsplit(":", 1)
         self.loop = loop
         self.host = host
@@ -140,6 +164,7 @@
         self.id_header = id_header
         self.max_connections = max_connections
         self.on_event = on_event
+        self.receive_budget = receive_budget
         self.idle = []
         self.count = 0
         self.waiting = collections.deque()
@@ -336,6 +361,7 @@
         self.value_by_name = {}
         self.body = []
         self.body_bytes = 0
+        self.received_bytes = 0
         self.complete = False
         self.in_body = False
         self.until_close = False
@@ -350,6 +376,8 @@
         self.call = call
         call.connection = self
         call.sent_s = self.pool.loop.time()
+        self.body_bytes = 0
+        self.received_bytes = 0
         self.complete = False
         self.in_body = False
         self.parser = httptools.HttpResponseParser(self)
@@ -372,6 +400,7 @@
     def connection_lost(self, error):
         """Fail the request in progress."""
         call, self.call = self.call, None
+        self.pool.receive_budget.release(self)
         self.pool.remove_connection(self)
         if call is not None:
             self.pool.end(call, Answer(Ending.BROKEN))
@@ -394,8 +423,33 @@
             if not self.complete:
                 self._fail(Ending.INVALID)
                 return
-        if self.complete:
+        self.received_bytes += len(data)
+        if self.body_bytes > call.max_body_bytes:
+            self.drop_answer("body_limit")
+        elif self.complete:
             self._finish()
+        elif receive_limits.is_overhead_exceeded(
+            self.received_bytes, self.body_bytes
+        ):
+            self.drop_answer("overhead_limit")
+        else:
+            self.pool.receive_budget.hold(self, len(data))
+
+    def drop_answer(self, reason: str):
+        """Close the connection of an answer that exceeds a limit."""
+        call = self.call
+        self.pool.on_event("answer-too-large")
+        logs.log_decision(
+            "answer-too-large",
+            request_id=call.request_id.decode("latin-1"),
+            endpoint_address=f"{self.pool.host}:{self.pool.port}",
+            why=reason,
+            received_bytes=self.received_bytes,
+            body_bytes=self.body_bytes,
+            body_limit_bytes=call.max_body_bytes,
+        )
+        self.must_close = True
+        self._fail(Ending.INVALID)
 
     def on_message_begin(self):
         """Start an answer; a surplus one closes the connection later."""
@@ -435,8 +489,6 @@
         if self.complete:
             return
         self.body_bytes += len(body)
-        if self.body_bytes > MAX_ANSWER_BYTES:
-            raise ValueError(f"answer exceeds {MAX_ANSWER_BYTES} bytes")
         self.body.append(body)
 
     def on_message_complete(self):
@@ -460,6 +512,7 @@
 
     def _finish(self):
         call, self.call = self.call, None
+        self.pool.receive_budget.release(self)
         answer = Answer(
             Ending.ANSWERED,
             self.parser.get_status_code(),
@@ -478,5 +531,8 @@
 
     def _fail(self, ending):
         call, self.call = self.call, None
+        self.pool.receive_budget.release(self)
+        self.headers = []
+        self.body = []
         self.transport.abort()
         self.pool.end(call, Answer(ending))
--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -46,7 +46,7 @@
 class PeerLink(basic.Int32StringReceiver):
     """One connection; the same class serves both ends."""
 
-    MAX_LENGTH = MAX_FRAME_BYTES
+    MAX_LENGTH = NONCE_BYTES  # until the handshake
 
     def __init__(self, network, dialled_address: str = ""):
         self.network = network
@@ -105,6 +105,10 @@
 
     def lengthLimitExceeded(self, length: int):
         """Close a link whose frame exceeds the size limit."""
+        LOGGER.warning(
+            "peer frame is too large; closing link",
+            extra={"frame_bytes": length, "limit_bytes": self.MAX_LENGTH},
+        )
         self.transport.abortConnection()
 
     def is_ready(self) -> bool:
@@ -154,6 +158,7 @@
         listener_key = _derive_key(
             self.network.shared_key, first + second, b"l"
         )
+        self.MAX_LENGTH = MAX_FRAME_BYTES
         self.send_key = dialler_key if dialled else listener_key
         self.receive_key = listener_key if dialled else dialler_key
         self.network.link_ready(self)
--- a/chervilspindle/wire/peer_test.py
+++ b/chervilspindle/wire/peer_test.py
@@ -104,6 +104,17 @@
     assert not problem.not_run
 
 
+@pytest.mark.parametrize(
+    "data", (b"\x03\x00\x00\x00", b"\x00\x00\x00\x11", b"HTTP/1.1 200 OK")
+)
+def test_a_link_is_closed_at_a_large_frame_before_the_handshake(data):
+    clock = task.Clock()
+    end = End(clock, b"k" * 16, "")
+    end.link.makeConnection(end.transport)
+    end.link.dataReceived(data)
+    assert end.transport.disconnecting
+
+
 def test_link_with_different_key_is_refused():
     pair = Pair(second_key=b"x" * 16)
     pair.dialler.link.send(messages.StatusCall())
--- /dev/null
+++ b/chervilspindle/wire/receive_limits.py
@@ -0,0 +1,87 @@
+"""Limits on what endpoints may send to this process.
+
+An endpoint in trouble may send without end. Each answer has a limit of its
+own, and the answers that are being received share a budget, so that many
+such endpoints at once can't exhaust the memory of the VM.
+"""
+
+from chervilspindle.core import logs
+
+# Bytes outside the body: status line, header lines, interim answers, chunk
+# framing and trailers.
+MAX_OVERHEAD_BYTES = 16 * 1024
+CHUNK_OVERHEAD_RATIO = 2  # framing of chunks with three bytes each
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MIN_PART_LIMIT_BYTES = 64 * 1024
+PART_LIMIT_FACTOR = 16  # times the size of the records that are asked for
+BUDGET_SHARE = 0.125  # of the VM's memory
+MIN_BUDGET_BYTES = 2 * MAX_BODY_BYTES
+
+
+def compute_part_limit(top_k: int, record_bytes: int) -> int:
+    """Return the largest accepted body of a part, in bytes.
+
+    Parameters
+    ----------
+    top_k : int
+        Records that the query asks for.
+    record_bytes : int
+    """
+    wanted = PART_LIMIT_FACTOR * top_k * record_bytes
+    return min(MAX_BODY_BYTES, max(MIN_PART_LIMIT_BYTES, wanted))
+
+
+def is_overhead_exceeded(received_bytes: int, body_bytes: int) -> bool:
+    """Tell whether an answer has too many bytes outside its body."""
+    allowed = MAX_OVERHEAD_BYTES + CHUNK_OVERHEAD_RATIO * body_bytes
+    return received_bytes - body_bytes > allowed
+
+
+def compute_budget_bytes(memory_mb: float) -> int:
+    """Return the budget of a VM for incomplete answers, in bytes."""
+    return max(MIN_BUDGET_BYTES, int(memory_mb * 1e6 * BUDGET_SHARE))
+
+
+class ReceiveBudget:
+    """Bytes of incomplete answers that a process holds in memory.
+
+    When they exceed the budget, the largest answer is dropped: that of an
+    endpoint that sends without end, rather than one that has just begun.
+
+    Parameters
+    ----------
+    limit_bytes : int
+    """
+
+    def __init__(self, limit_bytes: int):
+        self.limit_bytes = limit_bytes
+        self.total_bytes = 0
+        self.held_by_connection = {}
+
+    def hold(self, connection, count: int):
+        """Add received bytes; drops the largest answers over the budget.
+
+        Parameters
+        ----------
+        connection
+            Has a method ``drop_answer(reason)``, which calls `release`.
+        count : int
+        """
+        held_by_connection = self.held_by_connection
+        held_by_connection[connection] = (
+            held_by_connection.get(connection, 0) + count
+        )
+        self.total_bytes += count
+        while self.total_bytes > self.limit_bytes:
+            largest = max(held_by_connection, key=held_by_connection.get)
+            logs.log_decision(
+                "receive-budget-exceeded",
+                held_bytes=self.total_bytes,
+                limit_bytes=self.limit_bytes,
+                dropped_bytes=held_by_connection[largest],
+            )
+            largest.drop_answer("receive_budget")
+
+    def release(self, connection):
+        """Remove the bytes of an answer that has ended."""
+        self.total_bytes -= self.held_by_connection.pop(connection, 0)
