Entries and new members find control sooner after it was lost

Change: a member without a leader answers an entry without tables at once; the entry tries the other members 30 ms apart and pauses 100 ms after a whole round, so that members without a leader get at most 19 calls a second of each entry. New members ask to join each 200 ms.

Ruled out: longer answers from members with tables but no leader; entries with tables serve on and their calls are held as before. Tests red before: control/node_test (three disks), frontend_test, watch_client_test.

--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -1,5 +1,7 @@
 """Tests of the control front end, watch calls and voter replacement."""
 
+import math
+
 import pytest
 from twisted.internet import defer
 from twisted.internet import task
@@ -270,6 +272,17 @@
     assert isinstance(reply, defer.Deferred) and not reply.called
 
 
+def test_member_without_a_leader_answers_an_entry_without_tables_at_once(
+    control,
+):
+    _, node, _, watch = control
+    node.leads = False
+    reply = watch.watch(messages.WatchCall("entry-1", 0, 0))
+    assert reply.age_ms == math.inf
+    held = watch.watch(messages.WatchCall("entry-2", 7, 0))
+    assert isinstance(held, defer.Deferred) and not held.called
+
+
 def build_leader(voters, learners, acked_ms, now):
     members = tuple(raft.Member(m, "", True) for m in voters)
     members += tuple(raft.Member(m, "", False) for m in learners)
--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -25,7 +25,7 @@
 LOGGER = logging.getLogger(__name__)
 
 TICK_S = 0.05
-JOIN_INTERVAL_MS = 1000.0
+JOIN_INTERVAL_MS = 200.0  # shorter than an election
 SNAPSHOT_ENTRIES = 2000
 PROPOSAL_TIMEOUT_MS = 3000.0
 PARTS_PER_SLICE = 4
--- a/chervilspindle/control/node_test.py
+++ b/chervilspindle/control/node_test.py
@@ -131,6 +131,21 @@
     assert set(group.list_voters()) == group.list_ids()
 
 
+@pytest.mark.parametrize("vm_id", ("core-2", "core-3", "core-4"))
+def test_a_new_disk_is_let_in_soon_after_an_election(group, vm_id):
+    """Its first requests, made without a leader, are lost."""
+    group.move_leader(group.vms[:1])
+    group.isolated = {"core-0"}
+    group.replace_disk(vm_id)
+    member_id = group.node_by_vm[vm_id].identity.member_id
+    nodes = [group.node_by_vm[v] for v in group.vms[1:]]
+    while not any(node.is_leader() for node in nodes):
+        group.run(0.05)
+    group.run(0.4)
+    leader = next(node for node in nodes if node.is_leader())
+    assert member_id in {m.member_id for m in leader.raft.members}
+
+
 def test_join_request_of_a_replaced_disk_is_discarded(group):
     group.move_leader(group.vms[:1])
     stale = group.node_by_vm["core-4"].identity.member_id
--- a/chervilspindle/control/watch.py
+++ b/chervilspindle/control/watch.py
@@ -63,7 +63,7 @@
         """
         self.frontend.record_watcher(call)
         now = self.read_clock()
-        if self._has_changes(call, now):
+        if self._has_changes(call, now) or self._is_useless(call):
             return self._build_reply(call)
         due = now + IDLE_REPLY_S * 1000.0
         pending_call = PendingCall(call, due, defer.Deferred())
@@ -102,6 +102,14 @@
             or now - last_reply_ms >= MIN_REPLY_INTERVAL_S * 1000.0
         )
 
+    def _is_useless(self, call) -> bool:
+        """Tell whether an entry without tables should ask another member.
+
+        It serves no caller until it has tables, and takes none from a member
+        that knows no leader.
+        """
+        return not call.known_version and self._read_age_ms() == math.inf
+
     def _build_reply(self, call):
         node = self.node
         self.last_reply_ms_by_vm[call.vm_id] = self.read_clock()
--- a/chervilspindle/routing/watch_client.py
+++ b/chervilspindle/routing/watch_client.py
@@ -191,11 +191,14 @@
                 version=self.version,
                 why=reason,
             )
-        self.failed_s_by_address[self.member_address] = (
-            self.timers.clock.seconds()
-        )
+        now = self.timers.clock.seconds()
+        self.failed_s_by_address[self.member_address] = now
         self.member_address = self._pick_member()
-        delay = RETRY_DELAY_S if self.version else INITIAL_RETRY_DELAY_S
+        failed_s = self.failed_s_by_address.get(self.member_address, -math.inf)
+        has_failed_lately = now - failed_s < RETRY_DELAY_S
+        delay = INITIAL_RETRY_DELAY_S
+        if self.version or has_failed_lately:
+            delay = RETRY_DELAY_S
         self.timers.call_later(delay, self._watch)
 
     def _record_totals(self, watchers, requests):
--- a/chervilspindle/routing/watch_client_test.py
+++ b/chervilspindle/routing/watch_client_test.py
@@ -103,6 +103,20 @@
     assert control.deltas == []
 
 
+def test_an_entry_without_tables_pauses_after_trying_every_member():
+    control = Control()
+    control.answer = lambda address, message: defer.succeed(
+        build_reply(0, age_ms=math.inf)
+    )
+    control.client.start()
+    control.clock.pump([0.01] * 100)
+    assert {address for address, _ in control.calls[:3]} == set(SEEDS)
+    round_s = 2 * watch_client.INITIAL_RETRY_DELAY_S
+    round_s += watch_client.RETRY_DELAY_S
+    assert len(control.calls) <= 3 * (1.0 / round_s + 1)
+    assert len(control.calls) >= 3 * (1.0 / round_s - 1)
+
+
 def test_older_version_is_never_applied():
     control = Control()
     replies = [build_reply(7), build_reply(5), build_reply(8)]
