Relays where the endpoints are: one report crosses zones, not each part

Change: groups of shards are formed by the zones of their endpoints, and relays of a group are in these zones. Where an entry can send all shards itself, only those without an endpoint in its zone go through a relay. Zones are remembered while endpoints are away, so that groups do not move when endpoints crash.

Ruled out as the main source: control (about 1.5 MB in all), single requests (0.6 MB).

--- a/chervilspindle/routing/connection_prewarmer.py
+++ b/chervilspindle/routing/connection_prewarmer.py
@@ -91,17 +91,18 @@
     def _plan(self, document, table, relays):
         """Choose the endpoints to keep connections open to.
 
-        They serve the shards for which this VM is a relay, and those of
-        routes that this entry sends directly.
+        They serve the shards for which this VM is a relay, and those that
+        this entry sends directly.
         """
         services = relays.list_relayed_services()
         for route in document.routes:
-            if relays.get_groups(route.shards):
-                continue
             if is_prewarming_needed(
                 len(route.shards), route.objective_ms, self.core_share
             ):
-                services.update(route.shards)
+                groups = relays.get_groups(route.shards)
+                services.update(
+                    set(route.shards).difference(*(g.services for g in groups))
+                )
         prewarmed_pools = [
             self._choose_pool(table, s) for s in sorted(services)
         ]
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -123,6 +123,13 @@
         """Return the number of usable endpoints of a service."""
         return len(self.targets_by_service.get(service, ()))
 
+    def list_zones(self) -> dict[str, set[str]]:
+        """Return the zones in which each service has usable endpoints."""
+        return {
+            service: {t.endpoint.zone for t in targets.values()}
+            for service, targets in self.targets_by_service.items()
+        }
+
     def list_healths(self, service: str) -> list:
         """Return the health of each endpoint of a service."""
         targets = self.targets_by_service.get(service, {})
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -2,7 +2,8 @@
 
 The shards are those of the routing document that was active when the
 request was read. They are sent from this process or, where sending all of
-them would take it too long, in groups through relays. The answer is sent
+them would take it too long or they are in other zones, in groups through
+relays. The answer is sent
 when every shard has answered, or shortly before the latency objective with
 the parts received so far, if they reach the required coverage.
 """
@@ -383,7 +384,7 @@
         If no endpoint is known to have got the shard, the relay itself did
         not answer, and another relay of this zone is preferred. Otherwise
         the endpoint did not answer; the other replicas are closer to relays
-        of other zones.
+        of another zone.
         """
         if shard.group is None:
             return None
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -326,6 +326,7 @@
         if delta.full:
             table.retain({e.endpoint_id for e in delta.endpoints})
             loops.freeze_heap()
+        self.context.relays.table.add_endpoint_zones(table.list_zones())
         if delta.document is not None and delta.document.version >= 0:
             self._apply_document(delta.document)
 
--- a/chervilspindle/routing/relay_selection.py
+++ b/chervilspindle/routing/relay_selection.py
@@ -3,12 +3,17 @@
 On a VM with a fraction of a core and a slow link, sending a query to many
 shards directly takes a large part of its latency objective. The shards are
 then divided into groups, and each group is sent through a relay: another
-entry, normally in the same zone, that queries the shards and merges their
-results. Each group has few relays, so that a relay's connections to the
-group's endpoints stay in use although any one entry receives a query only
-every few seconds.
+entry that queries the shards and merges their results. Each group has few
+relays, so that a relay's connections to the group's endpoints stay in use
+although any one entry receives a query only every few seconds.
+
+A group has the shards whose endpoints are in the same zones, and its relays
+are in those zones as well. So one merged report crosses between zones instead
+of a part of each shard. Where all shards can be sent directly, only those
+without an endpoint in the entry's zone go through a relay.
 """
 
+import collections
 import math
 import typing
 import zlib
@@ -20,6 +25,8 @@
 SHARD_BYTES = 400  # one shard's response with its headers
 MAX_GROUP_TIME_SHARE = 0.1  # of the objective, spent by a relay on a group
 MIN_GROUP_SHARDS = 8  # smaller groups cost more messages than they save
+# Fewest shards for which a message between zones replaces direct sends.
+MIN_REMOTE_SHARDS = 3
 MIN_RELAYS = 2  # per group and zone, to tolerate the loss of one
 # Query rate of a zone per relay of a group. With a lower one a relay would
 # have too few samples of its endpoints to tell which are slow; with a much
@@ -37,10 +44,14 @@
         One service per shard.
     group_count : int
         Number of groups that the query is divided into.
+    zones : tuple of str
+        Zones in which the shards have endpoints; empty if they are not known
+        or differ by shard.
     """
 
     services: tuple[str, ...]
     group_count: int
+    zones: tuple[str, ...] = ()
 
 
 def count_groups(
@@ -82,6 +93,47 @@
     )
 
 
+def divide_by_zones(
+    services, zones_by_service, groups: int, min_shards: int
+) -> tuple[ShardGroup, ...]:
+    """Divide shards by the zones of their endpoints, then by number.
+
+    Parameters
+    ----------
+    services : sequence of str
+    zones_by_service : dict of str to tuple of str
+        Zones in which each shard has endpoints, sorted; shards without known
+        endpoints are absent.
+    groups : int
+        Number of groups needed if zones did not matter.
+    min_shards : int
+        Shards whose zones are shared by fewer than this form groups together.
+    """
+    services_by_zones = collections.defaultdict(list)
+    for service in services:
+        services_by_zones[zones_by_service.get(service, ())].append(service)
+    rest = []
+    for zones in list(services_by_zones):
+        if not zones or len(services_by_zones[zones]) < min_shards:
+            rest.extend(services_by_zones.pop(zones))
+    if rest:
+        services_by_zones[()] = sorted(rest)
+    size = len(services) / groups
+    divided = []
+    for zones, members in sorted(services_by_zones.items()):
+        parts = max(1, round(len(members) / size))
+        divided += [g.services for g in divide_shards(members, parts)]
+    zones_of = {
+        service: zones
+        for zones, members in services_by_zones.items()
+        for service in members
+    }
+    return tuple(
+        ShardGroup(members, len(divided), zones_of[members[0]])
+        for members in divided
+    )
+
+
 def count_relays(
     available: int, group_count: int, queries_per_s: float
 ) -> int:
@@ -146,7 +198,10 @@
         self.read_clock = read_clock
         self.revision = 0  # incremented when the relays of a group may change
         self.relays = ()
+        self.objective_by_shards = {}
+        self.zones_by_service = {}
         self.groups_by_shards = {}
+        self.direct_shards = set()  # keys of queries that may be sent directly
         self.ranked_by_group = {}
         self.failed_s_by_address = {}
         self.queries_per_s = 0.0
@@ -173,10 +228,10 @@
         """
         if queries_per_s is None:
             return
-        zones = max(1, len({r.zone for r in self.relays}))
-        before = count_relays_for_rate(self.queries_per_s)
+        zones = self._count_relay_zones()
+        before = self._count_relays_by_zones()
         self.queries_per_s = queries_per_s / zones
-        if count_relays_for_rate(self.queries_per_s) != before:
+        if self._count_relays_by_zones() != before:
             self.ranked_by_group = {}
             self.revision += 1
 
@@ -188,28 +243,74 @@
                 previous = objective_by_shards.get(route.shards, math.inf)
                 objective = route.objective_ms or math.inf
                 objective_by_shards[route.shards] = min(previous, objective)
-        self.groups_by_shards = {}
-        for shards, objective in objective_by_shards.items():
+        self.objective_by_shards = objective_by_shards
+        self._divide()
+
+    def add_endpoint_zones(self, zones_by_service):
+        """Add zones in which services have endpoints.
+
+        A zone whose endpoints are lost is kept: they mostly come back, and
+        other groups would have relays without connections.
+
+        Parameters
+        ----------
+        zones_by_service : dict of str to set of str
+        """
+        changed = False
+        for service, zones in zones_by_service.items():
+            known = self.zones_by_service.get(service, ())
+            if not zones.issubset(known):
+                self.zones_by_service[service] = tuple(
+                    sorted(zones.union(known))
+                )
+                changed = True
+        if changed:
+            self._divide()
+
+    def _divide(self):
+        groups_by_shards = {}
+        direct_shards = set()
+        for shards, objective in self.objective_by_shards.items():
             count = count_groups(
                 len(shards),
                 0.0 if math.isinf(objective) else objective,
                 self.core_share,
                 self.link_mbps,
             )
-            if count > 1:
-                # Routes that list the same shards in another order get the
-                # same groups.
-                groups = divide_shards(sorted(shards), count)
-                self.groups_by_shards[shards] = groups
-        self.ranked_by_group = {}
-        self.revision += 1
+            is_direct = count == 1
+            # Routes that list the same shards in another order get the same
+            # groups.
+            groups = divide_by_zones(
+                sorted(shards),
+                self.zones_by_service,
+                count,
+                MIN_REMOTE_SHARDS if is_direct else MIN_GROUP_SHARDS,
+            )
+            if is_direct:
+                direct_shards.add(shards)
+                groups = tuple(
+                    g for g in groups if g.zones and self.zone not in g.zones
+                )
+            if groups:
+                groups_by_shards[shards] = groups
+        if (groups_by_shards, direct_shards) != (
+            self.groups_by_shards,
+            self.direct_shards,
+        ):
+            self.groups_by_shards = groups_by_shards
+            self.direct_shards = direct_shards
+            self.ranked_by_group = {}
+            self.revision += 1
 
     def get_groups(self, shards) -> tuple[ShardGroup, ...]:
-        """Return the groups of a query, empty if it is sent directly."""
+        """Return the groups of a query that are sent through relays.
+
+        Shards in none of them are sent directly.
+        """
         return self.groups_by_shards.get(shards, ())
 
     def pick(self, group: ShardGroup, tried=()) -> messages.Relay | None:
-        """Return a relay for a group, preferably in this zone.
+        """Return a relay for a group, in the zone that the entry prefers.
 
         An entry keeps using one relay, on which its latency estimates are
         based, until that relay fails. If all relays of the zone have failed
@@ -222,24 +323,27 @@
         tried : collection of str
             Addresses of relays to leave out.
         """
-        local = self._pick_from_zone(group, self.zone, tried)
-        if local is None or self._is_available(local):
-            return local
-        remote = self.pick_from_other_zone(group, tried)
-        return (
-            remote
-            if remote is not None and self._is_available(remote)
-            else local
+        preferred = self._pick_from_zone(
+            group, self._get_preferred_zone(group), tried
         )
+        if preferred is None or self._is_available(preferred):
+            return preferred
+        other = self.pick_from_other_zone(group, tried)
+        if other is not None and self._is_available(other):
+            return other
+        return preferred
 
     def pick_from_other_zone(
         self, group: ShardGroup, tried=()
     ) -> messages.Relay | None:
         """Return a relay of another zone, or None if there is none.
 
-        It is close to other replicas of the shards than this zone's relays.
+        It is close to other replicas of the shards than the relays of the
+        preferred zone.
         """
-        zones = {r.zone for r in self.relays} - {self.zone}
+        preferred = self._get_preferred_zone(group)
+        zones = {r.zone for r in self.relays} - {preferred}
+        zones = zones.intersection(group.zones) or zones
         candidates = [
             self._pick_from_zone(group, zone, tried) for zone in sorted(zones)
         ]
@@ -250,10 +354,17 @@
         return min(candidates, key=self._get_failed_s)
 
     def list_relayed_services(self) -> set[str]:
-        """Return the shards for which this VM is a relay."""
+        """Return the shards that this VM is a relay of for many entries.
+
+        Shards that most entries send directly are left out.
+        """
         services = set()
-        for groups in self.groups_by_shards.values():
+        for shards, groups in self.groups_by_shards.items():
+            if shards in self.direct_shards:
+                continue
             for group in groups:
+                if group.zones and self.zone not in group.zones:
+                    continue
                 ranked = self._rank(group, self.zone)
                 if any(r.vm_id == self.vm_id for r in ranked):
                     services.update(group.services)
@@ -275,7 +386,8 @@
         key = (group, zone)
         ranked = self.ranked_by_group.get(key)
         if ranked is None:
-            ranked = rank_relays(self.relays, zone, group, self.queries_per_s)
+            rate = self.queries_per_s * self._get_rate_factor(group)
+            ranked = rank_relays(self.relays, zone, group, rate)
             # The order differs by group, so that the groups of one query
             # are processed by different relays in parallel.
             keys = (self.vm_id, group.services[0])
@@ -283,6 +395,32 @@
             self.ranked_by_group[key] = ranked
         return ranked
 
+    def _get_preferred_zone(self, group) -> str:
+        """Return this zone, or for shards without endpoints here another."""
+        if not group.zones or self.zone in group.zones:
+            return self.zone
+        return min(
+            group.zones, key=lambda z: _hash(self.vm_id, z, group.services[0])
+        )
+
+    def _count_relay_zones(self) -> int:
+        return max(1, len({r.zone for r in self.relays}))
+
+    def _get_rate_factor(self, group) -> float:
+        """Return a relay zone's query rate over the mean rate of a zone."""
+        zones = len(group.zones)
+        return self._count_relay_zones() / zones if zones else 1.0
+
+    def _count_relays_by_zones(self) -> list[int]:
+        """Return the relays that groups need, by the factors of their rate."""
+        factors = {1.0}
+        for groups in self.groups_by_shards.values():
+            factors.update(map(self._get_rate_factor, groups))
+        return [
+            count_relays_for_rate(self.queries_per_s * factor)
+            for factor in sorted(factors)
+        ]
+
     def _pick_from_zone(self, group, zone, tried):
         candidates = [
             r
--- a/chervilspindle/routing/relay_selection_test.py
+++ b/chervilspindle/routing/relay_selection_test.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import pytest
+
 from chervilspindle.routing import documents
 from chervilspindle.routing import part_merging
 from chervilspindle.routing import relay_selection
@@ -31,6 +33,26 @@
     return table
 
 
+def build_zoned_table(vm_id, zone, zone_pairs, shards=SHARDS, core=0.516):
+    """Return a table of shards whose endpoints are in pairs of zones."""
+    table = relay_selection.RelayTable(vm_id, zone, core, 37.0, lambda: 0.0)
+    route = documents.Route(
+        "r", "h", "/", True, 600.0, 46.0, 1, 2, (), shards, 5, 0.85
+    )
+    table.update_document(
+        documents.Document(1, (route,), {}, documents.Limits())
+    )
+    zones = sorted({z for pair in zone_pairs for z in pair})
+    table.set_relays(7, build_relays(40 * len(zones), "".join(zones)))
+    table.add_endpoint_zones(
+        {
+            service: set(zone_pairs[i % len(zone_pairs)])
+            for i, service in enumerate(shards)
+        }
+    )
+    return table
+
+
 def rank(table, group):
     return relay_selection.rank_relays(
         table.relays, "a", group, table.queries_per_s
@@ -54,6 +76,69 @@
     assert relay_selection.count_groups(90, 0.0, 0.361, 13.5) == 1
 
 
+FIVE_ZONES = ("ab", "bc", "cd", "de", "ea")
+THREE_ZONES = ("ab", "bc", "ca")
+
+
+@pytest.mark.parametrize("zone", "abcde")
+def test_groups_and_their_relays_are_where_the_endpoints_are(zone):
+    """Relays of the entry's own zone fetched three of five parts across."""
+    table = build_zoned_table("vm-0", zone, FIVE_ZONES)
+    groups = table.get_groups(SHARDS)
+    assert len(groups) == 5
+    covered = [s for g in groups for s in g.services]
+    assert sorted(covered) == sorted(SHARDS)
+    for group in groups:
+        relay = table.pick(group)
+        assert relay.zone in group.zones
+        assert (relay.zone == zone) == (zone in group.zones)
+        other = table.pick_from_other_zone(group)
+        assert {relay.zone, other.zone} == set(group.zones)
+
+
+def test_entries_of_one_zone_spread_over_the_zones_of_a_remote_group():
+    picked = collections.Counter()
+    for number in range(0, 200, 5):
+        table = build_zoned_table(f"vm-{number}", "a", FIVE_ZONES)
+        group = next(
+            g for g in table.get_groups(SHARDS) if g.zones == ("c", "d")
+        )
+        picked[table.pick(group).zone] += 1
+    assert min(picked["c"], picked["d"]) >= 10
+
+
+def test_few_shards_are_relayed_only_to_other_zones():
+    shards = SHARDS[:20]
+    table = build_zoned_table("vm-0", "a", THREE_ZONES, shards, core=0.731)
+    (group,) = table.get_groups(shards)
+    assert group.zones == ("b", "c") and len(group.services) == 7
+    assert table.list_relayed_services() == set()
+
+
+def test_a_lost_endpoint_does_not_move_shards_between_groups():
+    table = build_zoned_table("vm-0", "a", FIVE_ZONES)
+    before = table.get_groups(SHARDS), table.revision
+    table.add_endpoint_zones({SHARDS[0]: {"b"}, SHARDS[7]: set()})
+    assert (table.get_groups(SHARDS), table.revision) == before
+
+
+def test_shards_in_zones_of_their_own_share_a_group():
+    table = build_zoned_table("vm-0", "a", FIVE_ZONES)
+    table.add_endpoint_zones({SHARDS[0]: {"d"}, SHARDS[1]: {"e"}})
+    groups = table.get_groups(SHARDS)
+    assert sum(len(g.services) for g in groups) == len(SHARDS)
+    (rest,) = [g for g in groups if not g.zones]
+    assert set(rest.services) == set(SHARDS[:2])
+    assert table.pick(rest).zone == "a"
+
+
+def test_a_zone_of_endpoints_without_relays_is_sent_directly():
+    table = build_zoned_table("vm-0", "a", THREE_ZONES, SHARDS[:20], 0.731)
+    table.set_relays(8, [r for r in table.relays if r.zone == "a"])
+    (group,) = table.get_groups(SHARDS[:20])
+    assert table.pick(group) is None
+
+
 def test_groups_are_spread_over_the_relays_of_a_zone():
     table = build_table()
     table.set_query_rate(600.0)
