Measure the round trip of callers instead of assuming 6 ms

Cause: the time of an answer reserved 6 ms for the network and 6 more for a new connection; true of the first sites, but callers of acl and large are 1 ms away (2.4 ms round trip, as the kernel measures it there). Up to 7 ms of an objective of 46 were given away.

Change: the round trip that the kernel measured when a caller connected (TCP_INFO), 6 ms where it is unknown, at most 50 ms.

--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -230,6 +230,22 @@
     run_test(test)
 
 
+def test_the_round_trip_to_the_caller_is_measured(run_test):
+    async def test(world):
+        measured = []
+        handle = world.entry.handle
+
+        def record(exchange):
+            measured.append(exchange.request.round_trip_ms)
+            handle(exchange)
+
+        world.server.handler = record
+        await world.ask("/all/x")
+        assert 0.0 < measured[0] < 50.0
+
+    run_test(test)
+
+
 def test_shards_on_paused_endpoints_are_hedged_within_the_objective(run_test):
     async def test(world):
         await world.ask("/all/x", "warm")
--- a/chervilspindle/routing/request_timing.py
+++ b/chervilspindle/routing/request_timing.py
@@ -13,9 +13,10 @@
 # within the objective.
 MAX_HEDGE_SHARE = 0.33
 DEFAULT_HEDGE_MS = 50.0  # routes without an objective
-CALLER_ONE_WAY_MS = 3.0  # network latency between callers and entries
-# One round trip, for the first request on a caller's connection.
-CALLER_CONNECT_MS = 6.0
+# Between a caller and this VM, where the system does not measure it.
+DEFAULT_ROUND_TRIP_MS = 6.0
+# A longer measured one is due to lost packets rather than to distance.
+MAX_ROUND_TRIP_MS = 50.0
 MIN_ANSWER_SEND_MS = 2.5  # to build and write an answer
 ANSWER_BUILD_CORE_MS = 1.0  # to build an answer on a whole core
 STAMP_BYTES = 32  # signature of one shard in the header of an answer
@@ -66,6 +67,7 @@
     is_first: bool,
     part_ms: float,
     answer_send_ms: float = MIN_ANSWER_SEND_MS,
+    round_trip_ms: float | None = None,
 ) -> Timing:
     """Plan a request from the times of its route and its caller.
 
@@ -81,16 +83,21 @@
         Smoothed part time of the route.
     answer_send_ms : float
         From the due time of the answer until it is sent, lag included.
+    round_trip_ms : float or None
+        Network round trip to the caller, if known. The objective counts
+        from the caller's connection attempt to the arrival of the answer.
     """
     deadline = timeout_ms
     if caller_ms is not None:
         deadline = min(deadline, caller_ms)
     if not objective_ms:
         return Timing(DEFAULT_HEDGE_MS, math.inf, deadline)
-    inbound_ms = CALLER_ONE_WAY_MS + (CALLER_CONNECT_MS if is_first else 0.0)
-    answer = max(
-        0.0, objective_ms - inbound_ms - CALLER_ONE_WAY_MS - answer_send_ms
-    )
+    if round_trip_ms is None:
+        round_trip_ms = DEFAULT_ROUND_TRIP_MS
+    network_ms = min(round_trip_ms, MAX_ROUND_TRIP_MS)
+    if is_first:
+        network_ms *= 2.0
+    answer = max(0.0, objective_ms - network_ms - answer_send_ms)
     hedge = max(MIN_HEDGE_MS, HEDGE_FACTOR * part_ms)
     return Timing(min(hedge, answer * MAX_HEDGE_SHARE), answer, deadline)
 
--- a/chervilspindle/routing/request_timing_test.py
+++ b/chervilspindle/routing/request_timing_test.py
@@ -19,13 +19,35 @@
 def test_answer_time_reserves_the_return_trip():
     reused = request_timing.plan_timing(44.0, 600.0, 601.0, False, 4.0)
     first = request_timing.plan_timing(44.0, 600.0, 601.0, True, 4.0)
-    assert reused.answer_ms + 2 * request_timing.CALLER_ONE_WAY_MS < 44.0
+    assert reused.answer_ms + request_timing.DEFAULT_ROUND_TRIP_MS < 44.0
     assert (
-        first.answer_ms == reused.answer_ms - request_timing.CALLER_CONNECT_MS
+        first.answer_ms
+        == reused.answer_ms - request_timing.DEFAULT_ROUND_TRIP_MS
     )
     assert first.hedge_ms < first.answer_ms / 2
 
 
+@pytest.mark.parametrize("round_trip_ms", (0.4, 2.4, 8.0, 50.0))
+@pytest.mark.parametrize("is_first", (True, False))
+def test_an_answer_sent_on_time_arrives_within_the_objective(
+    round_trip_ms, is_first
+):
+    """A constant round trip cut off parts for nearer callers too early."""
+    timing = request_timing.plan_timing(
+        200.0, 600.0, 601.0, is_first, 4.0, 2.5, round_trip_ms
+    )
+    connected_ms = round_trip_ms if is_first else 0.0
+    arrival_ms = connected_ms + round_trip_ms + timing.answer_ms + 2.5
+    assert arrival_ms == pytest.approx(200.0)
+
+
+def test_a_round_trip_with_lost_packets_does_not_take_the_objective():
+    timing = request_timing.plan_timing(
+        95.0, 600.0, 601.0, False, 4.0, 2.5, 900.0
+    )
+    assert timing.answer_ms > 40.0
+
+
 def test_answer_time_is_earlier_on_a_slow_vm_and_link():
     assert (
         request_timing.estimate_answer_send_ms(20, 0.731, 350.0)
--- a/chervilspindle/routing/routed_request.py
+++ b/chervilspindle/routing/routed_request.py
@@ -41,6 +41,7 @@
             ),
             context.latency_estimates.lag_ms
             + context.latency_estimates.estimate_answer_send_ms(route),
+            request.round_trip_ms,
         )
         self.template = endpoint_calls.build_request_template(
             incoming, context.names
--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -9,6 +9,8 @@
 from collections import abc
 import http
 import logging
+import socket
+import struct
 import typing
 
 import httptools
@@ -18,6 +20,9 @@
 SWEEP_S = 0.5
 MAX_PIPELINED = 16
 MAX_HEADERS = 200
+# In Linux's `struct tcp_info`, the smoothed round trip time in us.
+TCP_INFO_BYTES = 104
+TCP_INFO_RTT_OFFSET = 68
 REASON_BY_STATUS = {s.value: s.phrase.encode() for s in http.HTTPStatus}
 HOP_BY_HOP = frozenset(
     (
@@ -51,6 +56,8 @@
         Loop time at which the last byte was read.
     is_first : bool
         Whether it is the first request on its connection.
+    round_trip_ms : float or None
+        Network round trip to the caller when it connected, if known.
     """
 
     method: bytes
@@ -59,6 +66,7 @@
     body: bytes
     received_s: float
     is_first: bool
+    round_trip_ms: float | None = None
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None without one."""
@@ -101,6 +109,25 @@
         self.connection.finish(self, status, headers, body)
 
 
+def read_round_trip_ms(sock) -> float | None:
+    """Return the round trip time that the kernel measured, in ms.
+
+    None where the system does not tell it.
+    """
+    option = getattr(socket, "TCP_INFO", None)
+    if option is None or sock is None:
+        return None
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, option, TCP_INFO_BYTES)
+    except OSError:
+        # The caller has already closed the connection.
+        return None
+    if len(info) < TCP_INFO_RTT_OFFSET + 4:
+        return None
+    (round_trip_us,) = struct.unpack_from("=I", info, TCP_INFO_RTT_OFFSET)
+    return round_trip_us / 1000.0 if round_trip_us else None
+
+
 class HttpServer:
     """All connections of one listening address.
 
@@ -188,6 +215,9 @@
     def connection_made(self, transport):
         """Register a new connection."""
         self.transport = transport
+        self.round_trip_ms = read_round_trip_ms(
+            transport.get_extra_info("socket")
+        )
         self.server.connections.add(self)
 
     def connection_lost(self, error):
@@ -280,6 +310,7 @@
             b"".join(self.body),
             self.server.loop.time(),
             self.request_count == 0,
+            self.round_trip_ms,
         )
         self.request_count += 1
         self.in_header = True
