Reads of the document send no content that the member has

Change: the call names the version that the member holds; the leader still decides which version is the newest.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -125,8 +125,14 @@
         Deferred
             Fires with the `StoredDocument`; fails if no leader answers.
         """
-        deferred = self.call_leader(messages.ReadDocumentCall())
-        return deferred.addCallback(lambda reply: reply.document)
+        held = self.node.tables.document
+        deferred = self.call_leader(messages.ReadDocumentCall(held.version))
+
+        def choose(reply):
+            is_held = reply.document.version == held.version
+            return held if is_held else reply.document
+
+        return deferred.addCallback(choose)
 
     def call_leader(self, message) -> defer.Deferred:
         """Send a call to the leader, which may be this member."""
@@ -336,7 +342,10 @@
 def _handle_read(
     message: messages.ReadDocumentCall, frontend: ControlFrontend
 ):
-    return messages.ReadDocumentReply(frontend.node.tables.document)
+    document = frontend.node.tables.document
+    if document.version == message.held_version:
+        document = document._replace(data=b"")
+    return messages.ReadDocumentReply(document)
 
 
 @handle_leader_call.register
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -138,6 +138,27 @@
     assert state_module.decode_snapshot(snapshot).document.data == b"four"
 
 
+def test_a_read_sends_only_a_version_that_the_member_lacks(control):
+    _, node, frontend, _ = control
+    frontend.apply_document(rows.StoredDocument(4, b"four"))
+    for held_version, data in ((4, b""), (3, b"four"), (-1, b"four")):
+        reply = frontend.answer(messages.ReadDocumentCall(held_version))
+        assert reply.document == rows.StoredDocument(4, data)
+    read = []
+    frontend.read_document().addCallback(read.append)
+    assert read == [rows.StoredDocument(4, b"four")]
+
+
+def test_a_member_that_is_behind_reads_the_leaders_document(control):
+    _, node, frontend, _ = control
+    frontend.apply_document(rows.StoredDocument(4, b"four"))
+    newer = messages.ReadDocumentReply(rows.StoredDocument(5, b"five"))
+    frontend.call_leader = lambda message: defer.succeed(newer)
+    read = []
+    frontend.read_document().addCallback(read.append)
+    assert read == [rows.StoredDocument(5, b"five")]
+
+
 def test_silent_endpoint_is_lost_until_it_announces_itself(control):
     clock, node, frontend, _ = control
     for number in range(4):
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -579,11 +579,22 @@
 
 
 class ReadDocumentCall(typing.NamedTuple):
-    """Asks the leader for the newest routing document."""
+    """Asks the leader for the newest routing document.
+
+    Parameters
+    ----------
+    held_version : int
+        Version that the member has; its content is not sent again.
+    """
+
+    held_version: int = -1
 
 
 class ReadDocumentReply(typing.NamedTuple):
-    """Returns the newest routing document; version -1 means none."""
+    """Returns the newest routing document; version -1 means none.
+
+    Without content if the member has that version.
+    """
 
     document: rows.StoredDocument
 
