--- a/chervilspindle/routing/selection.py
+++ b/chervilspindle/routing/selection.py
@@ -28,7 +28,7 @@
 NO_CONNECTION_PENALTY_MS = 30.0
 # Traffic between zones costs more than the added latency: within this share
 # of the objective, an answer from the same zone is preferred.
-OTHER_ZONE_OBJECTIVE_SHARE = 0.06
+OTHER_ZONE_OBJECTIVE_SHARE = 0.12
 OTHER_ZONE_PENALTY_MS = 3.0  # for routes without an objective
 
 
