Endpoints and entries call the control member of their own zone

Change: members tell the leader where they serve and get the places of the others back when they change. An acknowledgement names the member of the endpoint's zone, and entries move to one of theirs; one that failed is left alone for 10 s. As the announcements of a zone now meet in one member, a member that has reached no leader for 2.5 s acknowledges none: endpoints go on to another instead of being recorded as lost.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -15,6 +15,7 @@
 
 from twisted.internet import defer
 
+from chervilspindle.control import locality
 from chervilspindle.control import state as state_module
 from chervilspindle.core import errors
 from chervilspindle.core import logs
@@ -24,6 +25,9 @@
 LOGGER = logging.getLogger(__name__)
 
 LEADER_CALL_TIMEOUT_S = 0.9  # below the callers' timeout of 1 s
+# Longer than an election. A member that has not reached a leader for so long
+# can't report the endpoints that it hears.
+LEADER_SILENCE_MS = 2500.0
 REPORT_PERIOD_S = 0.5
 ENDPOINT_TIMEOUT_MS = 10000.0  # several announcements, late ones included
 # If a smaller share of the endpoints announces itself, the leader itself may
@@ -52,9 +56,14 @@
     timers : TimerService
     read_clock : callable
         Monotonic milliseconds.
+    place : messages.MemberPlace or None
+        Where this member serves; None if callers are not to be told.
     """
 
-    def __init__(self, node, network, timers, read_clock):
+    def __init__(self, node, network, timers, read_clock, place=None):
+        self.place = place
+        self.place_table = locality.EMPTY_TABLE
+        self.leader_reply_ms = -math.inf
         self.node = node
         self.network = network
         self.read_clock = read_clock
@@ -79,17 +88,35 @@
         -------
         Deferred
             Fires with None once the announcement is committed, or at once if
-            it is outdated or changes nothing.
+            it is outdated or changes nothing. Fails if no leader can be
+            reached, so that the endpoint announces itself to another member.
         """
         stored = self.node.tables.endpoint_by_id.get(endpoint.endpoint_id)
         self.announced_ids.add(endpoint.endpoint_id)
-        if stored is not None:
+        if stored is not None and self._is_leader_in_reach():
             if not rows.is_newer(endpoint, stored):
                 return defer.succeed(None)
             if not rows.is_changed(endpoint, stored):
                 return defer.succeed(None)
         return self.call_leader(messages.AnnounceCall(endpoint))
 
+    def find_nearby_address(self, endpoint: rows.Endpoint) -> str:
+        """Return the control address that an endpoint should announce to.
+
+        Empty if no member is known in its zone.
+        """
+        return locality.choose_control_address(
+            self.place_table.places, endpoint.zone, endpoint.endpoint_id
+        )
+
+    def list_nearby(self, zone: str) -> tuple[str, ...]:
+        """Return the peer addresses of the members in a zone."""
+        return locality.list_peer_addresses(self.place_table.places, zone)
+
+    def _is_leader_in_reach(self) -> bool:
+        silent_ms = self.read_clock() - self.leader_reply_ms
+        return self.node.is_leader() or silent_ms < LEADER_SILENCE_MS
+
     def withdraw(self, endpoint_id: str) -> defer.Deferred:
         """Record that an endpoint has left and accepts no more work.
 
@@ -184,6 +211,8 @@
             tuple(announced_ids),
             select_relays(relays),
             self.relay_list.mark,
+            self.place,
+            self.place_table.mark,
         )
         deferred = self.call_leader(report)
         deferred.addCallbacks(
@@ -198,6 +227,9 @@
 
     def _on_report_reply(self, reply):
         self.totals = reply
+        self.leader_reply_ms = self.read_clock()
+        if reply.places is not None:
+            self.place_table = locality.build_table(reply.places)
         if reply.relays is not None:
             self.relay_list = reply.relays
 
@@ -222,11 +254,19 @@
             if now - received_ms < MEMBER_REPORT_TIMEOUT_MS
         ]
         relay_list = build_relay_list([r for m in recent for r in m.relays])
+        place_table = locality.build_table(
+            m.place for m in recent if m.place is not None
+        )
         counted = recent if elected_for_ms >= COUNT_DELAY_MS else ()
         return messages.MemberReportReply(
             sum(r.watchers for r in counted),
             sum(r.requests for r in counted),
             None if relay_list.mark == report.known_relays else relay_list,
+            (
+                None
+                if place_table.mark == report.known_places
+                else place_table.places
+            ),
         )
 
     def _expire_endpoints(self, now):
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -231,6 +231,60 @@
     assert (reply.watchers, reply.requests) == (0, 0)
 
 
+NEAR = messages.MemberPlace("a", "10.0.0.2:7000", "10.0.0.2:8000")
+FAR = messages.MemberPlace("b", "10.0.0.3:7000", "10.0.0.3:8000")
+
+
+def test_members_of_the_zone_are_named_to_endpoints_and_entries(control):
+    clock, _, frontend, watch = control
+    clock.pump([0.1] * 12)
+    for name, place in (("vm-2#b", NEAR), ("vm-3#c", FAR)):
+        frontend.handle_report(
+            messages.MemberReport(name, 0, 0, (), (), 0, place)
+        )
+    clock.pump([0.1] * 6)
+    assert frontend.find_nearby_address(build_endpoint()) == "10.0.0.2:8000"
+    assert frontend.find_nearby_address(build_endpoint(zone="z")) == ""
+    frontend.announce(build_endpoint())
+    reply = watch.watch(messages.WatchCall("entry-1", 0, 0, "b"))
+    assert reply.nearby == ("10.0.0.3:7000",)
+
+
+def test_places_are_sent_only_when_they_changed(control):
+    clock, _, frontend, _ = control
+    clock.pump([0.1] * 12)
+    report = messages.MemberReport("vm-2#b", 0, 0, (), (), 0, NEAR)
+    places = frontend.handle_report(report).places
+    assert places == (NEAR,)
+    mark = frontend_module.locality.build_table(places).mark
+    assert frontend.handle_report(
+        report._replace(known_places=mark)
+    ).places is (None)
+    clock.pump([0.1] * 60)
+    other = messages.MemberReport("vm-3#c", 0, 0, (), (), 0, FAR, mark)
+    assert frontend.handle_report(other).places == (FAR,)
+
+
+def test_a_member_that_reaches_no_leader_acknowledges_no_announcement(control):
+    """Its endpoints would be recorded as lost, as nobody else hears them."""
+    clock, node, frontend, _ = control
+    node.tables = node.tables._replace(
+        endpoint_by_id={"i-1": build_endpoint()}
+    )
+    node.leads = False
+    frontend.leader_reply_ms = clock.seconds() * 1000.0
+    outcomes = []
+    again = build_endpoint(2)
+    frontend.announce(again).addCallbacks(
+        lambda _: outcomes.append("ok"), lambda _: outcomes.append("failed")
+    )
+    clock.pump([0.1] * 30)
+    frontend.announce(again).addCallbacks(
+        lambda _: outcomes.append("ok"), lambda _: outcomes.append("failed")
+    )
+    assert outcomes == ["ok", "failed"]
+
+
 def test_relay_list_is_limited_per_zone_and_stable():
     relays = [
         messages.Relay(f"entry-{i}", "ab"[i % 2], "x") for i in range(3900)
--- a/chervilspindle/control/watch.py
+++ b/chervilspindle/control/watch.py
@@ -124,6 +124,7 @@
             tuple(sorted(m.address for m in node.raft.members)),
             node.feed.get_delta(node.tables, call.known_version),
             relay_list if relays_changed else None,
+            self.frontend.list_nearby(call.zone),
         )
 
     def _read_age_ms(self) -> float:
--- a/chervilspindle/platform/control_api.py
+++ b/chervilspindle/platform/control_api.py
@@ -138,9 +138,16 @@
             _respond_bad_request(exchange, "announcement", str(error))
             return
         deferred = self.frontend.announce(endpoint)
-        deferred.addCallback(_respond_ok, exchange)
+        deferred.addCallback(self._confirm_announcement, exchange, endpoint)
         deferred.addErrback(_respond_unavailable, exchange, "announcement")
 
+    def _confirm_announcement(self, _, exchange, endpoint):
+        body = {}
+        address = self.frontend.find_nearby_address(endpoint)
+        if address:
+            body[names.ANNOUNCEMENT_ADDRESS_FIELD] = f"http://{address}"
+        exchange.respond(200, JSON_HEADERS, msgspec.json.encode(body))
+
     def _withdraw(self, exchange):
         try:
             endpoint_id = _parse_endpoint_id(exchange)
--- a/chervilspindle/platform/names.py
+++ b/chervilspindle/platform/names.py
@@ -15,6 +15,8 @@
 READY_PATH = b"/api/ready"
 DOCUMENT_PATH = b"/api/config"
 ENDPOINT_PREFIX = b"/api/instances/"
+# Where an endpoint is to send its next announcements.
+ANNOUNCEMENT_ADDRESS_FIELD = "heartbeat-url"
 SETTINGS_VARIABLE = "CHERVILSPINDLE_BOOT"
 IDEMPOTENT_TYPE = "safe"
 STATE_BY_PLATFORM_STATE = {"ready": "ready", "draining": "draining"}
--- a/chervilspindle/platform/platform_test.py
+++ b/chervilspindle/platform/platform_test.py
@@ -159,6 +159,10 @@
     def __init__(self):
         self.calls = []
         self.result = defer.succeed(None)
+        self.nearby = ""
+
+    def find_nearby_address(self, endpoint):
+        return self.nearby
 
     def announce(self, endpoint):
         self.calls.append(endpoint)
@@ -237,6 +241,15 @@
     assert len(frontend.calls) == 2
 
 
+def test_an_endpoint_is_told_the_member_of_its_zone():
+    frontend = FakeFrontend()
+    target = b"/api/instances/i-1"
+    assert call(frontend, b"PUT", target, ANNOUNCEMENT) == (200, b"{}")
+    frontend.nearby = "10.0.0.4:8106"
+    _, body = call(frontend, b"PUT", target, ANNOUNCEMENT)
+    assert json.loads(body) == {"heartbeat-url": "http://10.0.0.4:8106"}
+
+
 def test_unknown_paths_and_methods_are_refused():
     frontend = FakeFrontend()
     assert call(frontend, b"GET", b"/other")[0] == 404
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -380,7 +380,13 @@
         if settings.first_start and settings.peer_address == settings.seeds[0]:
             bootstrap_group(self.node, storage)
         self.frontend = frontend_module.ControlFrontend(
-            self.node, self.network, self.timers, read_clock
+            self.node,
+            self.network,
+            self.timers,
+            read_clock,
+            messages.MemberPlace(
+                settings.zone, settings.peer_address, settings.control_address
+            ),
         )
         self.watch = watch_module.WatchServer(
             self.node, self.frontend, self.timers, read_clock
--- a/chervilspindle/routing/watch_client.py
+++ b/chervilspindle/routing/watch_client.py
@@ -23,6 +23,7 @@
 RETRY_DELAY_S = 0.1
 INITIAL_RETRY_DELAY_S = 0.03  # callers are refused until the first reply
 MAX_MEMBER_AGE_MS = 1500.0  # a leader election ends within this time
+NEARBY_BACKOFF_S = 10.0  # before a member of the zone is tried again
 TOTALS_FRESH_S = 2.0  # a member without a leader sends no totals for a while
 TOTALS_WINDOW_S = 15.0  # the retry budget's window, with a margin
 
@@ -173,8 +174,28 @@
                 member=self.member_address,
                 version=self.version,
             )
+        self._move_nearby(reply.nearby)
         self.timers.call_later(0.0, self._watch)
 
+    def _move_nearby(self, nearby):
+        """Watch a member of this zone from now on, if one is available."""
+        if self.member_address in nearby:
+            return
+        now = self.timers.clock.seconds()
+        available = [
+            address
+            for address in nearby
+            if now - self.failed_s_by_address.get(address, -math.inf)
+            > NEARBY_BACKOFF_S
+        ]
+        if available:
+            self.member_address = self.random.choice(available)
+            logs.log_decision(
+                "control-nearby",
+                member=self.member_address,
+                version=self.version,
+            )
+
     def _handle_failure(self, failure):
         if failure.check(errors.ProblemError):
             self._switch_member(failure.value.problem.detail)
--- a/chervilspindle/routing/watch_client_test.py
+++ b/chervilspindle/routing/watch_client_test.py
@@ -43,10 +43,16 @@
         return self.answer(address, message)
 
 
-def build_reply(version, age_ms=0.0, watchers=0, addresses=SEEDS):
+def build_reply(version, age_ms=0.0, watchers=0, addresses=SEEDS, nearby=()):
     delta = messages.Delta(version, False, None, (), (), (), (), ())
     return messages.WatchReply(
-        age_ms, watchers, 0, addresses, messages.encode_delta(delta)
+        age_ms,
+        watchers,
+        0,
+        addresses,
+        messages.encode_delta(delta),
+        None,
+        nearby,
     )
 
 
@@ -141,6 +147,37 @@
     assert learned[0] in {address for address, _ in control.calls}
 
 
+def test_an_entry_moves_to_a_member_of_its_zone_and_back_after_a_failure():
+    control = Control()
+    nearby = ("10.0.0.9:7000",)
+    lost = False
+
+    def answer(address, message):
+        if address in nearby and lost:
+            return defer.fail(
+                errors.build_error(errors.ErrorKind.CONNECTION_LOST, "lost")
+            )
+        reply = build_reply(message.known_version + 1, nearby=nearby)
+        waiting = defer.Deferred()
+        control.clock.callLater(0.2, waiting.callback, reply)
+        return waiting
+
+    control.answer = answer
+    control.client.start()
+    control.clock.pump([0.05] * 20)
+    assert control.calls[-1][0] == nearby[0]
+    assert control.client.is_connected
+    lost = True
+    control.clock.pump([0.05] * 20)
+    assert control.calls[-1][0] != nearby[0]
+    assert control.client.is_connected
+    lost = False
+    control.clock.pump([0.1] * 110)
+    assert control.calls[-1][0] == nearby[0]
+    versions = [d.version for d in control.deltas]
+    assert versions == sorted(versions)
+
+
 def test_highest_entry_count_of_the_window_is_passed_on():
     control = Control()
     replies = [build_reply(1, watchers=12), build_reply(2, watchers=7)]
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -513,6 +513,8 @@
         Encoded `Delta`.
     relays : RelayList or None
         None if the entry has the current list, or the member has none.
+    nearby : tuple of str
+        Peer addresses of members in the entry's zone.
     """
 
     age_ms: float
@@ -521,6 +523,7 @@
     addresses: tuple[str, ...]
     delta: bytes
     relays: RelayList | None = None
+    nearby: tuple[str, ...] = ()
 
 
 class AnnounceCall(typing.NamedTuple):
@@ -529,6 +532,14 @@
     endpoint: rows.Endpoint
 
 
+class MemberPlace(typing.NamedTuple):
+    """Where a control member serves."""
+
+    zone: str
+    peer_address: str
+    control_address: str
+
+
 class MemberReport(typing.NamedTuple):
     """Tells the leader what a member has received since its last report.
 
@@ -545,6 +556,9 @@
         Relays among the entries that watch this member.
     known_relays : int
         Fingerprint of the list of all members' relays that this one has.
+    place : MemberPlace or None
+    known_places : int
+        Fingerprint of the places of all members that this one has.
     """
 
     member_id: str
@@ -553,17 +567,20 @@
     heard: tuple[str, ...]
     relays: tuple[Relay, ...] = ()
     known_relays: int = 0
+    place: MemberPlace | None = None
+    known_places: int = 0
 
 
 class MemberReportReply(typing.NamedTuple):
     """Sums over all members, 0 if the leader does not know them yet.
 
-    `relays` is also None if the member has the current list.
+    `relays` and `places` are also None if the member has the current ones.
     """
 
     watchers: int
     requests: int
     relays: RelayList | None = None
+    places: tuple[MemberPlace, ...] | None = None
 
 
 class DocumentCall(typing.NamedTuple):
