Release the receive budget when an answer is aborted

Found by reading the diff: an aborted connection kept its bytes until it was lost, one turn of the loop later; an overflow in between dropped it once more and raised AttributeError in another connection's data_received. Test red before.

--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -238,8 +238,7 @@
             ending = Ending.WITHDRAWN if withdrawn else Ending.NOT_SENT
             self.end(call, Answer(ending))
             return
-        connection.call = None
-        connection.transport.abort()
+        connection.abort()
         if ending is Ending.TIMED_OUT:
             # A device on the path may have dropped the state of this
             # connection, and of the idle ones as well.
@@ -529,10 +528,15 @@
         self.pool.release(self)
         self.pool.end(call, answer)
 
-    def _fail(self, ending):
-        call, self.call = self.call, None
+    def abort(self):
+        """Close the connection and discard what was received."""
+        self.call = None
         self.pool.receive_budget.release(self)
         self.headers = []
         self.body = []
         self.transport.abort()
+
+    def _fail(self, ending):
+        call = self.call
+        self.abort()
         self.pool.end(call, Answer(ending))
--- a/chervilspindle/wire/receive_limits_test.py
+++ b/chervilspindle/wire/receive_limits_test.py
@@ -228,6 +228,36 @@
         coroutine.close()
 
 
+@pytest.mark.parametrize(
+    "ending",
+    (endpoint_http.Ending.CANCELLED, endpoint_http.Ending.TIMED_OUT),
+)
+def test_an_aborted_answer_is_not_dropped_again_for_the_budget(ending):
+    """Its connection is closed one turn of the loop later."""
+    budget = receive_limits.ReceiveBudget(10_000)
+    pool = endpoint_http.EndpointPool(
+        FakeLoop(), "127.0.0.1:1", ID_HEADER, 2, lambda name: None, budget
+    )
+    calls, answers = [], []
+    for number in range(2):
+        call = endpoint_http.Call(
+            b"x",
+            b"id-%d" % number,
+            1.0,
+            lambda call, answer: answers.append((call, answer.ending)),
+        )
+        pool.submit(call)
+        connection = endpoint_http.EndpointConnection(pool)
+        connection.connection_made(FakeTransport())
+        calls.append(call)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n"
+    calls[0].connection.data_received(head + b"b" * 9000)
+    pool.abort_call(calls[0], ending)
+    calls[1].connection.data_received(head + b"b" * 5000)
+    assert answers == [(calls[0], ending)]
+    assert 5000 < budget.total_bytes < 6000
+
+
 @hypothesis.settings(max_examples=150, deadline=None)
 @hypothesis.given(
     name=strategies.sampled_from(NAMES),
