Test: shards of other zones come in one report a query

Plays 20 queries at once over three zones with real sockets and checks what callers get, that no connection crosses to the shards of other zones, and that a silent relay of another zone costs no shard.

--- a/chervilspindle/routing/relayed_query_test.py
+++ b/chervilspindle/routing/relayed_query_test.py
@@ -43,7 +43,7 @@
 class Entry:
     """An entry that is also a relay; while `silent` it ignores relay calls."""
 
-    def __init__(self, loop, clock, name, zone):
+    def __init__(self, loop, clock, name, zone, link_mbps):
         self.timers = timers_module.TimerService(clock)
         self.address = data_path_test.find_address()
         self.silent = False
@@ -57,7 +57,7 @@
         )
         self.context = contexts.build_context(
             loop,
-            contexts.VmProfile(name, zone, 1.0, LINK_MBPS),
+            contexts.VmProfile(name, zone, 1.0, link_mbps),
             platform_names.HEADERS,
             retry_budget.Rule(0.2, 100.0, 10.0),
             self.network,
@@ -84,11 +84,21 @@
     Callers send their requests to the first entry.
     """
 
+    zones = "ab"
+    link_mbps = LINK_MBPS
+
     def __init__(self, loop):
         self.loop = loop
         clock = loops.LoopClock(loop)
         self.entries = [
-            Entry(loop, clock, f"vm-{i}", "ab"[i % 2]) for i in range(10)
+            Entry(
+                loop,
+                clock,
+                f"vm-{i}",
+                self.zones[i % len(self.zones)],
+                self.link_mbps,
+            )
+            for i in range(10)
         ]
         self.entry = self.entries[0]
         self.address = data_path_test.find_address()
@@ -108,10 +118,14 @@
                 zone,
                 data_path_test.find_address(),
             )
-            for service in SHARDS
-            for zone in "ab"
+            for number, service in enumerate(SHARDS)
+            for zone in self.list_zones(number)
         }
 
+    def list_zones(self, number):
+        """Return the zones of the endpoints of a shard."""
+        return self.zones
+
     async def start(self):
         await self.server.listen(self.address, 16)
         for backend in self.backend_by_id.values():
@@ -131,6 +145,8 @@
             )
             for backend in self.backend_by_id.values():
                 entry.context.table.put(backend.build_row())
+            table = entry.context.table
+            entry.context.relays.table.add_endpoint_zones(table.list_zones())
 
     def stop(self):
         self.server.stop()
@@ -185,10 +201,35 @@
         assert body == record_merging.merge_top(bodies, 20)
 
 
+class ThreeZoneWorld(World):
+    """Three zones; the endpoints of each shard are in two of them.
+
+    Links are fast enough to send all shards directly.
+    """
+
+    zones = "abc"
+    link_mbps = 1000.0
+
+    def list_zones(self, number):
+        return ("ab", "bc", "ca")[number % 3]
+
+    def list_remote_shards(self):
+        return [s for n, s in enumerate(SHARDS) if n % 3 == 1]
+
+    def count_remote_connections(self):
+        """Return the first entry's connections to shards of other zones."""
+        targets_by_service = self.entry.context.table.targets_by_service
+        return sum(
+            target.pool.count
+            for service in self.list_remote_shards()
+            for target in targets_by_service[service].values()
+        )
+
+
 @pytest.fixture
 def play():
-    def run(test):
-        data_path_test.run_in_world(World, test, 20)
+    def run(test, build_world=World):
+        data_path_test.run_in_world(build_world, test, 20)
 
     return run
 
@@ -353,3 +394,38 @@
         assert not any(e.calls for e in world.entries)
 
     play(test)
+
+
+def test_shards_of_other_zones_come_in_one_report_a_query(play):
+    """Each part crossed between zones with its request and headers."""
+
+    async def test(world):
+        await world.warm()
+        for entry in world.entries:
+            entry.calls.clear()
+        asked = [
+            world.loop.create_task(world.ask(f"id-{number}"))
+            for number in range(20)
+        ]
+        for number, task in enumerate(asked):
+            world.check(await task, f"id-{number}", len(SHARDS))
+        calls = [call for entry in world.entries for call in entry.calls]
+        remote = tuple(world.list_remote_shards())
+        assert [call.services for call in calls] == [remote] * 20
+        assert world.count_remote_connections() == 0
+        runs = world.count_runs()
+        assert all(runs[f"id-3{s}"] == 1 for s in SHARDS)
+
+    play(test, ThreeZoneWorld)
+
+
+def test_a_silent_relay_of_another_zone_costs_no_shard(play):
+    async def test(world):
+        await world.warm()
+        (silent,) = world.find_relays()
+        silent.silent = True
+        answer = await world.ask("id-1")
+        world.check(answer, "id-1", len(SHARDS))
+        assert max(world.count_runs().values()) <= 2
+
+    play(test, ThreeZoneWorld)
