Test of remote shards: keep the time of parts fixed, so that hedges stay out

The smoothed time of parts fell from 1,000 ms to a few within the twenty queries, so that the later ones were hedged early.

--- a/chervilspindle/routing/relayed_query_test.py
+++ b/chervilspindle/routing/relayed_query_test.py
@@ -227,11 +227,23 @@
         )
 
 
+class FixedTimes(dict):
+    """Times of parts that samples do not change."""
+
+    def __setitem__(self, route, part_ms):
+        pass
+
+
 class UnhedgedWorld(ThreeZoneWorld):
     """Hedges are due only after the callers' deadlines."""
 
     route = ROUTE._replace(timeout_ms=8000.0, objective_ms=6000.0)
 
+    async def warm(self):
+        await super().warm()
+        estimates = self.entry.context.latency_estimates
+        estimates.part_ms_by_route = FixedTimes(all=1000.0)
+
 
 @pytest.fixture
 def play():
