Log which endpoints a VM stops and starts to reach

A failed connection was only counted, for all endpoints together, so that a VM that is cut off could not be told from endpoints that are down. One line for each change by VM and endpoint: `endpoint-unreachable`, `endpoint-reached`.

--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -179,6 +179,7 @@
         self.running = {}
         self.closed = False
         self.failed_s = -math.inf
+        self.is_reachable = True  # by the last connection attempt
         self.max_idle_s = math.inf
 
     def open_idle(self):
@@ -333,18 +334,26 @@
             await self.loop.create_connection(
                 lambda: connection, self.host, self.port
             )
-        except (OSError, asyncio.CancelledError):
+        except (OSError, asyncio.CancelledError) as error:
             if connection.transport is not None:
                 connection.transport.abort()
             else:
                 self.count -= 1
-            self._connect_failed()
+            self._connect_failed(type(error).__name__)
         finally:
             timer.cancel()
 
-    def _connect_failed(self):
+    def _connect_failed(self, reason):
         self.on_event("connect-failed")
         self.failed_s = self.loop.time()
+        if self.is_reachable:
+            self.is_reachable = False
+            logs.log_decision(
+                "endpoint-unreachable",
+                endpoint_address=f"{self.host}:{self.port}",
+                why=reason,
+                connections=self.count,
+            )
         if self.count > 0:
             return
         waiting, self.waiting = self.waiting, collections.deque()
@@ -353,6 +362,15 @@
 
     def connected(self, connection):
         """Make a new connection available to requests."""
+        if not self.is_reachable:
+            self.is_reachable = True
+            logs.log_decision(
+                "endpoint-reached",
+                endpoint_address=f"{self.host}:{self.port}",
+                last_failed_ms_ago=round(
+                    (self.loop.time() - self.failed_s) * 1000.0
+                ),
+            )
         self.release(connection)
 
 
