Failing tests: callers of cut-off VMs, and of VMs with cut-off relays

Three of five entries lose all endpoints (connections hang, or are reset first): 0 of 54 requests are served there. Two entries whose shards are in another zone have a relay that is cut off: 0 of 12. With old connections left alive and new ones refused, all are served.

The test fleet gave concurrent requests the same id, which looked as if one attempt had run several times; each has its own now.

--- a/chervilspindle/routing/rate_limit_test.py
+++ b/chervilspindle/routing/rate_limit_test.py
@@ -15,6 +15,7 @@
 from chervilspindle.routing import rate_permits
 from chervilspindle.routing import retry_budget
 from chervilspindle.tools import backends
+from chervilspindle.tools import link_faults
 from chervilspindle.wire import http_server
 from chervilspindle.wire import messages
 from chervilspindle.wire import peer
@@ -28,6 +29,7 @@
     """An entry with its server for callers and its links to the others."""
 
     def __init__(self, loop, clock, name, zone):
+        self.links = link_faults.FaultyLinks(loop)
         self.timers = timers_module.TimerService(clock)
         self.peer_address = data_path_test.find_address()
         self.address = data_path_test.find_address()
@@ -39,7 +41,7 @@
             streams.LoopStreams(loop),
         )
         self.context = contexts.build_context(
-            loop,
+            self.links,
             contexts.VmProfile(name, zone),
             platform_names.HEADERS,
             retry_budget.Rule(0.2, 100.0, 10.0),
@@ -114,12 +116,13 @@
     async def ask(self, number, path, method="GET", body=b""):
         """Send one request to an entry; return status, headers and body."""
         self.asked += 1
+        request_id = f"id-{self.asked}"
         entry = self.entries[number]
         host, port = entry.address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
-            f"{platform_names.HEADERS.request_id}: id-{self.asked}\r\n"
+            f"{platform_names.HEADERS.request_id}: {request_id}\r\n"
             f"{platform_names.HEADERS.deadline_ms}: 900\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
