Requests of VMs that are cut off go through other entries

Callers of a VM that had lost all endpoints got 502 and 503 after half a second each, and VMs in touch lost shards that they sent through such a VM.

Cause: the way from a VM to an endpoint was taken for the endpoint's health. A VM knew one way only, and a relay that reaches nothing looked like one whose endpoints are slow.

Now a VM that hears nothing for 0.2 s, or whose connection fails, opens one to the endpoint heard last, then to two more. If none accepts, it is cut off: shards and single requests are sent by another entry (RelayCall, ForwardCall), which sends them itself or, cut off too, refuses at once. Nothing is relayed twice. Refused calls have not run and cost no extra send; attempts, budget and quarantine stay with the entry that has the caller, permits with the one that sends. Probes every 0.5 s end it.

Why it works: endpoints that are down together leave others that were heard later, so a probe succeeds; old connections are no evidence.

What is lost is the first half second of a cut.

--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -8,6 +8,7 @@
 from chervilspindle.routing import overload
 from chervilspindle.routing import quarantine
 from chervilspindle.routing import rate_permits
+from chervilspindle.routing import reachability as reachability_module
 from chervilspindle.routing import relay_selection
 from chervilspindle.routing import relayed_query
 from chervilspindle.routing import retry_budget
@@ -70,6 +71,10 @@
             receive_limits.compute_budget_bytes(profile.memory_mb)
         ),
     )
+    reachability = reachability_module.Reachability(
+        loop, table, generator, metrics.set_cut_off
+    )
+    table.link_observer = reachability
     relay_table = relay_selection.RelayTable(
         profile.vm_id,
         profile.zone,
@@ -91,4 +96,5 @@
         overload.Shedder(generator),
         rate_permits.PermitClient(loop, network, issuer, budget, generator),
         quarantine.Quarantine(loop, table),
+        reachability,
     )
--- a/chervilspindle/routing/direct_dispatch.py
+++ b/chervilspindle/routing/direct_dispatch.py
@@ -127,6 +127,25 @@
             if call.connection is None:
                 call.cancel()
 
+    def withdraw_unsent(self) -> list[str]:
+        """Withdraw shards that wait for a connection.
+
+        The listener is not told.
+
+        Returns
+        -------
+        list of str
+            Their services.
+        """
+        services = []
+        for service, call in list(self.call_by_service.items()):
+            if call.connection is None:
+                del self.call_by_service[service]
+                call.on_end = _ignore_end
+                call.cancel()
+                services.append(service)
+        return services
+
     def cancel(self):
         """Cancel what is in progress."""
         self.stopped = True
@@ -153,3 +172,7 @@
             service, endpoint_id, outcome.reason, outcome.may_have_run
         )
         self.listener.on_part_lost(self, loss)
+
+
+def _ignore_end(call, answer):
+    """Do nothing: the sender has withdrawn the call."""
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -23,12 +23,15 @@
     endpoint_http.Ending.NOT_SENT,
     endpoint_http.Ending.WITHDRAWN,
     endpoint_http.Ending.HELD_BACK,
+    endpoint_http.Ending.CUT_OFF,
 )
 # Endings caused by this process, which say nothing about the endpoint.
 LOCAL_ENDINGS = (
     endpoint_http.Ending.CANCELLED,
     endpoint_http.Ending.WITHDRAWN,
     endpoint_http.Ending.HELD_BACK,
+    endpoint_http.Ending.CUT_OFF,
+    endpoint_http.Ending.RELAY_LOST,
 )
 # Time after the deadline for an endpoint's own refusal to arrive.
 DEADLINE_GRACE_S = 0.03
@@ -42,6 +45,14 @@
 # Reasons of outcomes.
 HELD_BACK = endpoint_http.Ending.HELD_BACK.value
 BROKEN = endpoint_http.Ending.BROKEN.value
+CUT_OFF = endpoint_http.Ending.CUT_OFF.value
+# Reasons of sends that this VM's own links kept from the endpoint, if it is
+# cut off.
+LINK_REASONS = (
+    CUT_OFF,
+    endpoint_http.Ending.NOT_SENT.value,
+    endpoint_http.Ending.WITHDRAWN.value,
+)
 
 
 class HeaderNames(typing.NamedTuple):
@@ -144,6 +155,7 @@
     shedder : overload.Shedder
     permits : rate_permits.PermitClient
     quarantine : quarantine.Quarantine
+    reachability : reachability.Reachability
     """
 
     loop: object
@@ -157,6 +169,7 @@
     shedder: object
     permits: object
     quarantine: object
+    reachability: object
 
 
 class IncomingRequest(typing.NamedTuple):
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -55,6 +55,7 @@
         self.random = random
         self.on_event = on_event
         self.receive_budget = receive_budget
+        self.link_observer = endpoint_http.LinkObserver()
         self.vms = 1
         self.revision = 0  # incremented when an endpoint is put or dropped
         self.connections_by_service = {}
@@ -247,6 +248,7 @@
             self.on_event,
             self.receive_budget,
         )
+        pool.link_observer = self.link_observer
         return Target(
             endpoint,
             pool,
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -43,6 +43,8 @@
     possible_runs : int
         Sends that an endpoint may have run.
     send_count : int
+    unused_sends : int
+        Sends that were allowed but did not leave a VM.
     failed : bool
         Whether no part can be obtained any more.
     reason : str
@@ -57,6 +59,7 @@
         "relays_tried",
         "possible_runs",
         "send_count",
+        "unused_sends",
         "failed",
         "reason",
     )
@@ -69,6 +72,7 @@
         self.relays_tried = ()
         self.possible_runs = 0
         self.send_count = 0
+        self.unused_sends = 0
         self.failed = False
         self.reason = ""
 
@@ -145,7 +149,7 @@
             self._send_via_relay(relay, grouped, ())
         direct = [s for s in self.shard_by_service.values() if s.group is None]
         if direct and not self.done:
-            self._send_directly(direct, "first")
+            self._send_ungrouped(direct, "first")
 
     def _register_dispatch(self, dispatch, shards):
         self.dispatches.append(dispatch)
@@ -154,6 +158,26 @@
             shard.send_count += 1
             shard.possible_runs += 1
 
+    def _send_ungrouped(self, shards, cause):
+        """Send shards from this process, or through any entry if cut off.
+
+        Shards for which no entry is left fail.
+        """
+        if not self.is_sent_by_others():
+            self._send_directly(shards, cause)
+            return
+        tried = {a for s in shards for a in s.relays_tried}
+        relay = self.context.relays.table.pick_any(tried, self.context.random)
+        if relay is None:
+            for shard in shards:
+                shard.reason = endpoint_calls.CUT_OFF
+            self._fail_unsent(shards)
+            self._check_progress()
+            return
+        self._send_via_relay(
+            relay, shards, tuple(tuple(s.tried) for s in shards)
+        )
+
     def _send_directly(self, shards, cause):
         dispatch = direct_dispatch.DirectDispatch(
             self.context,
@@ -234,6 +258,11 @@
             else:
                 shard.possible_runs -= 1
             shard.reason = loss.reason
+            if self._is_link_failure(loss):
+                self._take_back_send(shard, loss.endpoint_id)
+                if not self._is_settled(shard):
+                    lost.append(shard)
+                continue
             if loss.reason == endpoint_calls.BROKEN:
                 self.record_broken(loss.endpoint_id)
             if loss.endpoint_id and loss.endpoint_id not in shard.tried:
@@ -253,6 +282,44 @@
             lost = [s for s in lost if s not in broken]
         self._retry(to_resend, lost)
 
+    def _is_link_failure(self, loss) -> bool:
+        """Tell whether a shard did not leave this VM or a relay, cut off."""
+        if loss.reason == endpoint_calls.CUT_OFF:
+            return True
+        return (
+            self.context.reachability.is_cut_off
+            and loss.reason in endpoint_calls.LINK_REASONS
+            and not loss.ran
+        )
+
+    def _take_back_send(self, shard, endpoint_id):
+        """Let a shard be sent again in place of a send that did not leave."""
+        shard.send_count -= 1
+        shard.unused_sends += 1
+        if endpoint_id in shard.tried:
+            shard.tried.remove(endpoint_id)
+
+    def handle_cut_off(self):
+        """Send unanswered shards through other entries."""
+        if self.done or not self.is_sent_by_others():
+            return
+        unsent = []
+        for dispatch in self.dispatches:
+            for service in dispatch.withdraw_unsent():
+                shard = self.shard_by_service[service]
+                shard.open_dispatches.remove(dispatch)
+                shard.possible_runs -= 1
+                shard.reason = endpoint_calls.CUT_OFF
+                self._take_back_send(shard, shard.tried[-1])
+                unsent.append(shard)
+        silent = [
+            s
+            for s in self.shard_by_service.values()
+            if not self._is_settled(s) and s.group is None and s not in unsent
+        ]
+        unsent = [s for s in unsent if not self._is_settled(s)]
+        self._retry(unsent + silent, unsent)
+
     def _may_crash_endpoints(self) -> bool:
         """Tell whether the request itself may be why endpoints broke off."""
         broken = len(self.broken_endpoints)
@@ -281,11 +348,14 @@
         self.retries += len(resent)
         for _ in resent:
             self.context.metrics.count_extra_send("retry")
-        for shard in lost:
+        self._fail_unsent(lost)
+        self._check_progress()
+
+    def _fail_unsent(self, shards):
+        for shard in shards:
             if not self._is_pending(shard) and not self._is_settled(shard):
                 shard.failed = True
                 self.failed_shards += 1
-        self._check_progress()
 
     def _is_settled(self, shard) -> bool:
         return shard.failed or shard.service in self.part_set_by_service
@@ -406,6 +476,9 @@
         table = self.context.table
         if table.count_endpoints(shard.service) <= len(set(shard.tried)):
             return False
+        if shard.unused_sends:
+            shard.unused_sends -= 1
+            return True
         if not self.context.budget.try_withdraw(shard.service):
             self.context.metrics.count_extra_send("over_budget")
             return False
@@ -434,7 +507,7 @@
                 relay, grouped, tuple(tuple(s.tried) for s in grouped)
             )
         if direct:
-            self._send_directly(direct, cause)
+            self._send_ungrouped(direct, cause)
         return allowed
 
     def _pick_resend_relay(self, shard):
--- /dev/null
+++ b/chervilspindle/routing/forwarding.py
@@ -0,0 +1,135 @@
+"""Requests to one endpoint that another entry sends.
+
+Used by an entry that is cut off from endpoints. It chooses the endpoint,
+keeps to attempts and budget, and answers the caller, as if it had sent the
+request itself. The other entry sends it directly or not at all.
+"""
+
+from chervilspindle.routing import endpoint_calls
+from chervilspindle.wire import endpoint_http
+from chervilspindle.wire import messages
+
+
+class ForwardedCall:
+    """One request that another entry was asked to send.
+
+    Has the interface of `endpoint_http.Call` that its sender uses, and the
+    one of `relayed_query.RelayedDispatch` that the relay client uses.
+
+    Attributes
+    ----------
+    connection : str
+        Address of the other entry, as the request may run from now on.
+    """
+
+    def __init__(self, client, address, query_id, on_end):
+        self.client = client
+        self.address = address
+        self.connection = address
+        self.query_id = query_id
+        self.on_end = on_end
+        self.sent_s = 0.0
+        self.ended = False
+        self.context = None
+
+    def is_pending(self) -> bool:
+        """Tell whether the other entry may have the request in progress."""
+        return not self.ended
+
+    def cancel(self):
+        """Make the other entry cancel the request."""
+        self.client.cancel(self)
+        self._end(endpoint_http.Answer(endpoint_http.Ending.CANCELLED))
+
+    def handle_report(self, report: messages.ForwardReport):
+        """End with the answer that the endpoint sent to the other entry."""
+        self.client.discard(self)
+        value_by_name = {}
+        for name, value in report.headers:
+            value_by_name.setdefault(name, value)
+        self._end(
+            endpoint_http.Answer(
+                endpoint_http.Ending(report.ending),
+                report.status,
+                report.headers,
+                value_by_name,
+                report.body,
+            )
+        )
+
+    def refuse(self):
+        """End: the other entry is cut off as well and has not sent it."""
+        self._end(endpoint_http.Answer(endpoint_http.Ending.CUT_OFF))
+
+    def fail(self, reason: str):
+        """End without knowing whether the request has run."""
+        self._end(endpoint_http.Answer(endpoint_http.Ending.RELAY_LOST))
+
+    def _end(self, answer):
+        if not self.ended:
+            self.ended = True
+            self.on_end(self, answer)
+
+
+class ServedForward:
+    """A `messages.ForwardCall` in progress at the entry that sends it."""
+
+    def __init__(self, server, link, message):
+        self.server = server
+        self.link = link
+        self.message = message
+        self.target = None
+        self.call = None
+
+    def start(self):
+        """Send the request to its endpoint, if that is known here."""
+        message = self.message
+        context = self.server.context
+        target = context.table.target_by_id.get(message.endpoint_id)
+        if target is None:
+            ending = endpoint_http.Ending.NOT_SENT
+            self._report(endpoint_http.Answer(ending))
+            return
+        self.target = target
+        now = context.loop.time()
+        template = endpoint_calls.RequestTemplate(
+            message.head, message.tail, context.names.sent
+        )
+        self.call = endpoint_calls.build_call(
+            template,
+            message.request_id,
+            message.endpoint_id,
+            now + message.left_ms / 1000.0,
+            now,
+            self._on_call_ended,
+            message.idempotent,
+        )
+        send = endpoint_calls.Send(
+            target, self.call, template, "forwarded", message.max_wait_s
+        )
+        endpoint_calls.submit(send, context)
+
+    def cancel(self):
+        """Cancel the request."""
+        self.call.cancel()
+
+    def _on_call_ended(self, call, answer):
+        context = self.server.context
+        outcome = endpoint_calls.handle_answer(
+            self.target, call, answer, context
+        )
+        if not outcome.succeeded:
+            context.metrics.count_failure(outcome.reason)
+        self._report(answer)
+
+    def _report(self, answer):
+        self.server.discard(self.link, self.message.query_id)
+        self.link.send(
+            messages.ForwardReport(
+                self.message.query_id,
+                answer.ending.value,
+                answer.status,
+                tuple(answer.headers),
+                answer.body,
+            )
+        )
--- a/chervilspindle/routing/metrics.py
+++ b/chervilspindle/routing/metrics.py
@@ -27,6 +27,12 @@
             "held_back_sends_total",
             "Sends withheld from endpoints that take none now, by reason.",
         )
+        self.cut_off = aioprometheus.Gauge(
+            "chervilspindle_cut_off",
+            "1 while this VM reaches no endpoint, else 0.",
+            registry=self.registry,
+        )
+        self.cut_off.set({}, 0)
         self.latency = aioprometheus.Histogram(
             "chervilspindle_routed_seconds",
             "Time to the answer, by route.",
@@ -60,6 +66,10 @@
         """Count a connection event."""
         self.events.inc({"event": event})
 
+    def set_cut_off(self, is_cut_off):
+        """Set whether this VM reaches no endpoint."""
+        self.cut_off.set({}, int(is_cut_off))
+
     def render(self, accept):
         """Render all metrics in a format that `accept` allows.
 
--- a/chervilspindle/routing/peer_messages.py
+++ b/chervilspindle/routing/peer_messages.py
@@ -36,12 +36,22 @@
 
 
 @_handle_message.register
-def _handle_report(message: messages.RelayReport, entry_peer: EntryPeer, link):
+def _handle_refusal(
+    message: messages.RelayRefusal, entry_peer: EntryPeer, link
+):
+    client = entry_peer.context.relays
+    client.handle_refusal(link.dialled_address, message)
+
+
+@_handle_message.register(messages.RelayReport)
+@_handle_message.register(messages.ForwardReport)
+def _handle_report(message, entry_peer: EntryPeer, link):
     client = entry_peer.context.relays
     client.handle_report(link.dialled_address, message)
 
 
 @_handle_message.register(messages.RelayCall)
+@_handle_message.register(messages.ForwardCall)
 @_handle_message.register(messages.RelayCancel)
 def _handle_relayed(message, entry_peer: EntryPeer, link):
     entry_peer.relay.handle(link, message)
--- a/chervilspindle/routing/quarantine.py
+++ b/chervilspindle/routing/quarantine.py
@@ -13,12 +13,11 @@
 next shard or repeat.
 """
 
-import asyncio
-
 from chervilspindle.core import errors
 from chervilspindle.core import logs
 from chervilspindle.core import rows
 from chervilspindle.routing import request_content
+from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import messages
 
 MIN_CRASHES = 3
@@ -142,15 +141,9 @@
         self.loop.create_task(self._probe(endpoint_id, target.pool))
 
     async def _probe(self, endpoint_id, pool):
-        connecting = self.loop.create_connection(
-            asyncio.Protocol, pool.host, pool.port
+        crashed = not await endpoint_http.can_connect(
+            self.loop, pool.host, pool.port, PROBE_TIMEOUT_S
         )
-        crashed = False
-        try:
-            transport, _ = await asyncio.wait_for(connecting, PROBE_TIMEOUT_S)
-            transport.close()
-        except (OSError, asyncio.TimeoutError):
-            crashed = True
         logs.log_decision(
             "endpoint-probed", endpoint=endpoint_id, crashed=crashed
         )
--- /dev/null
+++ b/chervilspindle/routing/reachability.py
@@ -0,0 +1,153 @@
+"""Whether this VM reaches endpoints, or is cut off from all of them.
+
+A request without an answer may be due to its endpoint or to this VM's links.
+New connections tell them apart: if none of several endpoints accepts one, the
+VM counts as cut off, and requests go through other entries until an endpoint
+accepts a connection again. Endpoints that answered last are tried first, so
+that endpoints which are down together don't look like a cut.
+
+Old connections are no evidence: they may work while new ones are refused.
+"""
+
+import asyncio
+
+from chervilspindle.core import logs
+from chervilspindle.wire import endpoint_http
+
+# Without a byte from any endpoint for this long, connections are checked.
+SILENCE_S = 0.2
+PROBE_TIMEOUT_S = 0.15  # several round trips within a region
+PROBED_ENDPOINTS = 3
+# Connections take a slot of the endpoint for a moment.
+CHECK_INTERVAL_S = 1.0
+RECOVERY_INTERVAL_S = 0.5
+RECOVERY_PROBES = 2
+
+
+class Reachability:
+    """Observes the connections to endpoints of one entry.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+    table : endpoints.EndpointTable
+    random : random.Random
+    on_change : callable
+        ``on_change(is_cut_off)``.
+
+    Attributes
+    ----------
+    is_cut_off : bool
+    listeners : set
+        Their ``handle_cut_off()`` is called when the VM is found to be cut
+        off.
+    """
+
+    def __init__(self, loop, table, random, on_change):
+        self.loop = loop
+        self.table = table
+        self.random = random
+        self.on_change = on_change
+        self.is_cut_off = False
+        self.listeners = set()
+        self.since_s = 0.0  # when the VM was found to be cut off
+        self.waiting_since_s = None  # for a byte from any endpoint
+        self.is_timer_set = False
+        self.is_checking = False
+        self.next_check_s = 0.0
+
+    def record_sent(self):
+        """Record that a request was sent to an endpoint."""
+        if self.waiting_since_s is None and not self.is_cut_off:
+            self.waiting_since_s = self.loop.time()
+            if not self.is_timer_set:
+                self._set_timer(SILENCE_S)
+
+    def record_heard(self):
+        """Record that an endpoint has sent something."""
+        self.waiting_since_s = None
+
+    def record_failed(self, pool):
+        """Record that a connection could not be opened, or broke off."""
+        self._check("connection failed", pool)
+
+    def _set_timer(self, delay_s):
+        self.is_timer_set = True
+        self.loop.call_later(delay_s, self._check_silence)
+
+    def _check_silence(self):
+        self.is_timer_set = False
+        if self.waiting_since_s is None or self.is_cut_off:
+            return
+        remaining_s = self.waiting_since_s + SILENCE_S - self.loop.time()
+        if remaining_s > 0.0:
+            self._set_timer(remaining_s)
+        else:
+            self.waiting_since_s = None
+            self._check("silence", None)
+
+    def _check(self, reason, failed_pool):
+        now = self.loop.time()
+        if self.is_cut_off or self.is_checking or now < self.next_check_s:
+            return
+        pools = self._list_pools()
+        if failed_pool in pools:
+            pools.remove(failed_pool)
+        if len(pools) < PROBED_ENDPOINTS:
+            return
+        pools.sort(key=lambda pool: pool.heard_s, reverse=True)
+        self.is_checking = True
+        self.loop.create_task(
+            self._confirm(reason, pools[:PROBED_ENDPOINTS], now)
+        )
+
+    def _list_pools(self):
+        return [t.pool for t in self.table.target_by_id.values()]
+
+    async def _confirm(self, reason, pools, started_s):
+        """Probe one endpoint, and the others only if it is out of reach."""
+        reached = await self._probe(pools[:1]) or await self._probe(pools[1:])
+        now = self.loop.time()
+        self.is_checking = False
+        self.next_check_s = now + CHECK_INTERVAL_S
+        if reached:
+            return
+        self.is_cut_off = True
+        self.since_s = now
+        self.waiting_since_s = None
+        logs.log_decision(
+            "cut-off",
+            why=reason,
+            probed=[f"{pool.host}:{pool.port}" for pool in pools],
+            check_ms=round((now - started_s) * 1000.0, 1),
+        )
+        self.on_change(True)
+        self.loop.call_later(RECOVERY_INTERVAL_S, self._start_recovery)
+        for listener in list(self.listeners):
+            listener.handle_cut_off()
+
+    async def _probe(self, pools) -> bool:
+        """Tell whether any of some endpoints accepts a connection."""
+        probes = [
+            endpoint_http.can_connect(
+                self.loop, pool.host, pool.port, PROBE_TIMEOUT_S
+            )
+            for pool in pools
+        ]
+        return any(await asyncio.gather(*probes))
+
+    def _start_recovery(self):
+        self.loop.create_task(self._recover())
+
+    async def _recover(self):
+        pools = self._list_pools()
+        count = min(RECOVERY_PROBES, len(pools))
+        if not await self._probe(self.random.sample(pools, count)):
+            self.loop.call_later(RECOVERY_INTERVAL_S, self._start_recovery)
+            return
+        self.is_cut_off = False
+        logs.log_decision(
+            "cut-off-ended",
+            after_ms=round((self.loop.time() - self.since_s) * 1000.0),
+        )
+        self.on_change(False)
--- a/chervilspindle/routing/relay_selection.py
+++ b/chervilspindle/routing/relay_selection.py
@@ -32,6 +32,7 @@
 # have too few samples of its endpoints to tell which are slow; with a much
 # higher one it would be overloaded.
 QUERIES_PER_S_PER_RELAY = 10.0
+MAX_TRIED_RELAYS = 6  # for one request of a VM that is cut off
 FAILURE_BACKOFF_S = 8.0  # longer than the time between an entry's queries
 
 
@@ -353,6 +354,38 @@
             return None
         return min(candidates, key=self._get_failed_s)
 
+    def has_others(self) -> bool:
+        """Tell whether another entry may be asked to send requests."""
+        return any(r.vm_id != self.vm_id for r in self.relays)
+
+    def pick_any(self, tried, random) -> messages.Relay | None:
+        """Return an entry to send any request, None if none is left.
+
+        Those of this zone are preferred if enough are available. If all have
+        failed recently, the one that did so first is returned.
+
+        Parameters
+        ----------
+        tried : collection of str
+            Addresses of entries to leave out.
+        random : random.Random
+            Spreads requests over the entries.
+        """
+        if len(tried) >= MAX_TRIED_RELAYS:
+            return None
+        candidates = [
+            r
+            for r in self.relays
+            if r.vm_id != self.vm_id and r.address not in tried
+        ]
+        available = [r for r in candidates if self._is_available(r)]
+        near = [r for r in available if r.zone == self.zone]
+        if len(near) >= MIN_RELAYS:
+            return random.choice(near)
+        if available:
+            return random.choice(available)
+        return min(candidates, key=self._get_failed_s, default=None)
+
     def list_relayed_services(self) -> set[str]:
         """Return the shards that this VM is a relay of for many entries.
 
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -13,6 +13,7 @@
 from chervilspindle.core import logs
 from chervilspindle.routing import direct_dispatch
 from chervilspindle.routing import endpoint_calls
+from chervilspindle.routing import forwarding
 from chervilspindle.routing import part_merging
 from chervilspindle.wire import messages
 
@@ -48,6 +49,14 @@
         """Tell whether an endpoint may be executing a shard."""
         return bool(self.pending_services)
 
+    def is_pending(self) -> bool:
+        """Tell whether the relay may have shards in progress."""
+        return bool(self.pending_services)
+
+    def withdraw_unsent(self) -> list[str]:
+        """Return no shards: what the relay has sent is not known."""
+        return []
+
     def stop(self):
         """Ignore further reports; shards in progress are not cancelled."""
         self.client.discard(self)
@@ -73,10 +82,17 @@
         if not self.pending_services:
             self.client.discard(self)
 
+    def refuse(self):
+        """Report all shards as not sent: the relay is cut off."""
+        self._lose(endpoint_calls.CUT_OFF, False)
+
     def fail(self, reason: str):
         """Report all shards in progress as lost."""
+        self._lose(reason, True)
+
+    def _lose(self, reason, may_have_run):
         losses = [
-            messages.Loss(service, "", reason, True)
+            messages.Loss(service, "", reason, may_have_run)
             for service in sorted(self.pending_services)
         ]
         self.pending_services.clear()
@@ -128,21 +144,52 @@
         self.network.send(relay.address, call)
         return dispatch
 
-    def handle_report(self, address: str, report: messages.RelayReport):
+    def forward(self, relay, call: messages.ForwardCall, on_end):
+        """Send a request to one endpoint through another entry.
+
+        Parameters
+        ----------
+        relay : messages.Relay
+        call : messages.ForwardCall
+            Its query id is set here.
+        on_end : callable
+            ``on_end(call, answer)``, called once.
+
+        Returns
+        -------
+        forwarding.ForwardedCall
+        """
+        query_id = next(self.query_ids)
+        forwarded = forwarding.ForwardedCall(
+            self, relay.address, query_id, on_end
+        )
+        forwarded.sent_s = self.table.read_clock()
+        self.dispatch_by_id[query_id] = forwarded
+        self.network.send(relay.address, call._replace(query_id=query_id))
+        return forwarded
+
+    def handle_refusal(self, address: str, refusal: messages.RelayRefusal):
+        """Avoid a relay that is cut off; its shards are not sent."""
+        self.table.record_relay_failure(address, endpoint_calls.CUT_OFF)
+        dispatch = self.dispatch_by_id.pop(refusal.query_id, None)
+        if dispatch is not None:
+            dispatch.refuse()
+
+    def handle_report(self, address: str, report):
         """Handle a report from a relay."""
         self.table.clear_failure(address)
         dispatch = self.dispatch_by_id.get(report.query_id)
         if dispatch is not None:
             dispatch.handle_report(report)
 
-    def discard(self, dispatch: RelayedDispatch):
+    def discard(self, dispatch):
         """Ignore further reports of a dispatch."""
         self.dispatch_by_id.pop(dispatch.query_id, None)
 
-    def cancel(self, dispatch: RelayedDispatch):
+    def cancel(self, dispatch):
         """Make the relay cancel what is in progress of a dispatch."""
         self.discard(dispatch)
-        if dispatch.pending_services:
+        if dispatch.is_pending():
             self.network.send(
                 dispatch.address, messages.RelayCancel(dispatch.query_id)
             )
@@ -179,6 +226,18 @@
         """Handle a message from another entry."""
         _handle_message(message, self, link)
 
+    def serve(self, link, query_id, served):
+        """Start a call, or refuse it if this VM reaches no endpoint."""
+        if self.context.reachability.is_cut_off:
+            link.send(messages.RelayRefusal(query_id))
+            return
+        self.served_by_key[link, query_id] = served
+        served.start()
+
+    def discard(self, link, query_id):
+        """Forget a call that has ended."""
+        self.served_by_key.pop((link, query_id), None)
+
 
 @functools.singledispatch
 def _handle_message(message, server: RelayServer, link):
@@ -187,9 +246,13 @@
 
 @_handle_message.register
 def _handle_call(message: messages.RelayCall, server: RelayServer, link):
-    served = _ServedCall(server, link, message)
-    server.served_by_key[link, message.query_id] = served
-    served.start()
+    server.serve(link, message.query_id, _ServedCall(server, link, message))
+
+
+@_handle_message.register
+def _handle_forward(message: messages.ForwardCall, server: RelayServer, link):
+    served = forwarding.ServedForward(server, link, message)
+    server.serve(link, message.query_id, served)
 
 
 @_handle_message.register
@@ -229,12 +292,14 @@
         self.durations_ms = []
         self.first_report_sent = False
         self.batch_timer = None
-        self.first_report_timer = self.loop.call_at(
-            started_s + request.report_ms / 1000.0, self._report_first
-        )
+        self.report_at_s = started_s + request.report_ms / 1000.0
+        self.first_report_timer = None
 
     def start(self):
         """Send the shards to endpoints."""
+        self.first_report_timer = self.loop.call_at(
+            self.report_at_s, self._report_first
+        )
         services, tried = self.call.services, self.call.tried
         self.dispatch.start(services, dict(zip(services, tried)))
 
@@ -320,4 +385,4 @@
         self.first_report_timer.cancel()
         if self.batch_timer is not None:
             self.batch_timer.cancel()
-        self.server.served_by_key.pop((self.link, self.call.query_id), None)
+        self.server.discard(self.link, self.call.query_id)
--- a/chervilspindle/routing/routed_request.py
+++ b/chervilspindle/routing/routed_request.py
@@ -60,6 +60,13 @@
         """Return the request-specific fields of the log event."""
         raise NotImplementedError
 
+    def is_sent_by_others(self) -> bool:
+        """Tell whether other entries send, as this VM is cut off."""
+        return (
+            self.context.reachability.is_cut_off
+            and self.context.relays.table.has_others()
+        )
+
     def stop_sends(self):
         """Withdraw what is not sent yet; requests in progress run on."""
         raise NotImplementedError
@@ -68,6 +75,10 @@
         """Cancel what is in progress."""
         raise NotImplementedError
 
+    def handle_cut_off(self):
+        """Send through other entries what this VM can't send any more."""
+        raise NotImplementedError
+
     def schedule_at_ms(self, elapsed_ms, callback):
         """Run `callback` at a time in ms since the request was read."""
         due_s = self.started_s + elapsed_ms / 1000.0
@@ -91,6 +102,7 @@
 
     def watch_caller(self):
         """End the request when the caller disconnects."""
+        self.context.reachability.listeners.add(self)
         self.incoming.exchange.on_abandoned = self._on_caller_left
 
     def refuse(self, reason, wait_s=0.0):
@@ -179,6 +191,7 @@
 
     def _close(self):
         self.done = True
+        self.context.reachability.listeners.discard(self)
         for timer in self.timers:
             timer.cancel()
         self.stop_sends()
--- a/chervilspindle/routing/single_endpoint.py
+++ b/chervilspindle/routing/single_endpoint.py
@@ -4,6 +4,7 @@
 from chervilspindle.routing import routed_request
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import http_server
+from chervilspindle.wire import messages
 
 # By these statuses, callers may assume that the request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -20,6 +21,7 @@
         self.service = service
         self.calls = []
         self.tried = []
+        self.relays_tried = []  # addresses
         self.held_back = []  # endpoints that took no request at that time
         self.possible_runs = 0
         self.send_count = 0
@@ -50,32 +52,64 @@
         )
 
     def _send(self, target, cause):
-        endpoint_id = target.endpoint.endpoint_id
+        if self.is_sent_by_others():
+            self._send_by_other(target, cause)
+            return
         call = endpoint_calls.build_call(
             self.template,
             self.incoming.request_id,
-            endpoint_id,
+            target.endpoint.endpoint_id,
             self.read_deadline_s(),
             self.loop.time(),
             self._on_call_ended,
             self.incoming.route.idempotent,
         )
+        self._register(call, target, cause)
+        send = endpoint_calls.Send(
+            target, call, self.template, cause, self._compute_max_wait_s()
+        )
+        endpoint_calls.submit(send, self.context)
+
+    def _send_by_other(self, target, cause):
+        """Let another entry send to an endpoint, as this VM is cut off."""
+        relays = self.context.relays
+        relay = relays.table.pick_any(self.relays_tried, self.context.random)
+        if relay is None:
+            self.last_reason = endpoint_calls.CUT_OFF
+            if not self.calls:
+                self._answer_failure()
+            return
+        self.relays_tried.append(relay.address)
+        endpoint_id = target.endpoint.endpoint_id
+        message = messages.ForwardCall(
+            0,
+            endpoint_id,
+            self.template.head,
+            self.template.tail,
+            self.incoming.request_id,
+            self.timing.deadline_ms - self.read_elapsed_ms(),
+            self._compute_max_wait_s(endpoint_id),
+            self.incoming.route.idempotent,
+        )
+        call = relays.forward(relay, message, self._on_call_ended)
+        self._register(call, target, cause)
+
+    def _register(self, call, target, cause):
         call.context = (target, cause)
         self.calls.append(call)
-        self.tried.append(endpoint_id)
+        self.tried.append(target.endpoint.endpoint_id)
         self.send_count += 1
         self.possible_runs += 1
-        excluded = (*self.tried, *self.held_back)
+
+    def _compute_max_wait_s(self, *chosen) -> float:
+        """Return how long to wait for a permit: 0 if others are open."""
+        excluded = (*self.tried, *self.held_back, *chosen)
         now = self.loop.time()
-        max_wait_s = 0.0
-        if not self.context.table.is_open(self.service, excluded, now):
-            max_wait_s = endpoint_calls.compute_max_wait_s(
-                self.incoming.route.objective_ms, self.read_deadline_s(), now
-            )
-        send = endpoint_calls.Send(
-            target, call, self.template, cause, max_wait_s
+        if self.context.table.is_open(self.service, excluded, now):
+            return 0.0
+        return endpoint_calls.compute_max_wait_s(
+            self.incoming.route.objective_ms, self.read_deadline_s(), now
         )
-        endpoint_calls.submit(send, self.context)
 
     def _on_call_ended(self, call, answer):
         target, cause = call.context
@@ -97,7 +131,14 @@
             return
         self.last_reason = outcome.reason
         if outcome.reason == endpoint_calls.HELD_BACK:
-            self._handle_held_back(target.endpoint.endpoint_id, cause)
+            self.held_back.append(target.endpoint.endpoint_id)
+            self._take_back_send(target.endpoint.endpoint_id)
+            if not self.calls:
+                self._send_instead(cause)
+            return
+        if self._is_link_failure(outcome):
+            self._take_back_send(target.endpoint.endpoint_id)
+            self._send_instead(cause)
             return
         self.context.metrics.count_failure(outcome.reason)
         if outcome.may_have_run and _is_forwardable(answer):
@@ -108,18 +149,37 @@
             return
         self._answer_failure()
 
-    def _handle_held_back(self, endpoint_id, cause):
-        """Send to another endpoint; this one got nothing."""
+    def _is_link_failure(self, outcome) -> bool:
+        """Tell whether a send did not leave this VM or another, cut off."""
+        if outcome.reason == endpoint_calls.CUT_OFF:
+            return True
+        return (
+            self.context.reachability.is_cut_off
+            and outcome.reason in endpoint_calls.LINK_REASONS
+        )
+
+    def handle_cut_off(self):
+        """Send again through another entry what has no answer yet."""
+        if not self.is_sent_by_others():
+            return
+        unsent = [call for call in self.calls if call.connection is None]
+        for call in unsent:
+            call.cancel()
+        if not unsent and self.incoming.route.idempotent:
+            self._hedge()
+
+    def _take_back_send(self, endpoint_id):
+        """Forget a send of which the endpoint got nothing."""
         self.tried.remove(endpoint_id)
-        self.held_back.append(endpoint_id)
         self.send_count -= 1
-        if self.calls:
-            return
+
+    def _send_instead(self, cause):
+        """Send in place of a send that was taken back."""
         target = self._choose()
-        if target is None:
-            self._answer_failure()
-        else:
+        if target is not None:
             self._send(target, cause)
+        elif not self.calls:
+            self._answer_failure()
 
     def _may_resend(self) -> bool:
         route = self.incoming.route
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -39,6 +39,8 @@
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
     HELD_BACK = "held_back"  # the endpoint takes no request now
+    CUT_OFF = "cut_off"  # the VM asked to send it reaches no endpoint
+    RELAY_LOST = "relay_lost"  # no word from the VM asked to send it
 
 
 class Answer(typing.NamedTuple):
@@ -138,6 +140,30 @@
         self.pool.abort_call(self, Ending.CANCELLED)
 
 
+class LinkObserver:
+    """Is told what happens on connections to endpoints; ignores it."""
+
+    def record_sent(self):
+        """Record that a request was sent."""
+
+    def record_heard(self):
+        """Record that an endpoint has sent something."""
+
+    def record_failed(self, pool):
+        """Record that a connection could not be opened, or broke off."""
+
+
+async def can_connect(loop, host: str, port: int, timeout_s: float) -> bool:
+    """Tell whether an address accepts a connection, which is closed again."""
+    connecting = loop.create_connection(asyncio.Protocol, host, port)
+    try:
+        transport, _ = await asyncio.wait_for(connecting, timeout_s)
+    except (OSError, asyncio.TimeoutError):
+        return False
+    transport.close()
+    return True
+
+
 class EndpointPool:
     """Connections of this VM to one endpoint.
 
@@ -154,6 +180,13 @@
         ``on_event(name)``, called for events that are counted.
     receive_budget : receive_limits.ReceiveBudget
         Shared by all pools of the process.
+
+    Attributes
+    ----------
+    heard_s : float
+        Loop time at which the endpoint last accepted a connection or sent
+        something.
+    link_observer : LinkObserver
     """
 
     def __init__(
@@ -180,6 +213,8 @@
         self.closed = False
         self.failed_s = -math.inf
         self.is_reachable = True  # by the last connection attempt
+        self.heard_s = -math.inf
+        self.link_observer = LinkObserver()
         self.max_idle_s = math.inf
 
     def open_idle(self):
@@ -346,6 +381,7 @@
     def _connect_failed(self, reason):
         self.on_event("connect-failed")
         self.failed_s = self.loop.time()
+        self.link_observer.record_failed(self)
         if self.is_reachable:
             self.is_reachable = False
             logs.log_decision(
@@ -362,6 +398,7 @@
 
     def connected(self, connection):
         """Make a new connection available to requests."""
+        self.heard_s = self.loop.time()
         if not self.is_reachable:
             self.is_reachable = True
             logs.log_decision(
@@ -410,6 +447,7 @@
         self.in_body = False
         self.parser = httptools.HttpResponseParser(self)
         self.transport.write(call.data)
+        self.pool.link_observer.record_sent()
 
     def pause_writing(self):
         """Do nothing: a request is bounded and written in one call."""
@@ -431,10 +469,13 @@
         self.pool.receive_budget.release(self)
         self.pool.remove_connection(self)
         if call is not None:
+            self.pool.link_observer.record_failed(self.pool)
             self.pool.end(call, Answer(Ending.BROKEN))
 
     def data_received(self, data: bytes):
         """Parse an answer; unexpected bytes close the connection."""
+        self.pool.heard_s = self.pool.loop.time()
+        self.pool.link_observer.record_heard()
         call = self.call
         if call is None:
             self.must_close = True
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -473,7 +473,67 @@
 
 
 class RelayCancel(typing.NamedTuple):
-    """Tells a relay to cancel the shards of a query in progress."""
+    """Tells a relay to cancel the shards of a query in progress.
+
+    Or the request of a `ForwardCall`.
+    """
+
+    query_id: int
+
+
+class ForwardCall(typing.NamedTuple):
+    """Asks another entry to send a request to one endpoint.
+
+    Parameters
+    ----------
+    query_id : int
+        Unique on the link, together with those of `RelayCall`.
+    endpoint_id : str
+    head, tail : bytes
+        See `RelayCall`.
+    request_id : bytes
+    left_ms : float
+        Time until the deadline of the request.
+    max_wait_s : float
+        How long the send may wait for a permit.
+    idempotent : bool
+    """
+
+    query_id: int
+    endpoint_id: str
+    head: bytes
+    tail: bytes
+    request_id: bytes
+    left_ms: float
+    max_wait_s: float
+    idempotent: bool
+
+
+class ForwardReport(typing.NamedTuple):
+    """Answer of the endpoint of a `ForwardCall`.
+
+    Parameters
+    ----------
+    query_id : int
+    ending : str
+        Value of an `endpoint_http.Ending`.
+    status : int
+    headers : tuple of (name, value)
+    body : bytes
+    """
+
+    query_id: int
+    ending: str
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+class RelayRefusal(typing.NamedTuple):
+    """Tells that a `RelayCall` or `ForwardCall` is not sent anywhere.
+
+    The entry that was asked is cut off from endpoints.
+    """
 
     query_id: int
 
@@ -723,6 +783,9 @@
         RelayCall,
         RelayReport,
         RelayCancel,
+        ForwardCall,
+        ForwardReport,
+        RelayRefusal,
         PermitCall,
         PermitReply,
         WatchCall,
