Calls that reach no entry are sent elsewhere; entries tell of their cut

Found by reading, tests red before: - A call to an entry that accepts no link counted as perhaps run, so that a request that runs once at most ended with 502. PeerNetwork.send tells when it had no link to send on; so does a full queue, which dropped messages. - An entry that was asked and then found itself cut off kept what had not left it. It is reported or refused at once. - A cut-off VM sent all its requests to one endpoint, as what others send for it did not count as outstanding there.

The tests also cover what held already: endpoints that are down don't look like a cut, nothing is relayed twice and all are refused within 0.1 s if every VM is cut off, direct sends after the cut, one run at most, cancelled calls, limits. Request lines name the entries that sent a single request.

--- a/chervilspindle/routing/cut_off_test.py
+++ b/chervilspindle/routing/cut_off_test.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from chervilspindle.platform import names as platform_names
 from chervilspindle.routing import data_path_test
 from chervilspindle.routing import rate_limit_test
 from chervilspindle.routing import retry_budget
@@ -95,3 +96,145 @@
         assert statuses[200] >= 0.9 * statuses.total(), statuses
 
     run_fleet(test)
+
+
+def test_endpoints_that_are_down_are_told_apart_from_a_cut(run_fleet):
+    async def test(fleet):
+        await warm_up(fleet)
+        for backend in fleet.backend_by_id.values():
+            if backend.service != "desk":
+                backend.stop()
+        statuses = await ask_all(fleet, range(5), ("/one/x",), 12)
+        await ask_all(fleet, range(5), ("/all/x",), 3)
+        assert statuses[200] == statuses.total()
+        assert not any(
+            e.context.reachability.is_cut_off for e in fleet.entries
+        )
+
+    run_fleet(test)
+
+
+def test_requests_are_refused_at_once_if_all_vms_are_cut_off(run_fleet):
+    async def test(fleet):
+        await warm_up(fleet)
+        for backend in fleet.backend_by_id.values():
+            backend.runs.clear()
+        start_cut(fleet, link_faults.Cut.HANG, range(5))
+        await ask_all(fleet, range(5), rounds=1)
+        await asyncio.sleep(SETTLE_S)
+        for path in PATHS:
+            started_s = fleet.loop.time()
+            status, headers, _ = await fleet.ask(0, path)
+            assert status == 503 and "retry-after" in headers
+            assert fleet.loop.time() - started_s < 0.1
+        assert not any(b.runs for b in fleet.backend_by_id.values())
+
+    run_fleet(test)
+
+
+@pytest.mark.parametrize("cut", link_faults.Cut)
+def test_a_vm_sends_directly_again_after_a_cut(run_fleet, cut):
+    async def test(fleet):
+        await warm_up(fleet)
+        start_cut(fleet, cut, (0,))
+        # Old connections may live on; all are busy with two queries at once.
+        await ask_all(fleet, (0, 0), rounds=1)
+        await asyncio.sleep(SETTLE_S)
+        fleet.entries[0].links.end_cut()
+        await asyncio.sleep(SETTLE_S)
+        assert not fleet.entries[0].context.reachability.is_cut_off
+        for entry in fleet.entries[1:]:
+            entry.network.close()
+        statuses = await ask_all(fleet, (0,))
+        assert statuses[200] == statuses.total(), statuses
+
+    run_fleet(test)
+
+
+def test_an_entry_that_ends_runs_a_forwarded_request_once_at_most(run_fleet):
+    async def test(fleet):
+        await warm_up(fleet)
+        start_cut(fleet, link_faults.Cut.HANG, (0,))
+        await ask_all(fleet, (0,), rounds=1)
+        await asyncio.sleep(SETTLE_S)
+        for backend in fleet.backend_by_id.values():
+            backend.runs.clear()
+            backend.work_s = 0.2
+        asks = [asyncio.create_task(fleet.ask(0, "/once/x")) for _ in range(4)]
+        await asyncio.sleep(0.1)
+        busy = [e for e in fleet.entries if e.entry_peer.count_busy()]
+        assert busy
+        busy[0].network.close()
+        statuses = [status for status, _, _ in await asyncio.gather(*asks)]
+        runs = [
+            run.request_id
+            for backend in fleet.backend_by_id.values()
+            for run in backend.runs
+        ]
+        assert len(set(runs)) == len(runs)
+        assert statuses.count(502) > 0 and statuses.count(503) == 0, statuses
+        assert statuses.count(200) + statuses.count(502) == 4
+
+    run_fleet(test)
+
+
+def test_an_entry_that_cannot_be_reached_costs_no_request(run_fleet):
+    async def test(fleet):
+        await warm_up(fleet)
+        for entry in fleet.entries[2:4]:
+            entry.network.close()
+            rows = fleet.entries[0].context.relays.table.relays
+            gone = entry.row._replace(address=data_path_test.find_address())
+            rows = [gone if r.vm_id == gone.vm_id else r for r in rows]
+            fleet.entries[0].context.relays.table.set_relays(2, rows)
+        start_cut(fleet, link_faults.Cut.HANG, (0,))
+        await ask_all(fleet, (0,), rounds=1)
+        await asyncio.sleep(SETTLE_S)
+        statuses = await ask_all(fleet, (0,))
+        assert statuses[200] == statuses.total(), statuses
+        assert count_most_runs(fleet, "/once/x") == 1
+
+    run_fleet(test)
+
+
+def test_a_forwarded_request_is_cancelled_when_its_caller_leaves(run_fleet):
+    async def test(fleet):
+        await warm_up(fleet)
+        start_cut(fleet, link_faults.Cut.HANG, (0,))
+        await ask_all(fleet, (0,), rounds=1)
+        await asyncio.sleep(SETTLE_S)
+        for backend in fleet.backend_by_id.values():
+            backend.paused = True
+        host, port = fleet.entries[0].address.split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"GET /one/x HTTP/1.1\r\nHost: h.example\r\n"
+            b"%s: id-x\r\n\r\n" % platform_names.HEADERS.request_id.encode()
+        )
+        await asyncio.sleep(0.05)
+        assert sum(e.entry_peer.count_busy() for e in fleet.entries) > 0
+        writer.close()
+        await asyncio.sleep(0.5)
+        assert sum(e.entry_peer.count_busy() for e in fleet.entries) == 0
+
+    run_fleet(test)
+
+
+def test_the_limit_of_an_endpoint_holds_for_cut_off_vms(run_fleet):
+    async def test(fleet):
+        limited = fleet.backend_by_id["desk-a"]
+        limited.limit_per_s = 4.0
+        await warm_up(fleet)
+        start_cut(fleet, link_faults.Cut.HANG)
+        await ask_all(fleet, CUT_OFF, rounds=1)
+        await asyncio.sleep(SETTLE_S)
+        start_s = fleet.loop.time()
+        answers = await fleet.ask_evenly("/one/x", 40.0, 5.0, range(5))
+        busiest = rate_limit_test.find_busiest_window(
+            limited.arrivals_s, start_s
+        )
+        allowed = 1.5 * rate_limit_test.WINDOW_S * limited.limit_per_s + 5
+        assert busiest <= allowed
+        assert {status for status, *_ in answers} == {200}
+
+    run_fleet(test)
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -109,10 +109,21 @@
         )
         endpoint_calls.submit(send, context)
 
+    def handle_cut_off(self):
+        """Refuse the request if it has not left this VM."""
+        if self.call.connection is None:
+            self.call.on_end = self._refuse
+            self.call.cancel()
+
     def cancel(self):
         """Cancel the request."""
         self.call.cancel()
 
+    def _refuse(self, call, answer):
+        query_id = self.message.query_id
+        self.server.discard(self.link, query_id)
+        self.link.send(messages.RelayRefusal(query_id))
+
     def _on_call_ended(self, call, answer):
         context = self.server.context
         outcome = endpoint_calls.handle_answer(
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -141,7 +141,7 @@
         call = messages.RelayCall(
             query_id, message.head, message.tail, services, tried, request
         )
-        self.network.send(relay.address, call)
+        self._send(dispatch, call)
         return dispatch
 
     def forward(self, relay, call: messages.ForwardCall, on_end):
@@ -165,13 +165,22 @@
         )
         forwarded.sent_s = self.table.read_clock()
         self.dispatch_by_id[query_id] = forwarded
-        self.network.send(relay.address, call._replace(query_id=query_id))
+        self._send(forwarded, call._replace(query_id=query_id))
         return forwarded
 
+    def _send(self, dispatch, call):
+        def handle_unsent():
+            self._refuse(dispatch.address, "no link", call.query_id)
+
+        self.network.send(dispatch.address, call, handle_unsent)
+
     def handle_refusal(self, address: str, refusal: messages.RelayRefusal):
-        """Avoid a relay that is cut off; its shards are not sent."""
-        self.table.record_relay_failure(address, endpoint_calls.CUT_OFF)
-        dispatch = self.dispatch_by_id.pop(refusal.query_id, None)
+        """Avoid a relay that is cut off; it sends nothing."""
+        self._refuse(address, endpoint_calls.CUT_OFF, refusal.query_id)
+
+    def _refuse(self, address, reason, query_id):
+        self.table.record_relay_failure(address, reason)
+        dispatch = self.dispatch_by_id.pop(query_id, None)
         if dispatch is not None:
             dispatch.refuse()
 
@@ -228,15 +237,18 @@
 
     def serve(self, link, query_id, served):
         """Start a call, or refuse it if this VM reaches no endpoint."""
-        if self.context.reachability.is_cut_off:
+        reachability = self.context.reachability
+        if reachability.is_cut_off:
             link.send(messages.RelayRefusal(query_id))
             return
         self.served_by_key[link, query_id] = served
+        reachability.listeners.add(served)
         served.start()
 
     def discard(self, link, query_id):
         """Forget a call that has ended."""
-        self.served_by_key.pop((link, query_id), None)
+        served = self.served_by_key.pop((link, query_id), None)
+        self.context.reachability.listeners.discard(served)
 
 
 @functools.singledispatch
@@ -303,6 +315,12 @@
         services, tried = self.call.services, self.call.tried
         self.dispatch.start(services, dict(zip(services, tried)))
 
+    def handle_cut_off(self):
+        """Report the shards that this VM can't send any more."""
+        for service in self.dispatch.withdraw_unsent():
+            loss = messages.Loss(service, "", endpoint_calls.CUT_OFF, False)
+            self.on_part_lost(self.dispatch, loss)
+
     def cancel(self):
         """Cancel the shards in progress."""
         self.dispatch.cancel()
--- a/chervilspindle/routing/single_endpoint.py
+++ b/chervilspindle/routing/single_endpoint.py
@@ -22,6 +22,7 @@
         self.calls = []
         self.tried = []
         self.relays_tried = []  # addresses
+        self.relay_vm_ids = []
         self.held_back = []  # endpoints that took no request at that time
         self.possible_runs = 0
         self.send_count = 0
@@ -80,6 +81,7 @@
                 self._answer_failure()
             return
         self.relays_tried.append(relay.address)
+        self.relay_vm_ids.append(relay.vm_id)
         endpoint_id = target.endpoint.endpoint_id
         message = messages.ForwardCall(
             0,
@@ -91,7 +93,8 @@
             self._compute_max_wait_s(endpoint_id),
             self.incoming.route.idempotent,
         )
-        call = relays.forward(relay, message, self._on_call_ended)
+        call = relays.forward(relay, message, self._on_forward_ended)
+        target.pool.start_forwarded(call)
         self._register(call, target, cause)
 
     def _register(self, call, target, cause):
@@ -111,6 +114,11 @@
             self.incoming.route.objective_ms, self.read_deadline_s(), now
         )
 
+    def _on_forward_ended(self, call, answer):
+        target, _ = call.context
+        target.pool.end_forwarded(call)
+        self._on_call_ended(call, answer)
+
     def _on_call_ended(self, call, answer):
         target, cause = call.context
         self.calls.remove(call)
@@ -233,11 +241,14 @@
 
     def build_log_fields(self) -> dict:
         """Return the request-specific fields of the log event."""
-        return {
+        fields = {
             "service": self.service,
             "sends": self.send_count,
             "endpoints": list(self.tried),
         }
+        if self.relay_vm_ids:
+            fields["relays"] = self.relay_vm_ids
+        return fields
 
     def stop_sends(self):
         """Withdraw what is not sent yet; requests in progress run on."""
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -256,6 +256,14 @@
         if self.count < self.max_connections:
             self._connect()
 
+    def start_forwarded(self, call):
+        """Count a request that another VM sends to the endpoint."""
+        self.running[call] = self.loop.time()
+
+    def end_forwarded(self, call):
+        """Stop counting a request that another VM was asked to send."""
+        self.running.pop(call, None)
+
     def has_room(self) -> bool:
         """Return whether a connection is idle or may be opened."""
         return bool(self.idle) or self.count < self.max_connections
--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -232,11 +232,12 @@
         """Accept links on ``IP:PORT``."""
         return self.byte_streams.listen(address, self)
 
-    def send(self, address: str, message):
+    def send(self, address: str, message, on_unsent=None):
         """Send a message, over a new link if there is none yet.
 
         If the link is lost, each of `lost_listeners` is called as
-        ``listener(address)``.
+        ``listener(address)``. If there was no link to send it on,
+        `on_unsent` is called before that, without arguments.
         """
         link = self.link_by_address.get(address)
         if link is not None and link.is_ready():
@@ -246,6 +247,8 @@
         def start(ready):
             if ready is not None:
                 ready.send(message)
+            elif on_unsent is not None:
+                on_unsent()
 
         self._enqueue(address, start)
 
@@ -317,6 +320,8 @@
             self._connect(address)
         elif len(queue) < MAX_QUEUED:
             queue.append(start)
+        else:
+            self.clock.callLater(0, start, None)
 
     def _connect(self, address: str):
         connecting = self.byte_streams.connect(
