--- a/chervilspindle/routing/cut_off_test.py
+++ b/chervilspindle/routing/cut_off_test.py
@@ -4,6 +4,7 @@
 import collections
 
 import pytest
+from twisted.internet import defer
 
 from chervilspindle.platform import names as platform_names
 from chervilspindle.routing import data_path_test
@@ -238,3 +239,54 @@
         assert {status for status, *_ in answers} == {200}
 
     run_fleet(test)
+
+
+def collect_crash_reports(fleet):
+    """Return the list of crash reports that entries will send to control."""
+    reports = []
+    for entry in fleet.entries:
+        entry.context.quarantine.send_report = lambda report: reports.append(
+            report
+        ) or defer.succeed(None)
+    return reports
+
+
+@pytest.mark.parametrize("cut", link_faults.Cut)
+def test_a_cut_off_vm_suspects_no_request_of_crashing_endpoints(
+    run_fleet, cut
+):
+    async def test(fleet):
+        await warm_up(fleet)
+        reports = collect_crash_reports(fleet)
+        for backend in fleet.backend_by_id.values():
+            backend.work_s = 0.05
+        asks = [
+            asyncio.create_task(ask_all(fleet, CUT_OFF, rounds=2))
+            for _ in range(3)
+        ]
+        await asyncio.sleep(0.03)
+        start_cut(fleet, cut)
+        await asyncio.gather(*asks)
+        await asyncio.sleep(SETTLE_S)
+        await ask_all(fleet, CUT_OFF, rounds=2)
+        assert not [r for r in reports if r.endpoints]
+
+    run_fleet(test)
+
+
+def test_crashes_under_a_request_of_a_cut_off_vm_are_reported(run_fleet):
+    async def test(fleet):
+        await warm_up(fleet)
+        start_cut(fleet, link_faults.Cut.HANG, (0,))
+        await ask_all(fleet, (0,), rounds=1)
+        await asyncio.sleep(SETTLE_S)
+        reports = collect_crash_reports(fleet)
+        for backend in fleet.backend_by_id.values():
+            backend.crash_marker = b"/crash"
+        await fleet.ask(0, "/one/crash")
+        await fleet.ask(0, "/all/crash")
+        await asyncio.sleep(0.5)
+        ended = {e for report in reports for e in report.endpoints}
+        assert len(ended) >= len(data_path_test.SHARDS), reports
+
+    run_fleet(test)
