An endpoint counts as ended only by a VM that reaches others

Cause: a VM's failed probe was taken for the endpoint's end, whatever else the VM could reach. Class of fault: a conclusion from one VM's link that others act on.

Now a failed probe counts only if another endpoint has accepted a connection of this VM since it began, opened for that if needed. A VM that can't show this asks up to three other entries (ProbeCall), which answer from their own links alone. Ruled out as evidence: the end of announcements, which control notices after 3.5 s, and so too late for the bound of three retries.

--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -84,6 +84,9 @@
     )
     budget = retry_budget.RetryBudget(rule, loop.time)
     issuer = rate_permits.PermitIssuer(profile.vm_id, relay_table, loop.time)
+    relays = relayed_query.RelayClient(network, relay_table, generator)
+    quarantined = quarantine.Quarantine(loop, table, reachability)
+    quarantined.ask_other = relays.call_any
     return endpoint_calls.Context(
         loop,
         names,
@@ -92,9 +95,9 @@
         endpoint_calls.LatencyEstimates(profile.core_share, profile.link_mbps),
         metrics,
         generator,
-        relayed_query.RelayClient(network, relay_table),
+        relays,
         overload.Shedder(generator),
         rate_permits.PermitClient(loop, network, issuer, budget, generator),
-        quarantine.Quarantine(loop, table),
+        quarantined,
         reachability,
     )
--- a/chervilspindle/routing/peer_messages.py
+++ b/chervilspindle/routing/peer_messages.py
@@ -2,6 +2,8 @@
 
 import functools
 
+from twisted.internet import defer
+
 from chervilspindle.core import errors
 from chervilspindle.routing import relayed_query
 from chervilspindle.wire import messages
@@ -57,6 +59,14 @@
     entry_peer.relay.handle(link, message)
 
 
+@_handle_message.register
+def _handle_probe(message: messages.ProbeCall, entry_peer: EntryPeer, link):
+    context = entry_peer.context
+    observing = context.quarantine.observe(message.endpoint_id)
+    deferred = defer.Deferred.fromFuture(context.loop.create_task(observing))
+    return deferred.addCallback(lambda s: messages.ProbeReply(s.value))
+
+
 @_handle_message.register
 def _handle_permit(message: messages.PermitCall, entry_peer: EntryPeer, link):
     return entry_peer.context.permits.issuer.issue(message)
--- a/chervilspindle/routing/quarantine.py
+++ b/chervilspindle/routing/quarantine.py
@@ -8,11 +8,16 @@
 
 A broken connection alone is no evidence: it may be the network's, or this
 VM's. An endpoint counts as ended if it also accepts no new connection right
-afterwards. An answer to any request of the content clears the record, so
-that a request which merely ran beside the one that crashes is cleared by its
-next shard or repeat.
+afterwards, as seen from a VM that other endpoints accept connections of at
+that time. A VM that is cut off asks other entries.
+
+An answer to any request of the content clears the record, so that a request
+which merely ran beside the one that crashes is cleared by its next shard or
+repeat.
 """
 
+import enum
+
 from chervilspindle.core import errors
 from chervilspindle.core import logs
 from chervilspindle.core import rows
@@ -22,12 +27,22 @@
 
 MIN_CRASHES = 3
 PROBE_TIMEOUT_S = 0.3
+ASK_TIMEOUT_S = 1.0  # for another entry to probe an endpoint and its own links
+MAX_ASKED = 3  # entries
 REPORT_BATCH_S = 0.02  # crashes within this time share one report
 REPORT_RETRY_S = 0.3
 # A VM that reaches control later was cut off, perhaps from the endpoints too.
 REPORT_LIFETIME_S = 5.0
 
 
+class EndpointState(enum.Enum):
+    """What a probe of an endpoint shows."""
+
+    ALIVE = "alive"
+    ENDED = "ended"
+    UNKNOWN = "unknown"  # the VM that probes may be cut off
+
+
 class Quarantine:
     """Contents that crash endpoints, as known to one entry.
 
@@ -35,17 +50,24 @@
     ----------
     loop : asyncio.AbstractEventLoop
     table : endpoints.EndpointTable
+    reachability : reachability.Reachability
 
     Attributes
     ----------
+    ask_other : callable or None
+        ``ask_other(message, timeout_s, tried)`` sends a `messages.ProbeCall`
+        to an entry whose address is not in the list `tried`, adds it there,
+        and returns a Deferred; None if there is no other entry to ask.
     send_report : callable or None
         ``send_report(report)`` sends a `messages.CrashReport` to control and
         returns a Deferred; None without control.
     """
 
-    def __init__(self, loop, table):
+    def __init__(self, loop, table, reachability):
         self.loop = loop
         self.table = table
+        self.reachability = reachability
+        self.ask_other = None
         self.send_report = None
         self.record_by_content = {}
         self.blocked_contents = set()
@@ -126,8 +148,8 @@
         ----------
         endpoint_id : str
         on_result : callable
-            ``on_result(crashed)``; False if the endpoint accepts connections
-            or is no longer known.
+            ``on_result(crashed)``; False if the endpoint accepts connections,
+            is no longer known, or no VM that was asked can tell.
         """
         callbacks = self.callbacks_by_endpoint.get(endpoint_id)
         if callbacks is not None:
@@ -138,14 +160,58 @@
             self.loop.call_soon(on_result, False)
             return
         self.callbacks_by_endpoint[endpoint_id] = [on_result]
-        self.loop.create_task(self._probe(endpoint_id, target.pool))
+        self.loop.create_task(self._probe(endpoint_id))
 
-    async def _probe(self, endpoint_id, pool):
-        crashed = not await endpoint_http.can_connect(
+    async def observe(self, endpoint_id: str) -> EndpointState:
+        """Probe an endpoint from this VM."""
+        target = self.table.target_by_id.get(endpoint_id)
+        if target is None or self.reachability.is_cut_off:
+            return EndpointState.UNKNOWN
+        pool = target.pool
+        since_s = self.loop.time()
+        if await endpoint_http.can_connect(
             self.loop, pool.host, pool.port, PROBE_TIMEOUT_S
-        )
+        ):
+            return EndpointState.ALIVE
+        if await self.reachability.has_reached_since(since_s, pool):
+            return EndpointState.ENDED
+        return EndpointState.UNKNOWN
+
+    async def _ask_others(self, endpoint_id, tried) -> EndpointState:
+        """Return the state as the first entry sees it that can tell."""
+        while self.ask_other is not None and len(tried) < MAX_ASKED:
+            deferred = self.ask_other(
+                messages.ProbeCall(endpoint_id), ASK_TIMEOUT_S, tried
+            )
+            if deferred is None:
+                break
+            try:
+                reply = await deferred.asFuture(self.loop)
+            except errors.ProblemError as error:
+                logs.log_decision(
+                    "probe-call-failed",
+                    endpoint=endpoint_id,
+                    address=tried[-1],
+                    why=str(error),
+                )
+                continue
+            state = EndpointState(reply.state)
+            if state is not EndpointState.UNKNOWN:
+                return state
+        return EndpointState.UNKNOWN
+
+    async def _probe(self, endpoint_id):
+        tried = []
+        state = await self.observe(endpoint_id)
+        if state is EndpointState.UNKNOWN:
+            state = await self._ask_others(endpoint_id, tried)
+        crashed = state is EndpointState.ENDED
         logs.log_decision(
-            "endpoint-probed", endpoint=endpoint_id, crashed=crashed
+            "endpoint-probed",
+            endpoint=endpoint_id,
+            crashed=crashed,
+            state=state.value,
+            asked=tried,
         )
         for on_result in self.callbacks_by_endpoint.pop(endpoint_id):
             on_result(crashed)
--- a/chervilspindle/routing/quarantine_test.py
+++ b/chervilspindle/routing/quarantine_test.py
@@ -36,7 +36,7 @@
 
 
 def test_a_content_is_refused_from_its_third_crash_until_it_expires():
-    one = quarantine.Quarantine(None, None)
+    one = quarantine.Quarantine(None, None, None)
     request = build_request()
     one.apply((build_record(request, ("a@1", "b@1")),), (), True)
     assert one.find_wait_s(request) == 0.0
@@ -57,7 +57,7 @@
             return 0.0
 
     sent = []
-    one = quarantine.Quarantine(Loop(), None)
+    one = quarantine.Quarantine(Loop(), None, None)
     one.send_report = lambda r: sent.append(r) or defer.succeed(None)
     request = build_request()
     record = build_record(request, ("a@1", "b@1", "c@1"))
@@ -86,7 +86,7 @@
             errors.build_error(errors.ErrorKind.NO_LEADER, "election")
         )
 
-    one = quarantine.Quarantine(Loop(), None)
+    one = quarantine.Quarantine(Loop(), None, None)
     one.send_report = fail
     one.pending_by_content["c"] = ["a@1"]
     one._flush("c")
--- a/chervilspindle/routing/reachability.py
+++ b/chervilspindle/routing/reachability.py
@@ -3,13 +3,15 @@
 A request without an answer may be due to its endpoint or to this VM's links.
 New connections tell them apart: if none of several endpoints accepts one, the
 VM counts as cut off, and requests go through other entries until an endpoint
-accepts a connection again. Endpoints that answered last are tried first, so
-that endpoints which are down together don't look like a cut.
+accepts a connection again. Endpoints that answered last, and whose connections
+have not broken off since, are tried first, so that endpoints which are down
+together don't look like a cut.
 
 Old connections are no evidence: they may work while new ones are refused.
 """
 
 import asyncio
+import math
 
 from chervilspindle.core import logs
 from chervilspindle.wire import endpoint_http
@@ -53,8 +55,9 @@
         self.since_s = 0.0  # when the VM was found to be cut off
         self.waiting_since_s = None  # for a byte from any endpoint
         self.is_timer_set = False
-        self.is_checking = False
+        self.check = None  # the task in progress
         self.next_check_s = 0.0
+        self.connected_s = -math.inf
 
     def record_sent(self):
         """Record that a request was sent to an endpoint."""
@@ -67,10 +70,36 @@
         """Record that an endpoint has sent something."""
         self.waiting_since_s = None
 
+    def record_connected(self):
+        """Record that an endpoint has accepted a connection."""
+        self.connected_s = self.loop.time()
+
     def record_failed(self, pool):
         """Record that a connection could not be opened, or broke off."""
         self._check("connection failed", pool)
 
+    async def has_reached_since(self, since_s: float, pool) -> bool:
+        """Tell whether an endpoint has accepted a connection since a time.
+
+        Opens one if needed.
+
+        Parameters
+        ----------
+        since_s : float
+            Loop time.
+        pool : endpoint_http.EndpointPool
+            Of an endpoint that is not tried.
+        """
+        if self.connected_s >= since_s:
+            return True
+        if self.is_cut_off:
+            return False
+        if self.check is None:
+            self._start_check("endpoint lost", pool)
+        if self.check is not None:
+            await self.check
+        return self.connected_s >= since_s
+
     def _set_timer(self, delay_s):
         self.is_timer_set = True
         self.loop.call_later(delay_s, self._check_silence)
@@ -87,30 +116,32 @@
             self._check("silence", None)
 
     def _check(self, reason, failed_pool):
-        now = self.loop.time()
-        if self.is_cut_off or self.is_checking or now < self.next_check_s:
-            return
-        pools = self._list_pools()
-        if failed_pool in pools:
-            pools.remove(failed_pool)
-        if len(pools) < PROBED_ENDPOINTS:
-            return
-        pools.sort(key=lambda pool: pool.heard_s, reverse=True)
-        self.is_checking = True
-        self.loop.create_task(
-            self._confirm(reason, pools[:PROBED_ENDPOINTS], now)
+        is_due = self.loop.time() >= self.next_check_s
+        if is_due and self.check is None and not self.is_cut_off:
+            self._start_check(reason, failed_pool)
+
+    def _start_check(self, reason, failed_pool):
+        pools = [
+            pool for pool in self._list_pools() if pool is not failed_pool
+        ]
+        pools.sort(
+            key=lambda pool: (pool.lost_s >= pool.heard_s, -pool.heard_s)
+        )
+        self.check = self.loop.create_task(
+            self._confirm(reason, pools[:PROBED_ENDPOINTS])
         )
 
     def _list_pools(self):
         return [t.pool for t in self.table.target_by_id.values()]
 
-    async def _confirm(self, reason, pools, started_s):
+    async def _confirm(self, reason, pools):
         """Probe one endpoint, and the others only if it is out of reach."""
+        started_s = self.loop.time()
         reached = await self._probe(pools[:1]) or await self._probe(pools[1:])
         now = self.loop.time()
-        self.is_checking = False
+        self.check = None
         self.next_check_s = now + CHECK_INTERVAL_S
-        if reached:
+        if reached or len(pools) < PROBED_ENDPOINTS:
             return
         self.is_cut_off = True
         self.since_s = now
@@ -134,7 +165,10 @@
             )
             for pool in pools
         ]
-        return any(await asyncio.gather(*probes))
+        reached = any(await asyncio.gather(*probes))
+        if reached:
+            self.record_connected()
+        return reached
 
     def _start_recovery(self):
         self.loop.create_task(self._recover())
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -106,11 +106,13 @@
     ----------
     network : PeerNetwork
     table : relay_selection.RelayTable
+    random : random.Random
     """
 
-    def __init__(self, network, table):
+    def __init__(self, network, table, random):
         self.network = network
         self.table = table
+        self.random = random
         self.query_ids = itertools.count(1)
         self.dispatch_by_id = {}
         network.lost_listeners.append(self._handle_lost_link)
@@ -168,6 +170,20 @@
         self._send(forwarded, call._replace(query_id=query_id))
         return forwarded
 
+    def call_any(self, message, timeout_s: float, tried):
+        """Call another entry and add its address to the list `tried`.
+
+        Returns
+        -------
+        Deferred or None
+            None if all entries were tried.
+        """
+        relay = self.table.pick_any(tried, self.random)
+        if relay is None:
+            return None
+        tried.append(relay.address)
+        return self.network.call(relay.address, message, timeout_s)
+
     def _send(self, dispatch, call):
         def handle_unsent():
             self._refuse(dispatch.address, "no link", call.query_id)
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -149,6 +149,9 @@
     def record_heard(self):
         """Record that an endpoint has sent something."""
 
+    def record_connected(self):
+        """Record that a connection was opened."""
+
     def record_failed(self, pool):
         """Record that a connection could not be opened, or broke off."""
 
@@ -186,6 +189,8 @@
     heard_s : float
         Loop time at which the endpoint last accepted a connection or sent
         something.
+    lost_s : float
+        Loop time at which a connection last failed or was reset.
     link_observer : LinkObserver
     """
 
@@ -214,6 +219,7 @@
         self.failed_s = -math.inf
         self.is_reachable = True  # by the last connection attempt
         self.heard_s = -math.inf
+        self.lost_s = -math.inf
         self.link_observer = LinkObserver()
         self.max_idle_s = math.inf
 
@@ -388,7 +394,7 @@
 
     def _connect_failed(self, reason):
         self.on_event("connect-failed")
-        self.failed_s = self.loop.time()
+        self.failed_s = self.lost_s = self.loop.time()
         self.link_observer.record_failed(self)
         if self.is_reachable:
             self.is_reachable = False
@@ -407,6 +413,7 @@
     def connected(self, connection):
         """Make a new connection available to requests."""
         self.heard_s = self.loop.time()
+        self.link_observer.record_connected()
         if not self.is_reachable:
             self.is_reachable = True
             logs.log_decision(
@@ -476,6 +483,8 @@
         call, self.call = self.call, None
         self.pool.receive_budget.release(self)
         self.pool.remove_connection(self)
+        if call is not None or error is not None:
+            self.pool.lost_s = self.pool.loop.time()
         if call is not None:
             self.pool.link_observer.record_failed(self.pool)
             self.pool.end(call, Answer(Ending.BROKEN))
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -538,6 +538,27 @@
     query_id: int
 
 
+class ProbeCall(typing.NamedTuple):
+    """Asks another entry whether an endpoint has ended.
+
+    Sent by an entry that does not reach endpoints itself.
+    """
+
+    endpoint_id: str
+
+
+class ProbeReply(typing.NamedTuple):
+    """Answer to `ProbeCall`.
+
+    Parameters
+    ----------
+    state : str
+        Value of a `quarantine.EndpointState`.
+    """
+
+    state: str
+
+
 class PermitCall(typing.NamedTuple):
     """Asks the issuer of an endpoint for a permit to send one request.
 
@@ -786,6 +807,8 @@
         ForwardCall,
         ForwardReport,
         RelayRefusal,
+        ProbeCall,
+        ProbeReply,
         PermitCall,
         PermitReply,
         WatchCall,
