--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -87,6 +87,7 @@
     relays = relayed_query.RelayClient(network, relay_table, generator)
     quarantined = quarantine.Quarantine(loop, table, reachability)
     quarantined.ask_other = relays.call_any
+    reachability.ask_other = relays.call_any
     return endpoint_calls.Context(
         loop,
         names,
--- a/chervilspindle/routing/cut_off_test.py
+++ b/chervilspindle/routing/cut_off_test.py
@@ -290,3 +290,28 @@
         assert len(ended) >= len(data_path_test.SHARDS), reports
 
     run_fleet(test)
+
+
+def test_the_end_of_all_endpoints_heard_last_does_not_look_like_a_cut(
+    run_fleet,
+):
+    async def test(fleet):
+        await warm_up(fleet)
+        await ask_all(fleet, (0,), ("/all/x",))
+        for backend in fleet.backend_by_id.values():
+            if backend.service != "desk":
+                backend.stop()
+                target = fleet.entries[0].context.table.target_by_id[
+                    backend.endpoint_id
+                ]
+                # As if the resets had not arrived yet.
+                target.pool.lost_s = -1.0
+        context = fleet.entries[0].context
+        context.reachability.next_check_s = 0.0
+        context.reachability.record_failed(target.pool)
+        await asyncio.sleep(0.5)
+        assert not context.reachability.is_cut_off
+        status, _, _ = await fleet.ask(0, "/one/x")
+        assert status == 200
+
+    run_fleet(test)
--- a/chervilspindle/routing/peer_messages.py
+++ b/chervilspindle/routing/peer_messages.py
@@ -64,7 +64,7 @@
     context = entry_peer.context
     observing = context.quarantine.observe(message.endpoint_id)
     deferred = defer.Deferred.fromFuture(context.loop.create_task(observing))
-    return deferred.addCallback(lambda s: messages.ProbeReply(s.value))
+    return deferred.addCallback(messages.ProbeReply)
 
 
 @_handle_message.register
--- a/chervilspindle/routing/quarantine.py
+++ b/chervilspindle/routing/quarantine.py
@@ -16,8 +16,6 @@
 repeat.
 """
 
-import enum
-
 from chervilspindle.core import errors
 from chervilspindle.core import logs
 from chervilspindle.core import rows
@@ -35,14 +33,6 @@
 REPORT_LIFETIME_S = 5.0
 
 
-class EndpointState(enum.Enum):
-    """What a probe of an endpoint shows."""
-
-    ALIVE = "alive"
-    ENDED = "ended"
-    UNKNOWN = "unknown"  # the VM that probes may be cut off
-
-
 class Quarantine:
     """Contents that crash endpoints, as known to one entry.
 
@@ -162,22 +152,22 @@
         self.callbacks_by_endpoint[endpoint_id] = [on_result]
         self.loop.create_task(self._probe(endpoint_id))
 
-    async def observe(self, endpoint_id: str) -> EndpointState:
+    async def observe(self, endpoint_id: str) -> messages.EndpointState:
         """Probe an endpoint from this VM."""
         target = self.table.target_by_id.get(endpoint_id)
         if target is None or self.reachability.is_cut_off:
-            return EndpointState.UNKNOWN
+            return messages.EndpointState.UNKNOWN
         pool = target.pool
         since_s = self.loop.time()
         if await endpoint_http.can_connect(
             self.loop, pool.host, pool.port, PROBE_TIMEOUT_S
         ):
-            return EndpointState.ALIVE
+            return messages.EndpointState.ALIVE
         if await self.reachability.has_reached_since(since_s, pool):
-            return EndpointState.ENDED
-        return EndpointState.UNKNOWN
+            return messages.EndpointState.ENDED
+        return messages.EndpointState.UNKNOWN
 
-    async def _ask_others(self, endpoint_id, tried) -> EndpointState:
+    async def _ask_others(self, endpoint_id, tried) -> messages.EndpointState:
         """Return the state as the first entry sees it that can tell."""
         while self.ask_other is not None and len(tried) < MAX_ASKED:
             deferred = self.ask_other(
@@ -195,17 +185,17 @@
                     why=str(error),
                 )
                 continue
-            state = EndpointState(reply.state)
-            if state is not EndpointState.UNKNOWN:
+            state = reply.state
+            if state is not messages.EndpointState.UNKNOWN:
                 return state
-        return EndpointState.UNKNOWN
+        return messages.EndpointState.UNKNOWN
 
     async def _probe(self, endpoint_id):
         tried = []
         state = await self.observe(endpoint_id)
-        if state is EndpointState.UNKNOWN:
+        if state is messages.EndpointState.UNKNOWN:
             state = await self._ask_others(endpoint_id, tried)
-        crashed = state is EndpointState.ENDED
+        crashed = state is messages.EndpointState.ENDED
         logs.log_decision(
             "endpoint-probed",
             endpoint=endpoint_id,
--- a/chervilspindle/routing/reachability.py
+++ b/chervilspindle/routing/reachability.py
@@ -5,7 +5,8 @@
 VM counts as cut off, and requests go through other entries until an endpoint
 accepts a connection again. Endpoints that answered last, and whose connections
 have not broken off since, are tried first, so that endpoints which are down
-together don't look like a cut.
+together don't look like a cut. Other entries are asked about these endpoints
+as well: if one has ended as they see it, this VM is not cut off.
 
 Old connections are no evidence: they may work while new ones are refused.
 """
@@ -15,6 +16,7 @@
 
 from chervilspindle.core import logs
 from chervilspindle.wire import endpoint_http
+from chervilspindle.wire import messages
 
 # Without a byte from any endpoint for this long, connections are checked.
 SILENCE_S = 0.2
@@ -22,6 +24,8 @@
 PROBED_ENDPOINTS = 3
 # Connections take a slot of the endpoint for a moment.
 CHECK_INTERVAL_S = 1.0
+OPINION_TIMEOUT_S = 0.03  # several round trips within a region
+OPINION_POLL_S = 0.002
 RECOVERY_INTERVAL_S = 0.5
 RECOVERY_PROBES = 2
 
@@ -40,6 +44,8 @@
     Attributes
     ----------
     is_cut_off : bool
+    ask_other : callable or None
+        See `quarantine.Quarantine`.
     listeners : set
         Their ``handle_cut_off()`` is called when the VM is found to be cut
         off.
@@ -51,6 +57,7 @@
         self.random = random
         self.on_change = on_change
         self.is_cut_off = False
+        self.ask_other = None
         self.listeners = set()
         self.since_s = 0.0  # when the VM was found to be cut off
         self.waiting_since_s = None  # for a byte from any endpoint
@@ -121,27 +128,23 @@
             self._start_check(reason, failed_pool)
 
     def _start_check(self, reason, failed_pool):
-        pools = [
-            pool for pool in self._list_pools() if pool is not failed_pool
+        targets = [
+            target
+            for target in self.table.target_by_id.values()
+            if target.pool is not failed_pool
         ]
-        pools.sort(
-            key=lambda pool: (pool.lost_s >= pool.heard_s, -pool.heard_s)
-        )
+        targets.sort(key=_rank_target)
         self.check = self.loop.create_task(
-            self._confirm(reason, pools[:PROBED_ENDPOINTS])
+            self._check_targets(reason, targets[:PROBED_ENDPOINTS])
         )
 
-    def _list_pools(self):
-        return [t.pool for t in self.table.target_by_id.values()]
-
-    async def _confirm(self, reason, pools):
-        """Probe one endpoint, and the others only if it is out of reach."""
+    async def _check_targets(self, reason, targets):
         started_s = self.loop.time()
-        reached = await self._probe(pools[:1]) or await self._probe(pools[1:])
+        is_cut_off = await self._confirm_cut(targets)
         now = self.loop.time()
         self.check = None
         self.next_check_s = now + CHECK_INTERVAL_S
-        if reached or len(pools) < PROBED_ENDPOINTS:
+        if not is_cut_off:
             return
         self.is_cut_off = True
         self.since_s = now
@@ -149,7 +152,7 @@
         logs.log_decision(
             "cut-off",
             why=reason,
-            probed=[f"{pool.host}:{pool.port}" for pool in pools],
+            probed=[target.endpoint.endpoint_id for target in targets],
             check_ms=round((now - started_s) * 1000.0, 1),
         )
         self.on_change(True)
@@ -157,13 +160,60 @@
         for listener in list(self.listeners):
             listener.handle_cut_off()
 
-    async def _probe(self, pools) -> bool:
+    async def _confirm_cut(self, targets) -> bool:
+        """Probe one endpoint, and the others only if it is out of reach."""
+        if await self._probe(targets[:1]) or await self._probe(targets[1:]):
+            return False
+        if len(targets) < PROBED_ENDPOINTS:
+            return False
+        return not await self._ask_for_ended(targets)
+
+    async def _ask_for_ended(self, targets) -> bool:
+        """Tell whether other entries see that an endpoint has ended.
+
+        Each is asked about one endpoint. Late answers don't count: this VM
+        would go on sending to no avail meanwhile.
+        """
+        if self.ask_other is None:
+            return False
+        tried = []
+        replies = []
+
+        def add_reply(reply):
+            replies.append(reply)
+
+        def log_failure(failure):
+            logs.log_decision("probe-call-failed", why=str(failure.value))
+
+        for target in targets:
+            call = messages.ProbeCall(target.endpoint.endpoint_id)
+            deferred = self.ask_other(call, OPINION_TIMEOUT_S, tried)
+            if deferred is not None:
+                deferred.addCallbacks(add_reply, log_failure)
+        end_s = self.loop.time() + OPINION_TIMEOUT_S
+        while len(replies) < len(tried) and self.loop.time() < end_s:
+            await asyncio.sleep(OPINION_POLL_S)
+        states = [reply.state for reply in replies]
+        has_ended = messages.EndpointState.ENDED in states
+        if has_ended:
+            logs.log_decision(
+                "cut-off-denied",
+                probed=[target.endpoint.endpoint_id for target in targets],
+                states=[state.value for state in states],
+                asked=tried,
+            )
+        return has_ended
+
+    async def _probe(self, targets) -> bool:
         """Tell whether any of some endpoints accepts a connection."""
         probes = [
             endpoint_http.can_connect(
-                self.loop, pool.host, pool.port, PROBE_TIMEOUT_S
+                self.loop,
+                target.pool.host,
+                target.pool.port,
+                PROBE_TIMEOUT_S,
             )
-            for pool in pools
+            for target in targets
         ]
         reached = any(await asyncio.gather(*probes))
         if reached:
@@ -174,9 +224,9 @@
         self.loop.create_task(self._recover())
 
     async def _recover(self):
-        pools = self._list_pools()
-        count = min(RECOVERY_PROBES, len(pools))
-        if not await self._probe(self.random.sample(pools, count)):
+        targets = list(self.table.target_by_id.values())
+        count = min(RECOVERY_PROBES, len(targets))
+        if not await self._probe(self.random.sample(targets, count)):
             self.loop.call_later(RECOVERY_INTERVAL_S, self._start_recovery)
             return
         self.is_cut_off = False
@@ -185,3 +235,9 @@
             after_ms=round((self.loop.time() - self.since_s) * 1000.0),
         )
         self.on_change(False)
+
+
+def _rank_target(target):
+    """Order targets by how likely they accept a connection."""
+    pool = target.pool
+    return pool.lost_s >= pool.heard_s, -pool.heard_s
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -1,5 +1,6 @@
 """Messages between processes of the system, and their codec."""
 
+import enum
 import typing
 import zlib
 
@@ -547,16 +548,18 @@
     endpoint_id: str
 
 
-class ProbeReply(typing.NamedTuple):
-    """Answer to `ProbeCall`.
+class EndpointState(enum.Enum):
+    """What a probe of an endpoint shows."""
 
-    Parameters
-    ----------
-    state : str
-        Value of a `quarantine.EndpointState`.
-    """
+    ALIVE = "alive"
+    ENDED = "ended"
+    UNKNOWN = "unknown"  # the VM that probes may be cut off
 
-    state: str
+
+class ProbeReply(typing.NamedTuple):
+    """Answer to `ProbeCall`."""
+
+    state: EndpointState
 
 
 class PermitCall(typing.NamedTuple):
