A query under which endpoints ended takes one replica of each shard

Cause: hedges ask only whether an answer is late, not whether the query itself may be why.

Now crash_caution decides, from what the query has seen: without any answer its shards are not hedged, unless a relay is silent; after a broken connection nothing more leaves until the probe is back; after an ended endpoint hedges are withdrawn and shards withheld until a shard answers. So that queries through a relay that is cut off don't wait, that relay reports all shards in progress as lost once it knows.

Endpoints never heard from counted as broken off, and a check chose its endpoints before all resets of a moment had been read: mended, as a check of a single VM took a crash for a cut.

--- a/chervilspindle/routing/direct_dispatch.py
+++ b/chervilspindle/routing/direct_dispatch.py
@@ -146,6 +146,21 @@
                 services.append(service)
         return services
 
+    def abandon(self) -> list[str]:
+        """Cancel what is in progress without telling the listener.
+
+        Returns
+        -------
+        list of str
+            The services of the cancelled shards.
+        """
+        calls, self.call_by_service = self.call_by_service, {}
+        self.stopped = True
+        for call in calls.values():
+            call.on_end = _ignore_end
+            call.cancel()
+        return list(calls)
+
     def cancel(self):
         """Cancel what is in progress."""
         self.stopped = True
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -46,6 +46,7 @@
 HELD_BACK = endpoint_http.Ending.HELD_BACK.value
 BROKEN = endpoint_http.Ending.BROKEN.value
 CUT_OFF = endpoint_http.Ending.CUT_OFF.value
+RELAY_LOST = endpoint_http.Ending.RELAY_LOST.value
 # Reasons of sends that this VM's own links kept from the endpoint, if it is
 # cut off.
 LINK_REASONS = (
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -8,15 +8,15 @@
 the parts received so far, if they reach the required coverage.
 """
 
-import functools
 import math
 
+from chervilspindle.core import logs
 from chervilspindle.policy import hedging
+from chervilspindle.routing import crash_caution
 from chervilspindle.routing import direct_dispatch
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import overload
 from chervilspindle.routing import part_merging
-from chervilspindle.routing import quarantine
 from chervilspindle.routing import request_timing
 from chervilspindle.routing import routed_request
 from chervilspindle.wire import messages
@@ -96,6 +96,10 @@
         self.relay_vm_ids = []
         self.may_have_run = False
         self.past_answer_time = False
+        self.probing = 0  # endpoints that broke off and may have ended
+        self.crashed = 0  # endpoints that ended
+        self.withheld = []  # shards that are sent again only once it is safe
+        self.hedge_dispatches = []
         self.occupancy = 0.0  # of the endpoints, when the request arrived
 
     def start(self):
@@ -232,6 +236,7 @@
         if not self.done and service not in self.part_set_by_service:
             self.record_part_ms(took_ms)
             self._add_part_set(messages.PartSet((service,), stamp, body))
+        self._settle_withheld()
 
     def on_part_set(self, dispatch, part_set, mean_ms):
         """Add a set of parts that a relay reported."""
@@ -242,6 +247,7 @@
         if not self.done:
             self.record_part_ms(mean_ms)
             self._add_part_set(part_set)
+        self._settle_withheld()
 
     def on_part_lost(self, dispatch, loss):
         """Handle the failure of one shard sent by this process."""
@@ -273,14 +279,12 @@
             return
         # Where all endpoints of a shard are held back, a resend would be too.
         to_resend = [s for s in lost if s.reason != endpoint_calls.HELD_BACK]
-        if self._may_crash_endpoints():
-            broken = [
-                s for s in to_resend if s.reason == endpoint_calls.BROKEN
-            ]
-            self._resend_unless_crashed(broken)
-            to_resend = [s for s in to_resend if s not in broken]
-            lost = [s for s in lost if s not in broken]
+        if self._decide_caution() is not crash_caution.Caution.SEND:
+            self.withheld += [s for s in to_resend if s not in self.withheld]
+            lost = [s for s in lost if s not in to_resend]
+            to_resend = []
         self._retry(to_resend, lost)
+        self._settle_withheld()
 
     def _is_link_failure(self, loss) -> bool:
         """Tell whether a shard did not leave this VM or a relay, cut off."""
@@ -320,27 +324,74 @@
         unsent = [s for s in unsent if not self._is_settled(s)]
         self._retry(unsent + silent, unsent)
 
-    def _may_crash_endpoints(self) -> bool:
-        """Tell whether the request itself may be why endpoints broke off."""
-        broken = len(self.broken_endpoints)
-        return not self.answered and broken >= quarantine.MIN_CRASHES
+    def record_broken(self, endpoint_id):
+        """Record that an endpoint broke off; find out whether it has ended."""
+        super().record_broken(endpoint_id)
+        if not self.answered:
+            self.probing += 1
+            self.context.quarantine.probe(endpoint_id, self._handle_probed)
 
-    def _resend_unless_crashed(self, shards):
-        """Resend shards once it is known that their endpoints still run.
+    def _handle_probed(self, crashed):
+        self.probing -= 1
+        self.crashed += crashed
+        if self.done:
+            return
+        if self._decide_caution() is crash_caution.Caution.WITHDRAW:
+            self._withdraw_hedges()
+        self._settle_withheld()
 
-        A request under which endpoints have ended would end the others too.
-        """
-        for shard in shards:
-            self.context.quarantine.probe(
-                shard.tried[-1],
-                functools.partial(self._handle_probed, shard),
-            )
+    def _get_evidence(self) -> crash_caution.Evidence:
+        return crash_caution.Evidence(
+            self.answered, self.probing, self.crashed
+        )
+
+    def _decide_caution(self) -> crash_caution.Caution:
+        return crash_caution.decide(self._get_evidence())
+
+    def _may_hedge(self, dispatch) -> bool:
+        return crash_caution.may_hedge(
+            self._get_evidence(),
+            len(self.shard_by_service),
+            dispatch.awaits_report(),
+        )
 
-    def _handle_probed(self, shard, crashed):
-        if self.done or self._is_settled(shard) or self._is_pending(shard):
+    def _withdraw_hedges(self):
+        """Cancel hedges: they would end the other replicas as well."""
+        dispatches, self.hedge_dispatches = self.hedge_dispatches, []
+        withdrawn = []
+        for dispatch in dispatches:
+            for service in dispatch.abandon():
+                shard = self.shard_by_service[service]
+                shard.open_dispatches.remove(dispatch)
+                withdrawn.append(shard)
+        if not withdrawn:
+            return
+        self.withheld += [s for s in withdrawn if s not in self.withheld]
+        logs.log_decision(
+            "hedges-withdrawn",
+            request_id=self.incoming.request_id.decode("latin-1"),
+            hedges=len(withdrawn),
+            broken=len(self.broken_endpoints),
+            crashed=self.crashed,
+        )
+
+    def _settle_withheld(self):
+        """Resend withheld shards, or fail them once nothing is in progress."""
+        if self.done or not self.withheld:
             return
-        is_sent_again = not crashed or self.answered
-        self._retry([shard] if is_sent_again else [], [shard])
+        caution = self._decide_caution()
+        shards = [
+            s
+            for s in self.withheld
+            if not self._is_settled(s) and not self._is_pending(s)
+        ]
+        if caution is crash_caution.Caution.SEND:
+            self.withheld = []
+            self._retry(shards, shards)
+        elif caution is crash_caution.Caution.WITHDRAW:
+            if not any(map(self._is_pending, self.shard_by_service.values())):
+                self.withheld = []
+                self._retry([], shards)
 
     def _retry(self, to_resend, lost):
         """Resend shards, and mark those of `lost` that are not as failed."""
@@ -438,6 +489,9 @@
             if self._is_settled(shard) or len(shard.open_dispatches) != 1:
                 continue
             dispatch = shard.open_dispatches[0]
+            if not self._may_hedge(dispatch):
+                recheck = True
+                continue
             if dispatch.awaits_report():
                 if in_grace:
                     recheck = True
@@ -445,7 +499,9 @@
                 self._presume_relay_lost(dispatch)
             if table.can_hedge(shard.service, shard.tried):
                 to_hedge.append(shard)
+        sent_before = len(self.dispatches)
         hedged = self._resend(to_hedge, "hedge")
+        self.hedge_dispatches += self.dispatches[sent_before:]
         self.hedges += len(hedged)
         for _ in hedged:
             self.context.metrics.count_extra_send("hedge")
--- a/chervilspindle/routing/quarantine_test.py
+++ b/chervilspindle/routing/quarantine_test.py
@@ -1,5 +1,8 @@
 """Tests of the quarantine of requests that crash endpoints."""
 
+import asyncio
+
+import pytest
 from twisted.internet import defer
 
 from chervilspindle.core import errors
@@ -8,6 +11,7 @@
 from chervilspindle.routing import data_path_test
 from chervilspindle.routing import quarantine
 from chervilspindle.routing import rate_limit_test
+from chervilspindle.routing import relayed_query
 from chervilspindle.routing import request_content
 from chervilspindle.wire import http_server
 from chervilspindle.wire import messages
@@ -159,3 +163,83 @@
         assert status == 200
 
     run_in_fleet(test, ("desk",))
+
+
+def crash_under(backend, marker, crashed, work_s=0.05):
+    """Make an endpoint end under requests that hold a marker."""
+
+    def crash(ended):
+        crashed.append(ended.endpoint_id)
+        ended.stop()
+
+    backend.crash_marker = marker
+    backend.on_crash = crash
+    backend.work_s = work_s
+
+
+def test_a_query_that_crashes_endpoints_ends_one_of_each_shard():
+    async def test(fleet):
+        await fleet.ask(0, "/all/warm")
+        crashed = []
+        for backend in fleet.backend_by_id.values():
+            crash_under(backend, b"/crash", crashed)
+        status, *_ = await fleet.ask(0, "/all/crash")
+        await asyncio.sleep(0.1)
+        assert status == 502
+        assert len(crashed) == len(data_path_test.SHARDS), crashed
+
+    run_in_fleet(test, (*data_path_test.SHARDS, "desk"))
+
+
+@pytest.mark.parametrize("is_relay_silent", [False, True])
+def test_hedges_of_a_relayed_query_that_crashes_endpoints_are_withdrawn(
+    is_relay_silent, monkeypatch
+):
+    """None are sent, unless the relay does not report in time."""
+
+    async def test(fleet):
+        if is_relay_silent:
+            monkeypatch.setattr(
+                relayed_query.RelayedDispatch, "awaits_report", lambda _: True
+            )
+        asking = fleet.entries[1]
+        for entry in fleet.entries:
+            for backend in fleet.backend_by_id.values():
+                row = backend.build_row()._replace(zone="a", sequence=2)
+                entry.context.table.put(row)
+            relay_table = entry.context.relays.table
+            relay_table.add_endpoint_zones(entry.context.table.list_zones())
+            relay_table.update_document(entry.entry.document)
+        status, *_ = await fleet.ask(1, "/all/warm")
+        assert status == 200 and asking.context.relays.query_ids
+        crashed = []
+        for backend in fleet.backend_by_id.values():
+            backend.arrivals_s.clear()
+            crash_under(backend, b"/crash", crashed, 0.1)
+        status, *_ = await fleet.ask(1, "/all/crash")
+        await asyncio.sleep(0.2)
+        arrived = sum(len(b.arrivals_s) for b in fleet.backend_by_id.values())
+        sends = 2 if is_relay_silent else 1
+        assert arrived == sends * len(data_path_test.SHARDS)
+        assert status == 502
+        assert len(crashed) == len(data_path_test.SHARDS), crashed
+
+    data_path_test.run_in_world(
+        lambda loop: rate_limit_test.Fleet(
+            loop, 4, (*data_path_test.SHARDS, "desk")
+        ),
+        test,
+        10,
+    )
+
+
+def test_a_query_during_which_an_endpoint_ends_gets_all_its_parts():
+    async def test(fleet):
+        await fleet.ask(0, "/all/warm")
+        crashed = []
+        crash_under(fleet.backend_by_id["shard-0-a"], b"/all", crashed, 0.0)
+        status, headers, _ = await fleet.ask(0, "/all/x")
+        assert crashed == ["shard-0-a"]
+        assert status == 200 and data_path_test.read_missing(headers) == 0
+
+    run_in_fleet(test, (*data_path_test.SHARDS, "desk"))
--- a/chervilspindle/routing/reachability.py
+++ b/chervilspindle/routing/reachability.py
@@ -128,19 +128,23 @@
             self._start_check(reason, failed_pool)
 
     def _start_check(self, reason, failed_pool):
+        self.check = self.loop.create_task(
+            self._run_check(reason, failed_pool)
+        )
+
+    def _rank_targets(self, failed_pool, probed):
         targets = [
             target
             for target in self.table.target_by_id.values()
-            if target.pool is not failed_pool
+            if target.pool is not failed_pool and target not in probed
         ]
         targets.sort(key=_rank_target)
-        self.check = self.loop.create_task(
-            self._check_targets(reason, targets[:PROBED_ENDPOINTS])
-        )
+        return targets
 
-    async def _check_targets(self, reason, targets):
+    async def _run_check(self, reason, failed_pool):
         started_s = self.loop.time()
-        is_cut_off = await self._confirm_cut(targets)
+        probed = []
+        is_cut_off = await self._confirm_cut(failed_pool, probed)
         now = self.loop.time()
         self.check = None
         self.next_check_s = now + CHECK_INTERVAL_S
@@ -152,7 +156,7 @@
         logs.log_decision(
             "cut-off",
             why=reason,
-            probed=[target.endpoint.endpoint_id for target in targets],
+            probed=[target.endpoint.endpoint_id for target in probed],
             check_ms=round((now - started_s) * 1000.0, 1),
         )
         self.on_change(True)
@@ -160,13 +164,19 @@
         for listener in list(self.listeners):
             listener.handle_cut_off()
 
-    async def _confirm_cut(self, targets) -> bool:
-        """Probe one endpoint, and the others only if it is out of reach."""
-        if await self._probe(targets[:1]) or await self._probe(targets[1:]):
-            return False
-        if len(targets) < PROBED_ENDPOINTS:
+    async def _confirm_cut(self, failed_pool, probed) -> bool:
+        """Probe one endpoint, and others only if it is out of reach.
+
+        What was probed is added to the list `probed`.
+        """
+        for count in (1, PROBED_ENDPOINTS - 1):
+            targets = self._rank_targets(failed_pool, probed)[:count]
+            probed += targets
+            if await self._probe(targets):
+                return False
+        if len(probed) < PROBED_ENDPOINTS:
             return False
-        return not await self._ask_for_ended(targets)
+        return not await self._ask_for_ended(probed)
 
     async def _ask_for_ended(self, targets) -> bool:
         """Tell whether other entries see that an endpoint has ended.
@@ -240,4 +250,4 @@
 def _rank_target(target):
     """Order targets by how likely they accept a connection."""
     pool = target.pool
-    return pool.lost_s >= pool.heard_s, -pool.heard_s
+    return pool.lost_s > pool.heard_s, -pool.heard_s
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -82,6 +82,19 @@
         if not self.pending_services:
             self.client.discard(self)
 
+    def abandon(self) -> list[str]:
+        """Cancel what is in progress without telling the listener.
+
+        Returns
+        -------
+        list of str
+            The services of the cancelled shards.
+        """
+        self.client.cancel(self)
+        services = sorted(self.pending_services)
+        self.pending_services.clear()
+        return services
+
     def refuse(self):
         """Report all shards as not sent: the relay is cut off."""
         self._lose(endpoint_calls.CUT_OFF, False)
@@ -228,7 +241,7 @@
         for dispatch in lost:
             self.discard(dispatch)
         for dispatch in lost:
-            dispatch.fail("relay_lost")
+            dispatch.fail(endpoint_calls.RELAY_LOST)
 
 
 class RelayServer:
@@ -332,10 +345,17 @@
         self.dispatch.start(services, dict(zip(services, tried)))
 
     def handle_cut_off(self):
-        """Report the shards that this VM can't send any more."""
+        """Report the shards that this VM can't send, or get answers of."""
         for service in self.dispatch.withdraw_unsent():
             loss = messages.Loss(service, "", endpoint_calls.CUT_OFF, False)
             self.on_part_lost(self.dispatch, loss)
+        endpoint_by_service = dict(self.endpoint_by_service)
+        for service in self.dispatch.abandon():
+            endpoint_id = endpoint_by_service[service]
+            loss = messages.Loss(
+                service, endpoint_id, endpoint_calls.RELAY_LOST, True
+            )
+            self.on_part_lost(self.dispatch, loss)
 
     def cancel(self):
         """Cancel the shards in progress."""
