Changes that protect endpoints reach entries without the reply interval

Cause: replies to one entry are at least 0.2 s apart, also when the change is one that keeps endpoints from harm. Now a changed crash record is sent with the next batch (0.02 s).

The new test fails on the code before.

--- a/chervilspindle/control/changes.py
+++ b/chervilspindle/control/changes.py
@@ -20,14 +20,23 @@
     "document",
     "crash",
 )
+URGENT_KINDS = ("crash",)
 
 
 class ChangeFeed:
-    """Changed rows by version, and a cache of encoded deltas."""
+    """Changed rows by version, and a cache of encoded deltas.
+
+    Attributes
+    ----------
+    urgent_version : int
+        Newest version that changed a row which entries act on to protect
+        endpoints.
+    """
 
     def __init__(self):
         self.changes_by_version = collections.OrderedDict()
         self.oldest_version = 0
+        self.urgent_version = 0
         self.delta_by_base_version = {}
 
     def reset(self, version: int):
@@ -41,6 +50,8 @@
         self.delta_by_base_version.clear()
         if changes:
             self.changes_by_version[version] = tuple(changes)
+            if any(change.kind in URGENT_KINDS for change in changes):
+                self.urgent_version = version
         while len(self.changes_by_version) > MAX_RETAINED_VERSIONS:
             oldest, _ = self.changes_by_version.popitem(last=False)
             self.oldest_version = oldest
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -407,3 +407,30 @@
 ):
     state = build_leader(voters, learners, acked, 10000.0)
     assert membership.plan_removal(state, 5, 10000.0, 4000.0) is None
+
+
+def test_a_content_that_crashes_endpoints_reaches_busy_entries_at_once(
+    control,
+):
+    clock, _, frontend, watch = control
+    replies = []
+
+    def call(version):
+        deferred = defer.maybeDeferred(
+            watch.watch, messages.WatchCall("entry-1", version, 0)
+        )
+        deferred.addCallback(on_reply)
+
+    def on_reply(reply):
+        replies.append(messages.decode_delta(reply.delta))
+        call(replies[-1].version)
+
+    frontend.announce(build_endpoint())
+    call(0)
+    frontend.apply_document(rows.StoredDocument(1, b"route"))
+    clock.advance(watch_module.BATCH_DELAY_S)
+    answered = len(replies)
+    frontend.report_crash(messages.CrashReport("c", ("a@1", "b@1", "c@1")))
+    clock.advance(watch_module.BATCH_DELAY_S)
+    assert [r.content for r in replies[-1].crashes] == ["c"]
+    assert len(replies) == answered + 1
--- a/chervilspindle/control/watch.py
+++ b/chervilspindle/control/watch.py
@@ -92,13 +92,14 @@
         """Tell whether there are changes that may be sent to an entry now.
 
         Replies to one entry are at least `MIN_REPLY_INTERVAL_S` apart, unless
-        the entry has no tables yet.
+        the entry has no tables yet or a change is urgent.
         """
         if self.node.tables.version <= call.known_version:
             return False
         last_reply_ms = self.last_reply_ms_by_vm.get(call.vm_id, -math.inf)
         return (
             not call.known_version
+            or self.node.feed.urgent_version > call.known_version
             or now - last_reply_ms >= MIN_REPLY_INTERVAL_S * 1000.0
         )
 
