Endpoints that are leaving or ask for a pause are sent nothing more

Both join the limit in permission.evaluate, one decision for single requests, hedges, resends, direct and relayed shards and requests sent for other entries. It is asked where an endpoint is chosen and again where the bytes are sent; requests that wait for a connection are held back as well, and refusals tell the earliest end. What a process said of leaving outlives its loss and return in the tables. Values that are malformed, zero or past are logged and ignored.

The product's own deployments (owners) have no such headers and are untouched.

--- a/chervilspindle/platform/names.py
+++ b/chervilspindle/platform/names.py
@@ -9,6 +9,7 @@
     expected_endpoint="Chervilspindle-Expect-Instance",
     load="Chervilspindle-Server-Load",
     limit="Server-Limit",
+    leaving="Server-Leaving",
     not_run="Chervilspindle-Not-Executed",
     part_stamps="Chervilspindle-Part-Stamps",
     missing_parts="Chervilspindle-Missing-Parts",
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -73,6 +73,8 @@
         Load of an endpoint: running, waiting and slots.
     limit : str
         Requests per second that an endpoint takes from all VMs together.
+    leaving : str
+        States that an endpoint is leaving.
     not_run : str
         States that an endpoint did not run a request.
     part_stamps : str
@@ -87,6 +89,7 @@
     expected_endpoint: str
     load: str
     limit: str
+    leaving: str
     not_run: str
     part_stamps: str
     missing_parts: str
@@ -335,13 +338,19 @@
 def submit(send: Send, context: Context):
     """Send a call to an endpoint, with a permit if that needs one.
 
-    Without a permit the call ends as `Ending.HELD_BACK`.
+    Without a permit, or if the endpoint wants nothing now, the call ends as
+    `Ending.HELD_BACK`.
     """
-    now = context.loop.time()
-    if not permission.evaluate(send.target.restrictions, now).needs_permit:
-        send.target.pool.submit(send.call)
-        return
+    verdict = permission.evaluate(
+        send.target.restrictions, context.loop.time()
+    )
     send.call.pool = send.target.pool
+    if not verdict.needs_permit:
+        if verdict.allowed:
+            send.target.pool.submit(send.call)
+        else:
+            _hold_back(send, verdict.reason, context)
+        return
 
     def finish(granted):
         _finish_permit(send, granted, context)
@@ -354,13 +363,14 @@
     target = send.target
     if call.ended:
         return
+    now = context.loop.time()
     if not granted:
-        context.metrics.count_held_back("limit")
-        target.pool.end(
-            call, endpoint_http.Answer(endpoint_http.Ending.HELD_BACK)
-        )
+        _hold_back(send, "limit", context)
+        return
+    verdict = permission.evaluate(target.restrictions, now)
+    if not verdict.allowed and not verdict.needs_permit:
+        _hold_back(send, verdict.reason, context)
         return
-    now = context.loop.time()
     remaining_ms = (call.deadline_s - DEADLINE_GRACE_S - now) * 1000.0
     call.data = send.template.build(target.endpoint.endpoint_id, remaining_ms)
     call.send_by_s = now + PERMIT_LIFETIME_S
@@ -368,6 +378,12 @@
     target.pool.submit(call)
 
 
+def _hold_back(send, reason, context):
+    context.metrics.count_held_back(reason)
+    answer = endpoint_http.Answer(endpoint_http.Ending.HELD_BACK)
+    send.target.pool.end(send.call, answer)
+
+
 def compute_max_wait_s(
     objective_ms: float, deadline_s: float, now: float
 ) -> float:
@@ -410,6 +426,7 @@
                 call.sent_s,
                 now,
             )
+            _record_notices(target, answer, context)
     if outcome.succeeded:
         selection.record_success(health, (now - call.sent_s) * 1000.0, now)
     elif outcome.reason == "other_endpoint":
@@ -419,6 +436,25 @@
     return outcome
 
 
+def _record_notices(target, answer, context):
+    """Record whether the endpoint is leaving or asks for a pause."""
+    restrictions = target.restrictions
+    now = context.loop.time()
+    leaving = answer.get_header(context.names.lower.leaving)
+    permission.record_leaving(restrictions, leaving)
+    if answer.status == 503:
+        permission.record_pause(
+            restrictions,
+            answer.get_header(b"retry-after"),
+            now,
+            context.random,
+        )
+    verdict = permission.evaluate(restrictions, now)
+    if not verdict.allowed and not verdict.needs_permit:
+        for _ in range(target.pool.hold_back_waiting()):
+            context.metrics.count_held_back(verdict.reason)
+
+
 def parse_load(value: bytes) -> tuple[int, int, int] | None:
     """Parse running, waiting and slots; None if malformed."""
     try:
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -1,5 +1,6 @@
 """Table of the endpoints this VM may send to, and selection among them."""
 
+import collections
 import logging
 import math
 import typing
@@ -16,6 +17,7 @@
 MIN_CONNECTIONS = 2  # one stalled connection must not block an endpoint
 MAX_CONNECTIONS = 12
 CONNECTION_SHARE = 0.8  # the rest is for VMs that control has not counted
+MAX_LEAVING_PROCESSES = 1024  # that are remembered after they were dropped
 USABLE_STATES = ("ready", "warming")
 
 
@@ -60,6 +62,8 @@
         self.revision = 0  # incremented when an endpoint is put or dropped
         self.connections_by_service = {}
         self.target_by_id = {}
+        # Ids and incarnations of dropped endpoints that said they are leaving.
+        self.leaving_processes = collections.OrderedDict()
         self.targets_by_service = {}
 
     def put(self, endpoint: rows.Endpoint):
@@ -97,9 +101,17 @@
             return
         self.revision += 1
         del self.targets_by_service[target.endpoint.service][endpoint_id]
+        if target.restrictions.leaving:
+            self._remember_leaving(target.endpoint)
         target.pool.close()
         logs.log_decision("endpoint-dropped", endpoint=endpoint_id, why=reason)
 
+    def _remember_leaving(self, endpoint):
+        """Remember an endpoint in case control names it again."""
+        self.leaving_processes[_get_process_key(endpoint)] = True
+        while len(self.leaving_processes) > MAX_LEAVING_PROCESSES:
+            self.leaving_processes.popitem(last=False)
+
     def retain(self, endpoint_ids):
         """Drop all endpoints except those with the given ids."""
         for endpoint_id in list(self.target_by_id):
@@ -149,7 +161,7 @@
             overload.has_free_slot(target.health, now)
             for endpoint_id, target in targets.items()
             if endpoint_id not in excluded
-            and target.restrictions.limit_per_s is None
+            and not permission.evaluate(target.restrictions, now).reason
         )
 
     def is_open(self, service: str, excluded, by_s: float) -> bool:
@@ -249,11 +261,14 @@
             self.receive_budget,
         )
         pool.link_observer = self.link_observer
+        restrictions = permission.Restrictions(endpoint.endpoint_id)
+        process_key = _get_process_key(endpoint)
+        restrictions.leaving = process_key in self.leaving_processes
         return Target(
             endpoint,
             pool,
             selection.Health(endpoint.slots),
-            permission.Restrictions(endpoint.endpoint_id),
+            restrictions,
             endpoint.zone == self.zone,
         )
 
@@ -273,6 +288,10 @@
     return selection.INITIAL_ANSWER_MS if best == math.inf else best
 
 
+def _get_process_key(endpoint):
+    return endpoint.endpoint_id, endpoint.incarnation
+
+
 def _is_same_process(current, endpoint):
     return (current.incarnation, current.address, current.service) == (
         endpoint.incarnation,
--- a/chervilspindle/routing/permission.py
+++ b/chervilspindle/routing/permission.py
@@ -2,16 +2,22 @@
 
 An endpoint in need names the rate that it takes from all VMs together, in
 each of its answers for as long as that holds. A send to it needs a permit;
-see `rate_permits`.
+see `rate_permits`. One that turns a request away may ask for a pause, and one
+that is leaving says so; neither is sent anything by this VM from then on, the
+one until the pause ends, the other for good.
 """
 
 import collections
+import email.utils
 import math
 import typing
 
 from chervilspindle.core import logs
 
 SENDS_LOG_PERIOD_S = 1.0  # summary of the sends to a limited endpoint
+MAX_PAUSE_S = 600.0
+# Pauses end later by up to this share, so that VMs don't return together.
+PAUSE_SPREAD = 0.1
 
 
 class Restrictions:
@@ -27,6 +33,10 @@
         Loop time of the last answer that named the limit.
     closed_until_s : float
         Loop time before which no permit is available.
+    paused_until_s : float
+        Loop time until which the endpoint asked to be sent nothing.
+    leaving : bool
+        Whether the endpoint said that it is leaving.
     sends_by_cause : collections.Counter
         Sends since `logged_s`, while there is a limit.
     logged_s : float
@@ -38,6 +48,8 @@
         "limit_per_s",
         "named_s",
         "closed_until_s",
+        "paused_until_s",
+        "leaving",
         "sends_by_cause",
         "logged_s",
     )
@@ -47,6 +59,8 @@
         self.limit_per_s = None
         self.named_s = -math.inf
         self.closed_until_s = -math.inf
+        self.paused_until_s = -math.inf
+        self.leaving = False
         self.sends_by_cause = collections.Counter()
         self.logged_s = -math.inf
 
@@ -60,21 +74,29 @@
         Whether it may be sent to now, with a permit if one is needed.
     needs_permit : bool
     retry_s : float
-        If not allowed, the loop time from which it may be; otherwise now.
+        If not allowed, the loop time from which it may be, infinite if never;
+        otherwise now.
+    reason : str
+        For metrics: what the endpoint said; empty without restrictions.
     """
 
     allowed: bool
     needs_permit: bool
     retry_s: float
+    reason: str = ""
 
 
 def evaluate(restrictions: Restrictions, now: float) -> Verdict:
     """Decide whether an endpoint may be sent to at a loop time."""
+    if restrictions.leaving:
+        return Verdict(False, False, math.inf, "leaving")
+    if restrictions.paused_until_s > now:
+        return Verdict(False, False, restrictions.paused_until_s, "pause")
     if restrictions.limit_per_s is None:
         return Verdict(True, False, now)
     if restrictions.closed_until_s > now:
-        return Verdict(False, True, restrictions.closed_until_s)
-    return Verdict(True, True, now)
+        return Verdict(False, True, restrictions.closed_until_s, "limit")
+    return Verdict(True, True, now, "limit")
 
 
 def parse_limit(value: bytes) -> float | None:
@@ -135,6 +157,77 @@
     restrictions.named_s = now
 
 
+def record_leaving(restrictions: Restrictions, value: bytes | None):
+    """Record whether an answer says that its endpoint is leaving."""
+    if value is None or value.strip() != b"1" or restrictions.leaving:
+        return
+    restrictions.leaving = True
+    logs.log_decision("endpoint-leaving", endpoint=restrictions.endpoint_id)
+
+
+def parse_pause_s(value: bytes, wall_s: float) -> float | None:
+    """Parse a Retry-After header: seconds or an HTTP date.
+
+    Parameters
+    ----------
+    value : bytes
+    wall_s : float
+        Seconds since the epoch.
+
+    Returns
+    -------
+    float or None
+        Seconds above 0, at most `MAX_PAUSE_S`; None if malformed or not in
+        the future.
+    """
+    text = value.decode("latin-1").strip()
+    try:
+        pause_s = float(text)
+    except ValueError:
+        try:
+            date = email.utils.parsedate_to_datetime(text)
+            pause_s = date.timestamp() - wall_s
+        except (ValueError, OverflowError):
+            return None
+    if not pause_s > 0.0:
+        return None
+    return min(pause_s, MAX_PAUSE_S)
+
+
+def record_pause(
+    restrictions: Restrictions, value: bytes | None, now: float, random
+):
+    """Record the pause that a refusal asks for, if it does.
+
+    Parameters
+    ----------
+    restrictions : Restrictions
+    value : bytes or None
+        Retry-After of an answer with status 503.
+    now : float
+        Loop time.
+    random : random.Random
+    """
+    if value is None:
+        return
+    pause_s = parse_pause_s(value, logs.read_wall_ms() / 1000.0)
+    if pause_s is None:
+        logs.log_decision(
+            "endpoint-pause-ignored",
+            endpoint=restrictions.endpoint_id,
+            value=value.decode("latin-1")[:40],
+        )
+        return
+    until_s = now + pause_s * (1.0 + PAUSE_SPREAD * random.random())
+    if restrictions.paused_until_s <= now:
+        logs.log_decision(
+            "endpoint-pause",
+            endpoint=restrictions.endpoint_id,
+            pause_ms=round(pause_s * 1000.0),
+        )
+    restrictions.paused_until_s = max(restrictions.paused_until_s, until_s)
+
+
 def record_send(restrictions: Restrictions, cause: str, now: float):
     """Count a send to an endpoint that has named a limit."""
     if restrictions.limit_per_s is None:
--- a/chervilspindle/tools/backends.py
+++ b/chervilspindle/tools/backends.py
@@ -80,6 +80,10 @@
         Runs all requests and answers 500.
     limit_per_s : float or None
         Named in all answers; not enforced.
+    leaving : bool
+        Says in all answers that it is leaving; serves on.
+    retry_after : str
+        Sent with refusals; empty for none.
     arrivals_s, run_started_s : list of float
         Loop time of each request that arrived, and of each of `runs`.
     crash_marker : bytes
@@ -108,6 +112,8 @@
         self.refusing = False
         self.failing = False
         self.limit_per_s = None
+        self.leaving = False
+        self.retry_after = ""
         self.arrivals_s = []
         self.crash_marker = b""
         self.on_crash = Backend.stop
@@ -183,16 +189,23 @@
             self._run(exchange)
 
     def _build_refusal(self):
-        return (
+        headers = [
             (names.HEADERS.not_run.encode(), b"1"),
-            *self._build_limit(),
-        )
+            *self._build_notices(),
+        ]
+        if self.retry_after:
+            headers.append((b"Retry-After", self.retry_after.encode()))
+        return tuple(headers)
 
-    def _build_limit(self):
-        if self.limit_per_s is None:
-            return ()
-        value = f"{self.limit_per_s:.1f}".encode()
-        return ((names.HEADERS.limit.encode(), value),)
+    def _build_notices(self):
+        """Return the headers by which it restricts what it is sent."""
+        headers = []
+        if self.limit_per_s is not None:
+            value = f"{self.limit_per_s:.1f}".encode()
+            headers.append((names.HEADERS.limit.encode(), value))
+        if self.leaving:
+            headers.append((names.HEADERS.leaving.encode(), b"1"))
+        return headers
 
     def _run(self, exchange):
         request = exchange.request
@@ -230,7 +243,7 @@
             (names.HEADERS.stamp.encode(), stamp.encode()),
             (names.HEADERS.request_id.encode(), request_id),
             (names.HEADERS.load.encode(), b"1,0,2"),
-            *self._build_limit(),
+            *self._build_notices(),
         )
         if self.failing:
             exchange.respond(500, headers, b"failed")
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -262,6 +262,13 @@
         if self.count < self.max_connections:
             self._connect()
 
+    def hold_back_waiting(self) -> int:
+        """End the requests that wait for a connection; return how many."""
+        waiting, self.waiting = self.waiting, collections.deque()
+        for call in waiting:
+            self.end(call, Answer(Ending.HELD_BACK))
+        return len(waiting)
+
     def start_forwarded(self, call):
         """Count a request that another VM sends to the endpoint."""
         self.running[call] = self.loop.time()
