A check of reachability that fails does not stop the next one

Found by reading: an exception within a check or a recovery probe would have left the VM without further checks, or cut off for good. Tests of cuts share their start.

--- a/chervilspindle/routing/cut_off_test.py
+++ b/chervilspindle/routing/cut_off_test.py
@@ -42,6 +42,13 @@
         fleet.entries[number].links.start_cut(cut)
 
 
+async def cut_off(fleet, cut, numbers):
+    """Cut entries off and wait until they have noticed."""
+    start_cut(fleet, cut, numbers)
+    await ask_all(fleet, numbers, rounds=1)
+    await asyncio.sleep(SETTLE_S)
+
+
 async def ask_all(fleet, numbers, paths=PATHS, rounds=ROUNDS):
     """Send requests of all kinds; return the counts of their statuses."""
     statuses = collections.Counter()
@@ -67,14 +74,12 @@
 def test_callers_of_vms_cut_off_from_all_endpoints_are_served(run_fleet, cut):
     async def test(fleet):
         await warm_up(fleet)
-        start_cut(fleet, cut)
-        await ask_all(fleet, CUT_OFF, rounds=1)
-        await asyncio.sleep(SETTLE_S)
-        cut_off = await ask_all(fleet, CUT_OFF)
+        await cut_off(fleet, cut, CUT_OFF)
+        served = await ask_all(fleet, CUT_OFF)
         in_touch = await ask_all(fleet, IN_TOUCH)
         asked = ROUNDS * len(PATHS)
         assert in_touch[200] >= 0.9 * asked * len(IN_TOUCH), in_touch
-        assert cut_off[200] >= 0.9 * asked * len(CUT_OFF), cut_off
+        assert served[200] >= 0.9 * asked * len(CUT_OFF), served
         assert count_most_runs(fleet, "/once/x") == 1
 
     run_fleet(test)
@@ -120,9 +125,7 @@
         await warm_up(fleet)
         for backend in fleet.backend_by_id.values():
             backend.runs.clear()
-        start_cut(fleet, link_faults.Cut.HANG, range(5))
-        await ask_all(fleet, range(5), rounds=1)
-        await asyncio.sleep(SETTLE_S)
+        await cut_off(fleet, link_faults.Cut.HANG, range(5))
         for path in PATHS:
             started_s = fleet.loop.time()
             status, headers, _ = await fleet.ask(0, path)
@@ -155,9 +158,7 @@
 def test_an_entry_that_ends_runs_a_forwarded_request_once_at_most(run_fleet):
     async def test(fleet):
         await warm_up(fleet)
-        start_cut(fleet, link_faults.Cut.HANG, (0,))
-        await ask_all(fleet, (0,), rounds=1)
-        await asyncio.sleep(SETTLE_S)
+        await cut_off(fleet, link_faults.Cut.HANG, (0,))
         for backend in fleet.backend_by_id.values():
             backend.runs.clear()
             backend.work_s = 0.2
@@ -188,9 +189,7 @@
             gone = entry.row._replace(address=data_path_test.find_address())
             rows = [gone if r.vm_id == gone.vm_id else r for r in rows]
             fleet.entries[0].context.relays.table.set_relays(2, rows)
-        start_cut(fleet, link_faults.Cut.HANG, (0,))
-        await ask_all(fleet, (0,), rounds=1)
-        await asyncio.sleep(SETTLE_S)
+        await cut_off(fleet, link_faults.Cut.HANG, (0,))
         statuses = await ask_all(fleet, (0,))
         assert statuses[200] == statuses.total(), statuses
         assert count_most_runs(fleet, "/once/x") == 1
@@ -201,9 +200,7 @@
 def test_a_forwarded_request_is_cancelled_when_its_caller_leaves(run_fleet):
     async def test(fleet):
         await warm_up(fleet)
-        start_cut(fleet, link_faults.Cut.HANG, (0,))
-        await ask_all(fleet, (0,), rounds=1)
-        await asyncio.sleep(SETTLE_S)
+        await cut_off(fleet, link_faults.Cut.HANG, (0,))
         for backend in fleet.backend_by_id.values():
             backend.paused = True
         host, port = fleet.entries[0].address.split(":")
@@ -226,9 +223,7 @@
         limited = fleet.backend_by_id["desk-a"]
         limited.limit_per_s = 4.0
         await warm_up(fleet)
-        start_cut(fleet, link_faults.Cut.HANG)
-        await ask_all(fleet, CUT_OFF, rounds=1)
-        await asyncio.sleep(SETTLE_S)
+        await cut_off(fleet, link_faults.Cut.HANG, CUT_OFF)
         start_s = fleet.loop.time()
         answers = await fleet.ask_evenly("/one/x", 40.0, 5.0, range(5))
         busiest = rate_limit_test.find_busiest_window(
@@ -277,9 +272,7 @@
 def test_crashes_under_a_request_of_a_cut_off_vm_are_reported(run_fleet):
     async def test(fleet):
         await warm_up(fleet)
-        start_cut(fleet, link_faults.Cut.HANG, (0,))
-        await ask_all(fleet, (0,), rounds=1)
-        await asyncio.sleep(SETTLE_S)
+        await cut_off(fleet, link_faults.Cut.HANG, (0,))
         reports = collect_crash_reports(fleet)
         for backend in fleet.backend_by_id.values():
             backend.crash_marker = b"/crash"
--- a/chervilspindle/routing/reachability.py
+++ b/chervilspindle/routing/reachability.py
@@ -144,10 +144,12 @@
     async def _run_check(self, reason, failed_pool):
         started_s = self.loop.time()
         probed = []
-        is_cut_off = await self._confirm_cut(failed_pool, probed)
-        now = self.loop.time()
-        self.check = None
-        self.next_check_s = now + CHECK_INTERVAL_S
+        try:
+            is_cut_off = await self._confirm_cut(failed_pool, probed)
+        finally:
+            now = self.loop.time()
+            self.check = None
+            self.next_check_s = now + CHECK_INTERVAL_S
         if not is_cut_off:
             return
         self.is_cut_off = True
@@ -231,13 +233,14 @@
         return reached
 
     def _start_recovery(self):
-        self.loop.create_task(self._recover())
+        if self.is_cut_off:
+            self.loop.call_later(RECOVERY_INTERVAL_S, self._start_recovery)
+            self.loop.create_task(self._recover())
 
     async def _recover(self):
         targets = list(self.table.target_by_id.values())
         count = min(RECOVERY_PROBES, len(targets))
         if not await self._probe(self.random.sample(targets, count)):
-            self.loop.call_later(RECOVERY_INTERVAL_S, self._start_recovery)
             return
         self.is_cut_off = False
         logs.log_decision(
