--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -39,6 +39,9 @@
 ANNOUNCE_INTERVAL_S = 0.6
 MEAN_ARRIVAL_INTERVAL_S = 0.02
 SHUTDOWN_GRACE_S = 6.0
+PAUSE_SLACK_S = 0.5  # for requests on the way when a pause begins
+# An entry has to be refused once to know of a pause; two more may cross it.
+MAX_PAUSE_ARRIVALS = 3
 MEMBERS = 3
 ENTRIES = 4
 MEMORY_MB = 152.0  # of the smallest VM that the product is made for
@@ -68,6 +71,7 @@
         self.log_offset = 0
         self.disturbed_s = 0.0
         self.busy = False
+        self.starts = 0
 
     def write_settings(self, seeds, first_start):
         """Write the settings file as the platform would."""
@@ -96,6 +100,7 @@
 
     async def start(self):
         """Start the process, appending to the log of earlier starts."""
+        self.starts += 1
         self.log = open(self.get_log_path(), "ab")
         self.log_offset = os.path.getsize(self.get_log_path())
         environment = {**os.environ, names.SETTINGS_VARIABLE: self.settings}
@@ -149,6 +154,7 @@
         self.random = random.Random(seed)
         # A stream of its own keeps the faults of earlier seeds as they were.
         self.endless_random = random.Random(f"endless {seed}")
+        self.notice_random = random.Random(f"notice {seed}")
         self.seconds = seconds
         self.folder = folder
         self.findings = []
@@ -216,6 +222,8 @@
                 self._run_operator,
                 self._inject_faults,
                 self._inject_endless_answers,
+                self._inject_pauses,
+                self._inject_leaving,
                 self._watch_memory,
             ):
                 tasks.append(self.loop.create_task(activity()))
@@ -459,6 +467,63 @@
             await asyncio.sleep(rng.uniform(0.2, 2.0))
             backend.endless = ""
 
+    async def _inject_pauses(self):
+        """Let endpoints turn requests away and ask for a pause."""
+        rng = self.notice_random
+        while not self.stopping:
+            await asyncio.sleep(rng.uniform(1.0, 5.0))
+            backend = rng.choice(self.backends)
+            pause_s = rng.uniform(1.0, 2.0)
+            if backend.refusing or backend.state != "ready":
+                continue
+            self.counts["endpoint asks for a pause"] += 1
+            starts_before = self._count_starts()
+            started_s = self.loop.time()
+            backend.refusing = True
+            backend.retry_after = f"{pause_s:.2f}"
+            await asyncio.sleep(pause_s - PAUSE_SLACK_S)
+            backend.refusing = False
+            backend.retry_after = ""
+            if self._count_starts() != starts_before:
+                continue  # an entry that restarts knows of no pause
+            arrived = sum(
+                1
+                for at in backend.arrivals_s
+                if at > started_s + PAUSE_SLACK_S
+            )
+            if arrived > ENTRIES * MAX_PAUSE_ARRIVALS:
+                text = f"{backend.endpoint_id}: {arrived} requests"
+                self.record_violation("sent to during a pause", text)
+
+    async def _inject_leaving(self):
+        """Let endpoints say in their answers alone that they are leaving."""
+        rng = self.notice_random
+        while not self.stopping:
+            await asyncio.sleep(rng.uniform(3.0, 9.0))
+            backend = rng.choice(self.backends)
+            if backend.state != "ready":
+                continue
+            self.counts["endpoint says it is leaving"] += 1
+            backend.leaving = True
+            starts_before = self._count_starts()
+            await asyncio.sleep(DRAIN_S)
+            before = len(backend.arrivals_s)
+            await asyncio.sleep(1.0)
+            arrived = len(backend.arrivals_s) - before
+            has_restarted = self._count_starts() != starts_before
+            # Each entry may still have to be told by its first answer.
+            if arrived > ENTRIES and not has_restarted:
+                text = f"{backend.endpoint_id}: {arrived} requests"
+                self.record_violation("sent to while leaving", text)
+            backend.leaving = False
+            if backend.state == "ready":
+                backend.incarnation += 1000
+                backend.sequence = 0
+
+    def _count_starts(self) -> int:
+        """Return how many processes of entries have been started."""
+        return sum(entry.starts for entry in self.entries)
+
     async def _watch_memory(self):
         while not self.stopping:
             for node in (*self.members, *self.entries):
