--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -140,6 +140,7 @@
             self.schedule_at_ms(timing.answer_ms, self._on_answer_time)
         self.schedule_at_ms(timing.deadline_ms, self._on_deadline)
         self.watch_caller()
+        self.watch_reachability()
 
     def _send_all(self):
         relays = self.context.relays
--- a/chervilspindle/routing/routed_request.py
+++ b/chervilspindle/routing/routed_request.py
@@ -102,9 +102,12 @@
 
     def watch_caller(self):
         """End the request when the caller disconnects."""
-        self.context.reachability.listeners.add(self)
         self.incoming.exchange.on_abandoned = self._on_caller_left
 
+    def watch_reachability(self):
+        """Have `handle_cut_off` called if this VM loses all endpoints."""
+        self.context.reachability.listeners.add(self)
+
     def refuse(self, reason, wait_s=0.0):
         """Answer 503: the request has not run and may be retried.
 
--- a/chervilspindle/routing/single_endpoint.py
+++ b/chervilspindle/routing/single_endpoint.py
@@ -43,6 +43,7 @@
             self.schedule_at_ms(self.timing.hedge_ms, self._hedge)
         self.schedule_at_ms(self.timing.deadline_ms, self._on_deadline)
         self.watch_caller()
+        self.watch_reachability()
 
     def _choose(self, is_hedge=False):
         return self.context.table.choose(
