--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -436,6 +436,13 @@
     return outcome
 
 
+def is_link_failure(reason: str, context: Context) -> bool:
+    """Tell whether a send did not leave this VM or another, cut off."""
+    if reason == CUT_OFF:
+        return True
+    return context.reachability.is_cut_off and reason in LINK_REASONS
+
+
 def _record_notices(target, answer, context):
     """Record whether the endpoint is leaving or asks for a pause."""
     restrictions = target.restrictions
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -265,7 +265,7 @@
             else:
                 shard.possible_runs -= 1
             shard.reason = loss.reason
-            if self._is_link_failure(loss):
+            if endpoint_calls.is_link_failure(loss.reason, self.context):
                 self._take_back_send(shard, loss.endpoint_id)
                 if not self._is_settled(shard):
                     lost.append(shard)
@@ -287,16 +287,6 @@
         self._retry(to_resend, lost)
         self._settle_withheld()
 
-    def _is_link_failure(self, loss) -> bool:
-        """Tell whether a shard did not leave this VM or a relay, cut off."""
-        if loss.reason == endpoint_calls.CUT_OFF:
-            return True
-        return (
-            self.context.reachability.is_cut_off
-            and loss.reason in endpoint_calls.LINK_REASONS
-            and not loss.ran
-        )
-
     def _take_back_send(self, shard, endpoint_id):
         """Let a shard be sent again in place of a send that did not leave."""
         shard.send_count -= 1
--- a/chervilspindle/routing/single_endpoint.py
+++ b/chervilspindle/routing/single_endpoint.py
@@ -145,7 +145,7 @@
             if not self.calls:
                 self._send_instead(cause)
             return
-        if self._is_link_failure(outcome):
+        if endpoint_calls.is_link_failure(outcome.reason, self.context):
             self._take_back_send(target.endpoint.endpoint_id)
             self._send_instead(cause)
             return
@@ -158,15 +158,6 @@
             return
         self._answer_failure()
 
-    def _is_link_failure(self, outcome) -> bool:
-        """Tell whether a send did not leave this VM or another, cut off."""
-        if outcome.reason == endpoint_calls.CUT_OFF:
-            return True
-        return (
-            self.context.reachability.is_cut_off
-            and outcome.reason in endpoint_calls.LINK_REASONS
-        )
-
     def handle_cut_off(self):
         """Send again through another entry what has no answer yet."""
         if not self.is_sent_by_others():
