Read-through: one name for a dispatch that may run, evidence once a pass

RelayedDispatch.is_pending had the body of may_have_run, which ForwardedCall now has as well. A pass over the shards of a late query builds its evidence once instead of for each shard. Two tests of watch calls share the entry that follows. Behaviour and assertions unchanged.

--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -313,8 +313,8 @@
     assert messages.decode_delta(replies[1].delta).endpoints == ()
 
 
-def test_many_changes_are_batched_into_few_replies(control):
-    clock, node, frontend, watch = control
+def follow(watch):
+    """Watch as an entry does; return the list that gets all deltas."""
     replies = []
 
     def call(version):
@@ -327,8 +327,14 @@
         replies.append(messages.decode_delta(reply.delta))
         call(replies[-1].version)
 
-    frontend.announce(build_endpoint())
     call(0)
+    return replies
+
+
+def test_many_changes_are_batched_into_few_replies(control):
+    clock, node, frontend, watch = control
+    frontend.announce(build_endpoint())
+    replies = follow(watch)
     for version in range(1, 26):
         stored = rows.StoredDocument(version, b"route " * 10000)
         frontend.apply_document(stored)
@@ -413,20 +419,8 @@
     control,
 ):
     clock, _, frontend, watch = control
-    replies = []
-
-    def call(version):
-        deferred = defer.maybeDeferred(
-            watch.watch, messages.WatchCall("entry-1", version, 0)
-        )
-        deferred.addCallback(on_reply)
-
-    def on_reply(reply):
-        replies.append(messages.decode_delta(reply.delta))
-        call(replies[-1].version)
-
     frontend.announce(build_endpoint())
-    call(0)
+    replies = follow(watch)
     frontend.apply_document(rows.StoredDocument(1, b"route"))
     clock.advance(watch_module.BATCH_DELAY_S)
     answered = len(replies)
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -339,13 +339,6 @@
     def _decide_caution(self) -> crash_caution.Caution:
         return crash_caution.decide(self._get_evidence())
 
-    def _may_hedge(self, dispatch) -> bool:
-        return crash_caution.may_hedge(
-            self._get_evidence(),
-            len(self.shard_by_service),
-            dispatch.awaits_report(),
-        )
-
     def _withdraw_hedges(self):
         """Cancel hedges: they would end the other replicas as well."""
         dispatches, self.hedge_dispatches = self.hedge_dispatches, []
@@ -474,13 +467,16 @@
             elapsed < self.timing.hedge_ms + request_timing.REPORT_GRACE_MS
         )
         table = self.context.table
+        evidence = self._get_evidence()
         to_hedge = []
         recheck = False
         for shard in self.shard_by_service.values():
             if self._is_settled(shard) or len(shard.open_dispatches) != 1:
                 continue
             dispatch = shard.open_dispatches[0]
-            if not self._may_hedge(dispatch):
+            if not crash_caution.may_hedge(
+                evidence, shards, dispatch.awaits_report()
+            ):
                 recheck = True
                 continue
             if dispatch.awaits_report():
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -32,8 +32,8 @@
         self.ended = False
         self.context = None
 
-    def is_pending(self) -> bool:
-        """Tell whether the other entry may have the request in progress."""
+    def may_have_run(self) -> bool:
+        """Tell whether an endpoint may be executing the request."""
         return not self.ended
 
     def cancel(self):
@@ -58,7 +58,7 @@
         )
 
     def refuse(self):
-        """End: the other entry is cut off as well and has not sent it."""
+        """End: the other entry has not sent it, or could not be asked."""
         self._end(endpoint_http.Answer(endpoint_http.Ending.CUT_OFF))
 
     def fail(self, reason: str):
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -49,10 +49,6 @@
         """Tell whether an endpoint may be executing a shard."""
         return bool(self.pending_services)
 
-    def is_pending(self) -> bool:
-        """Tell whether the relay may have shards in progress."""
-        return bool(self.pending_services)
-
     def withdraw_unsent(self) -> list[str]:
         """Return no shards: what the relay has sent is not known."""
         return []
@@ -227,7 +223,7 @@
     def cancel(self, dispatch):
         """Make the relay cancel what is in progress of a dispatch."""
         self.discard(dispatch)
-        if dispatch.is_pending():
+        if dispatch.may_have_run():
             self.network.send(
                 dispatch.address, messages.RelayCancel(dispatch.query_id)
             )
