Review, case 3: clients keep to the node of their hash

The stand-in of the platform chose another node for each request; now only retries reach other nodes.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -61,12 +61,12 @@
             text = "in rotation" if now else "out of rotation"
             self.platform.record.write(f"{entry.name} is {text}")
 
-    def choose(self, client, attempt):
+    def choose(self, client, retries):
         """Return the node of a connection; retries reach other nodes."""
         nodes = [e for e in self.entries if self.misses[e.name] < MISSES]
         if 2 * len(nodes) < len(self.entries):
             nodes = self.entries
-        return nodes[(zlib.crc32(client.encode()) + attempt) % len(nodes)]
+        return nodes[(zlib.crc32(client.encode()) + retries) % len(nodes)]
 
 
 class Attempt:
@@ -83,11 +83,11 @@
 async def send_requests(platform, ingress, number, attempts, end_s):
     """Send requests one after the other, each on a new connection."""
     client = f"client-{number}"
-    count = 0
+    count = retries = 0
     await asyncio.sleep(number * WORK_S / CLIENTS)
     while time.monotonic() < end_s:
         count += 1
-        entry = ingress.choose(client, count)
+        entry = ingress.choose(client, retries)
         request_id = f"q{number:02d}-{count:03d}"
         attempt = Attempt(request_id, entry, time.monotonic())
         headers = {
@@ -105,10 +105,12 @@
         try:
             attempt.status, _, _ = await asyncio.wait_for(call, 5.0)
         except ConnectionRefusedError:
+            retries += 1
             await asyncio.sleep(0.05)
             continue
         except standins.LOST as error:
             platform.record.write(f"{request_id} got no answer: {error!r}")
+        retries = 0
         attempt.ended_s = time.monotonic()
         attempts.append(attempt)
         text = f"sent {request_id} to {entry.name} at {attempt.sent_s:.3f}"
