Log which reply, announcement or request a process could not use

The record of the incident shows exceptions at entries and at control, but neither the rows of the reply that an entry rejected, nor whether the reply was newer than what it held, nor which request raised in a handler, nor whose announcement was refused.

A reply that cannot be applied is logged with the member, both versions and the endpoints in it; a handler's exception with method, target and size; a refusal with its target, and its reason is cut to 500 characters, as an announcement of thousands of digits came back whole in log and answer.

--- a/chervilspindle/platform/control_api.py
+++ b/chervilspindle/platform/control_api.py
@@ -18,6 +18,7 @@
 JSON_HEADERS = ((b"Content-Type", b"application/json"),)
 RETRY_AFTER = (b"Retry-After", b"0.2")
 MAX_ID_BYTES = 200
+MAX_REASON_CHARACTERS = 500  # of a refusal, in the log and in the answer
 
 
 class Announcement(msgspec.Struct):
@@ -186,8 +187,14 @@
 
 
 def _respond_bad_request(exchange, call, reason):
-    logs.log_decision("call-refused", call=call, status=400, why=reason)
-    body = msgspec.json.encode({"error": reason})
+    logs.log_decision(
+        "call-refused",
+        call=call,
+        target=exchange.request.target.decode("latin-1")[:MAX_ID_BYTES],
+        status=400,
+        why=reason[:MAX_REASON_CHARACTERS],
+    )
+    body = msgspec.json.encode({"error": reason[:MAX_REASON_CHARACTERS]})
     exchange.respond(400, JSON_HEADERS, body)
 
 
--- a/chervilspindle/routing/watch_client.py
+++ b/chervilspindle/routing/watch_client.py
@@ -25,6 +25,7 @@
 MAX_MEMBER_AGE_MS = 1500.0  # a leader election ends within this time
 NEARBY_BACKOFF_S = 10.0  # before a member of the zone is tried again
 TOTALS_FRESH_S = 2.0  # a member without a leader sends no totals for a while
+MAX_LOGGED = 20  # endpoints of a reply that cannot be applied
 TOTALS_WINDOW_S = 15.0  # the retry budget's window, with a margin
 
 
@@ -161,7 +162,23 @@
             )
             self._switch_member("member is older than the entry")
             return
-        self.on_delta(delta)
+        try:
+            self.on_delta(delta)
+        except Exception:
+            LOGGER.exception(
+                "reply of control cannot be applied",
+                extra={
+                    "member": self.member_address,
+                    "held": self.version,
+                    "offered": delta.version,
+                    "full": delta.full,
+                    "endpoints": [
+                        e.endpoint_id for e in delta.endpoints[:MAX_LOGGED]
+                    ],
+                },
+            )
+            self._switch_member("reply cannot be applied")
+            return
         self.version = delta.version
         self._record_totals(reply.watchers, reply.requests)
         if reply.relays is not None:
--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -364,7 +364,12 @@
             # caller as a malformed request.
             LOGGER.exception(
                 "request handler raised an exception",
-                extra={"server": self.server.name},
+                extra={
+                    "server": self.server.name,
+                    "method": request.method.decode("latin-1"),
+                    "target": request.target.decode("latin-1")[:200],
+                    "body_bytes": len(request.body),
+                },
             )
             exchange.respond(500)
 
