Tests of unusable announcements, red: rows that nobody can use stop the rest

Hypothesis 1 holds: same rejected reply on every member, the endpoint in it is the writer's. Hypothesis 3 is ruled out: no process restarts in these runs.

--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -176,6 +176,24 @@
     assert node.tables.endpoint_by_id["i-0"].state == "ready"
 
 
+def test_a_row_that_cannot_be_replaced_does_not_hold_up_lost_endpoints(
+    control,
+):
+    clock, node, frontend, _ = control
+    for number in range(4):
+        frontend.announce(build_endpoint(endpoint_id=f"i-{number}"))
+    # Builds before the check of announcements stored such rows.
+    frontend.announce(build_endpoint(2**64 - 1, endpoint_id="odd"))
+    del node.proposed[:]
+    for sequence in range(2, 32):
+        clock.advance(0.5)
+        for number in range(1, 4):
+            row = build_endpoint(sequence, endpoint_id=f"i-{number}")
+            frontend.announce(row)
+    assert node.tables.endpoint_by_id["i-0"].state == "lost"
+    state_module.encode_batch(node.proposed)
+
+
 def test_no_endpoint_is_lost_if_none_announces_itself(control):
     clock, node, frontend, _ = control
     for number in range(4):
--- a/chervilspindle/control/node_test.py
+++ b/chervilspindle/control/node_test.py
@@ -7,7 +7,9 @@
 
 from chervilspindle.control import node as node_module
 from chervilspindle.control import raft
+from chervilspindle.control import state as state_module
 from chervilspindle.control import storage as storage_module
+from chervilspindle.core import rows
 from chervilspindle.core import timers
 
 TURN_S = 0.01
@@ -156,3 +158,22 @@
     group.run(1.0)
     members = group.node_by_vm["core-1"].raft.members
     assert stale not in {m.member_id for m in members}
+
+
+def test_a_command_that_cannot_be_encoded_fails_alone(tmp_path):
+    group = Group(tmp_path)
+    group.run(3.0)
+    leader = group.node_by_vm[group.find_leader()]
+    row = rows.Endpoint(
+        "odd", "desk", "10.0.0.9:80", "z", 2, 0, "ready", (), 1, 2**70
+    )
+    ends = {}
+    unusable = leader.propose(state_module.ReportEndpoints((row,), 1))
+    unusable.addErrback(lambda failure: ends.update(unusable=failure))
+    document = rows.StoredDocument(7, b"{}")
+    sound = leader.propose(state_module.ApplyDocument(document))
+    sound.addCallback(lambda result: ends.update(sound=result))
+    group.run(1.0)
+    assert ends["sound"].current_version == 7
+    assert ends["unusable"].value.problem.not_run
+    assert leader.tables.document == document
--- a/chervilspindle/platform/platform_test.py
+++ b/chervilspindle/platform/platform_test.py
@@ -10,6 +10,7 @@
 from chervilspindle.platform import control_api
 from chervilspindle.platform import documents
 from chervilspindle.platform import files
+from chervilspindle.platform import samples
 from chervilspindle.platform import settings
 from chervilspindle.wire import http_server
 from chervilspindle.wire import messages
@@ -250,6 +251,52 @@
     assert json.loads(body) == {"heartbeat-url": "http://10.0.0.4:8106"}
 
 
+UNUSABLE_ANNOUNCEMENTS = samples.build_unusable_announcements(ANNOUNCEMENT)
+
+
+@pytest.mark.parametrize("name", UNUSABLE_ANNOUNCEMENTS)
+def test_an_announcement_that_names_no_usable_endpoint_is_refused(name):
+    frontend = FakeFrontend()
+    exchange = FakeExchange(
+        b"PUT", b"/api/instances/i-1", UNUSABLE_ANNOUNCEMENTS[name]
+    )
+    control_api.build_handler(frontend)(exchange)
+    assert frontend.calls == []
+    assert exchange.response[0] == 400
+
+
+@pytest.mark.parametrize(
+    "encoded_id",
+    (b"", b"a%0d%0aX:%20y", b"a%20b", b"a%00", b"%ff", b"a" * 201, b"\xff"),
+)
+def test_an_endpoint_id_that_no_header_can_hold_is_refused(encoded_id):
+    frontend = FakeFrontend()
+    target = b"/api/instances/" + encoded_id
+    assert call(frontend, b"PUT", target, ANNOUNCEMENT)[0] == 400
+    assert call(frontend, b"DELETE", target)[0] == 400
+    assert frontend.calls == []
+
+
+NESTED = b"[" * samples.NESTING + b"]" * samples.NESTING
+
+
+@pytest.mark.parametrize(
+    "data",
+    (
+        encode(CONFIGURATION)[:-1] + b', "extra": ' + NESTED + b"}",
+        encode({**CONFIGURATION, "version": 10**30}),
+        encode({**CONFIGURATION, "version": -1}),
+    ),
+    ids=("nested", "version_beyond_64_bits", "version_negative"),
+)
+def test_a_configuration_that_cannot_be_stored_is_refused(data):
+    frontend = FakeFrontend()
+    exchange = FakeExchange(b"PUT", b"/api/config", data)
+    control_api.build_handler(frontend)(exchange)
+    assert frontend.calls == []
+    assert exchange.response[0] == 400
+
+
 def test_unknown_paths_and_methods_are_refused():
     frontend = FakeFrontend()
     assert call(frontend, b"GET", b"/other")[0] == 404
--- a/chervilspindle/platform/samples.py
+++ b/chervilspindle/platform/samples.py
@@ -4,6 +4,10 @@
 is the inverse of a decoder in this folder.
 """
 
+import json
+
+NESTING = 20000  # deeper than a decoder that recurses can go
+
 
 def build_settings(
     name,
@@ -125,3 +129,52 @@
         "sequence": sequence,
         "born": born_ms,
     }
+
+
+def build_unusable_announcements(announcement: dict) -> dict[str, bytes]:
+    """Return bodies that name no endpoint to use, by what is wrong with them.
+
+    Parameters
+    ----------
+    announcement : dict
+        A sound announcement, which each body differs from in one place.
+    """
+    host = announcement["address"].rpartition(":")[0]
+    changes = {
+        "port_of_5000_digits": {"address": f"{host}:{'9' * 5000}"},
+        "port_out_of_range": {"address": f"{host}:65536"},
+        "port_zero": {"address": f"{host}:0"},
+        "port_not_ascii": {"address": f"{host}:\u00b2"},
+        "port_missing": {"address": host},
+        "host_name": {"address": "backend.example:80"},
+        "host_of_every_address": {"address": "0.0.0.0:80"},
+        "host_with_line_break": {"address": f"{host}\r\nX-Header: 1:80"},
+        "address_is_a_number": {"address": 80},
+        "state_unknown": {"state": "resting"},
+        "state_is_a_list": {"state": ["ready"]},
+        "service_empty": {"service": ""},
+        "service_missing": {"service": None},
+        "service_with_line_break": {"service": "a\r\nb"},
+        "zone_is_a_table": {"zone": {}},
+        "slots_zero": {"concurrency-limit": 0},
+        "slots_too_many": {"concurrency-limit": 10**12},
+        "sequence_beyond_64_bits": {"sequence": 10**30},
+        "sequence_above_all_others": {"sequence": 2**64 - 1},
+        "sequence_negative": {"sequence": -1},
+        "start_beyond_64_bits": {"born": 10**30},
+        "start_above_all_others": {"born": 2**64 - 1},
+        "start_negative": {"born": -1},
+    }
+    whole = json.dumps(announcement).encode()
+    body_by_name = {
+        name: json.dumps({**announcement, **change}).encode()
+        for name, change in changes.items()
+    }
+    nested = b"[" * NESTING + b"]" * NESTING
+    body_by_name["nested"] = whole[:-1] + b', "extra": ' + nested + b"}"
+    body_by_name["nested_without_end"] = b'{"extra":' * NESTING
+    body_by_name["number_too_large"] = whole[:-1] + b', "sequence": 1e999}'
+    body_by_name["cut_short"] = whole[: len(whole) // 2]
+    body_by_name["not_utf8"] = b"\xff\xfe" + whole
+    body_by_name["empty"] = b""
+    return body_by_name
--- /dev/null
+++ b/chervilspindle/routing/process_test.py
@@ -0,0 +1,113 @@
+"""Tests of entry and control processes without their sockets."""
+
+import asyncio
+import json
+
+import pytest
+import uvloop
+
+from chervilspindle.core import loops
+from chervilspindle.core import rows
+from chervilspindle.platform import documents as platform_documents
+from chervilspindle.platform import names as platform_names
+from chervilspindle.platform import samples
+from chervilspindle.platform import settings as platform_settings
+from chervilspindle.routing import process
+from chervilspindle.wire import messages
+
+HOST = "h.example"
+UNUSABLE_ADDRESS_BY_NAME = {
+    "port_of_5000_digits": "10.0.0.9:" + "9" * 5000,
+    "port_out_of_range": "10.0.0.9:65536",
+    "port_zero": "10.0.0.9:0",
+    "port_not_ascii": "10.0.0.9:\u00b2",
+    "port_negative": "10.0.0.9:-1",
+    "port_empty": "10.0.0.9:",
+    "port_missing": "10.0.0.9",
+    "empty": "",
+    "host_name": "backend.example:80",
+    "line_break": "10.0.0.9\r\nX-Injected: 1:80",
+}
+
+
+def build_endpoint(endpoint_id, **changes):
+    endpoint = rows.Endpoint(
+        endpoint_id,
+        "desk",
+        "127.0.0.1:9",
+        "z1",
+        2,
+        0,
+        "ready",
+        (),
+        1000,
+        1,
+    )
+    return endpoint._replace(**changes)
+
+
+def build_stored_document(version):
+    target = samples.build_service_target("desk")
+    route = samples.build_route("one", HOST, "/one/", True, **target)
+    configuration = samples.build_configuration(
+        version, [route], ("desk",), 20
+    )
+    return rows.StoredDocument(version, json.dumps(configuration).encode())
+
+
+def build_delta(version, endpoints, document):
+    return messages.Delta(
+        version, True, None, (), endpoints, (), (), (), document
+    )
+
+
+@pytest.fixture
+def entry():
+    loop = uvloop.new_event_loop()
+    asyncio.set_event_loop(loop)
+    clock = loops.LoopClock(loop)
+    addresses = {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"}
+    settings = samples.build_settings(
+        "vm-1", "127.0.0.1", addresses, [3, 4], [], False, None, 1, 6.0, 222.0
+    )
+    adapter = process.Adapter(
+        platform_names.HEADERS,
+        platform_names.READY_PATH,
+        platform_documents.decode_document,
+        None,
+        None,
+    )
+    yield process.EntryProcess(
+        clock,
+        loop,
+        clock,
+        platform_settings.decode_settings(json.dumps(settings).encode()),
+        adapter,
+        None,
+    )
+    loop.run_until_complete(asyncio.sleep(0))
+    loop.close()
+
+
+@pytest.mark.parametrize("name", UNUSABLE_ADDRESS_BY_NAME)
+def test_an_unusable_endpoint_does_not_hold_up_the_rows_beside_it(entry, name):
+    address = UNUSABLE_ADDRESS_BY_NAME[name]
+    endpoints = (
+        build_endpoint("a-sound"),
+        build_endpoint("odd", address=address),
+        build_endpoint("z-sound"),
+    )
+    delta = build_delta(5, endpoints, build_stored_document(7))
+    entry._apply_delta(delta)
+    assert set(entry.context.table.target_by_id) == {"a-sound", "z-sound"}
+    assert entry.entry.document.version == 7
+
+
+def test_an_unreadable_document_does_not_hold_up_the_endpoints(entry):
+    entry._apply_delta(build_delta(5, (), build_stored_document(7)))
+    unreadable = rows.StoredDocument(8, b'{"version": 8, "routes": [{}]}')
+    entry._apply_delta(
+        build_delta(6, (build_endpoint("a-sound"),), unreadable)
+    )
+    assert set(entry.context.table.target_by_id) == {"a-sound"}
+    assert entry.entry.document.version == 7
--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -155,6 +155,7 @@
         # A stream of its own keeps the faults of earlier seeds as they were.
         self.endless_random = random.Random(f"endless {seed}")
         self.notice_random = random.Random(f"notice {seed}")
+        self.writer_random = random.Random(f"writer {seed}")
         self.seconds = seconds
         self.folder = folder
         self.findings = []
@@ -265,7 +266,9 @@
 
     async def _call_control(self, method, path, value=None, member=None):
         member = member or self.random.choice(self.members)
-        body = json.dumps(value).encode() if value is not None else b""
+        body = b"" if value is None else value
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
         try:
             status, _, data = await asyncio.wait_for(
                 exchange(member.ip, member.ports[2], method, path, {}, body),
@@ -520,6 +523,28 @@
                 backend.incarnation += 1000
                 backend.sequence = 0
 
+    async def _inject_unusable_announcements(self):
+        """Let another writer announce endpoints that nobody can use."""
+        rng = self.writer_random
+        while not self.stopping:
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+            backend = rng.choice(self.backends)
+            body_by_name = samples.build_unusable_announcements(
+                backend.build_announcement()
+            )
+            name = rng.choice(sorted(body_by_name))
+            endpoint_id = f"writer-{name}-{rng.randrange(1000)}"
+            self.counts["unusable announcement"] += 1
+            status, _ = await self._call_control(
+                "PUT",
+                f"/api/instances/{endpoint_id}",
+                body_by_name[name],
+                rng.choice(self.members),
+            )
+            if status in (200, 500):
+                text = f"{endpoint_id}: status {status}"
+                self.record_violation("unusable announcement taken", text)
+
     def _count_starts(self) -> int:
         """Return how many processes of entries have been started."""
         return sum(entry.starts for entry in self.entries)
--- a/chervilspindle/tools/soak_test.py
+++ b/chervilspindle/tools/soak_test.py
@@ -52,6 +52,34 @@
     assert run.counts["all 200"] > 100
 
 
+class OtherWriterSoak(soak.Soak):
+    """Another writer announces unusable endpoints; nothing else fails."""
+
+    async def _inject_faults(self):
+        await self._inject_unusable_announcements()
+
+    async def _inject_endless_answers(self):
+        """Do nothing."""
+
+    async def _inject_pauses(self):
+        """Do nothing."""
+
+    async def _inject_leaving(self):
+        """Do nothing."""
+
+
+def test_changes_are_in_force_while_another_writer_announces_junk(tmp_path):
+    loop = uvloop.new_event_loop()
+    run = OtherWriterSoak(loop, 6, 12.0, str(tmp_path))
+    try:
+        findings = loop.run_until_complete(run.run())
+    finally:
+        loop.close()
+    assert findings == []
+    assert run.counts["unusable announcement"] >= 12
+    assert len(run.acked) >= 4
+
+
 @pytest.fixture
 def checker(tmp_path):
     loop = uvloop.new_event_loop()
