Entries leave out a row that they cannot use and apply the rest

Callers saw an acknowledged change of routes not in force, on every entry, until an endpoint that nobody can reach counted as lost.

Cause: EntryProcess._apply_delta applied the rows of a reply one after the other without a check. EndpointPool raised for an address with a port of thousands of digits, so that the reply was rejected as a whole: the rows behind it, the routing document last, were not applied, the version stayed, and the entry asked again each 0.1 s for the same rows.

Now the address is checked in one place, core/endpoint_checks.py; a row that fails is dropped, logged ("endpoint cannot be applied") and counted, and the rows beside it are applied. The same holds for a document that an entry cannot decode: the old one stays in force and endpoints are still updated.

--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -5,6 +5,7 @@
 import math
 import typing
 
+from chervilspindle.core import endpoint_checks
 from chervilspindle.core import logs
 from chervilspindle.core import rows
 from chervilspindle.routing import overload
@@ -71,6 +72,11 @@
 
         The connection pool and health are kept as long as the endpoint is
         the same process.
+
+        Raises
+        ------
+        ValueError
+            If no request can be sent to it; it is dropped.
         """
         current = self.target_by_id.get(endpoint.endpoint_id)
         if endpoint.state not in USABLE_STATES:
@@ -80,6 +86,9 @@
             current.endpoint, endpoint
         ):
             target = current._replace(endpoint=endpoint)
+        elif mistake := endpoint_checks.find_mistake(endpoint):
+            self.drop(endpoint.endpoint_id, "unusable")
+            raise ValueError(mistake)
         else:
             self.drop(endpoint.endpoint_id, "replaced")
             target = self._build(endpoint)
--- a/chervilspindle/routing/metrics.py
+++ b/chervilspindle/routing/metrics.py
@@ -27,6 +27,10 @@
             "held_back_sends_total",
             "Sends withheld from endpoints that take none now, by reason.",
         )
+        self.unusable = self._counter(
+            "unusable_rows_total",
+            "Rows from control that this entry could not use, by kind.",
+        )
         self.cut_off = aioprometheus.Gauge(
             "chervilspindle_cut_off",
             "1 while this VM reaches no endpoint, else 0.",
@@ -66,6 +70,10 @@
         """Count a connection event."""
         self.events.inc({"event": event})
 
+    def count_unusable(self, kind):
+        """Count a row from control that this entry could not use."""
+        self.unusable.inc({"kind": kind})
+
     def set_cut_off(self, is_cut_off):
         """Set whether this VM reaches no endpoint."""
         self.cut_off.set({}, int(is_cut_off))
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -326,7 +326,7 @@
     def _apply_delta(self, delta):
         table = self.context.table
         for endpoint in delta.endpoints:
-            table.put(endpoint)
+            self._put_endpoint(endpoint)
         for endpoint_id in delta.gone_endpoints:
             table.drop(endpoint_id, "forgotten")
         if delta.full:
@@ -339,8 +339,32 @@
         if delta.document is not None and delta.document.version >= 0:
             self._apply_document(delta.document)
 
+    def _put_endpoint(self, endpoint):
+        """Apply one row; a row that fails must not hold up the others."""
+        try:
+            self.context.table.put(endpoint)
+        except Exception as error:
+            self.metrics.count_unusable("endpoint")
+            LOGGER.warning(
+                "endpoint cannot be applied",
+                exc_info=not isinstance(error, ValueError),
+                extra={
+                    "endpoint": endpoint.endpoint_id,
+                    "incarnation": endpoint.incarnation,
+                    "why": str(error),
+                },
+            )
+
     def _apply_document(self, stored):
-        document = self.adapter.decode_document(stored.data)
+        try:
+            document = self.adapter.decode_document(stored.data)
+        except ValueError as error:
+            self.metrics.count_unusable("document")
+            LOGGER.error(
+                "document cannot be decoded, keeping the old one",
+                extra={"version": stored.version, "why": str(error)},
+            )
+            return
         if self.entry.update_document(document):
             self.context.relays.table.update_document(document)
             self._update_connection_limits()
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from chervilspindle.core import endpoint_checks
 from chervilspindle.core import logs
 from chervilspindle.wire import receive_limits
 
@@ -203,10 +204,8 @@
         on_event,
         receive_budget,
     ):
-        host, port = address.rsplit(":", 1)
         self.loop = loop
-        self.host = host
-        self.port = int(port)
+        self.host, self.port = endpoint_checks.parse_address(address)
         self.id_header = id_header
         self.max_connections = max_connections
         self.on_event = on_event
