Control refuses an announcement that names no usable endpoint

Control stored and replicated whatever an announcement's fields could be decoded to: an address was checked with str.isdigit() alone, which takes thousands of digits, other scripts' digits and ports out of range; numbers had no bounds, names no character set, and a body nested deeper than the decoder's recursion ended in 500.

All values are now checked where the body is decoded, with the rule that entries use (core/endpoint_checks.py); the answer is 400 and a call-refused line with target and reason.

The writer is part of every soak from now on.

--- a/chervilspindle/platform/control_api.py
+++ b/chervilspindle/platform/control_api.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chervilspindle.core import endpoint_checks
 from chervilspindle.core import errors
 from chervilspindle.core import logs
 from chervilspindle.core import rows
@@ -47,20 +48,16 @@
     ValueError
         If a field is missing, of another type or out of range.
     """
-    announcement = _ANNOUNCEMENT_DECODER.decode(data)
+    try:
+        announcement = _ANNOUNCEMENT_DECODER.decode(data)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
     state = names.STATE_BY_PLATFORM_STATE.get(announcement.state)
     if state is None:
         raise ValueError(f"unknown state {announcement.state!r}")
-    host, colon, port = announcement.address.rpartition(":")
-    if not (host and colon and port.isdigit()):
-        raise ValueError(f"address {announcement.address!r} is not IP:PORT")
-    if announcement.slots < 1 or not announcement.service:
-        raise ValueError(
-            "concurrency-limit must be at least 1, service not empty"
-        )
     if state == "ready" and announcement.cold_ms > 0:
         state = "warming"
-    return rows.Endpoint(
+    endpoint = rows.Endpoint(
         endpoint_id=endpoint_id,
         service=announcement.service,
         address=announcement.address,
@@ -72,6 +69,13 @@
         incarnation=announcement.born,
         sequence=announcement.sequence,
     )
+    mistake = endpoint_checks.find_mistake(endpoint)
+    if mistake:
+        raise ValueError(mistake)
+    # Only a withdrawal may have the final sequence.
+    if endpoint.sequence >= rows.FINAL_SEQUENCE:
+        raise ValueError("sequence is out of range")
+    return endpoint
 
 
 class ControlApi:
@@ -172,7 +176,10 @@
         raise ValueError(
             f"encoded endpoint id must have 1 to {MAX_ID_BYTES} bytes"
         )
-    return urllib.parse.unquote(encoded.decode("ascii"))
+    endpoint_id = urllib.parse.unquote(encoded.decode("ascii"))
+    if not endpoint_checks.is_header_token(endpoint_id):
+        raise ValueError("endpoint id must have visible ASCII characters")
+    return endpoint_id
 
 
 def _respond_ok(_, exchange):
--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -225,6 +225,7 @@
                 self._inject_endless_answers,
                 self._inject_pauses,
                 self._inject_leaving,
+                self._inject_unusable_announcements,
                 self._watch_memory,
             ):
                 tasks.append(self.loop.create_task(activity()))
--- a/chervilspindle/tools/soak_test.py
+++ b/chervilspindle/tools/soak_test.py
@@ -56,7 +56,7 @@
     """Another writer announces unusable endpoints; nothing else fails."""
 
     async def _inject_faults(self):
-        await self._inject_unusable_announcements()
+        """Do nothing."""
 
     async def _inject_endless_answers(self):
         """Do nothing."""
