Control refuses a configuration whose values cannot be stored or applied

Numbers are now held to +-2**53, versions to 0 .. 2**53, and a body that is nested too deeply is a 400.

Evidence: six cases of platform_test.py and a hypothesis test (any value in any field of a document that passes the checks can be applied) failed before; the latter found the OverflowError by itself.

--- a/chervilspindle/platform/documents.py
+++ b/chervilspindle/platform/documents.py
@@ -69,7 +69,10 @@
     ValueError
         If a field cannot be decoded; the message names it.
     """
-    configuration = _DECODER.decode(data)
+    try:
+        configuration = _DECODER.decode(data)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
     limits = configuration.limits
     return documents.Document(
         configuration.version,
--- a/chervilspindle/platform/platform_test.py
+++ b/chervilspindle/platform/platform_test.py
@@ -286,8 +286,25 @@
         encode(CONFIGURATION)[:-1] + b', "extra": ' + NESTED + b"}",
         encode({**CONFIGURATION, "version": 10**30}),
         encode({**CONFIGURATION, "version": -1}),
+        encode({**CONFIGURATION, "limits": {"body-max-bytes": 10**400}}),
+        encode(
+            {
+                **CONFIGURATION,
+                "services": [
+                    {"name": name, "max-connections": 10**400} for name in "ab"
+                ],
+            }
+        ),
+        encode({**CONFIGURATION, "routes": [{**ROUTE, "timeout-ms": 1e300}]}),
+    ),
+    ids=(
+        "nested",
+        "version_beyond_64_bits",
+        "version_negative",
+        "limit_too_large",
+        "connections_too_many",
+        "timeout_too_long",
     ),
-    ids=("nested", "version_beyond_64_bits", "version_negative"),
 )
 def test_a_configuration_that_cannot_be_stored_is_refused(data):
     frontend = FakeFrontend()
--- a/chervilspindle/routing/documents.py
+++ b/chervilspindle/routing/documents.py
@@ -6,6 +6,8 @@
 
 import typing
 
+MAX_NUMBER = 1 << 53  # JSON numbers are exact up to here
+
 
 class Limits(typing.NamedTuple):
     """Limits on the size and timing of callers' requests.
@@ -108,6 +110,11 @@
 def check_document(document: Document) -> tuple[DocumentError, ...]:
     """Return all errors of a document, empty if it may be applied."""
     errors = []
+    if not 0 <= document.version <= MAX_NUMBER:
+        errors.append(DocumentError("version", "is out of range"))
+    for place, row in _list_numeric_rows(document):
+        if any(abs(n) > MAX_NUMBER for n in row if _is_number(n)):
+            errors.append(DocumentError(place, "a number is out of range"))
     route_name_by_key = {}
     for route in document.routes:
         key = (route.host, route.prefix)
@@ -119,6 +126,20 @@
     return tuple(errors)
 
 
+def _list_numeric_rows(document):
+    yield "limits", document.limits
+    for service in document.service_by_name.values():
+        yield service.name, service
+    for route in document.routes:
+        yield route.name, route
+        for alternative in route.alternatives:
+            yield route.name, alternative
+
+
+def _is_number(value):
+    return isinstance(value, (int, float))
+
+
 def _check_route(route: Route, service_by_name):
     if not route.prefix.startswith("/") or not route.prefix.endswith("/"):
         yield DocumentError(
--- a/chervilspindle/routing/process_test.py
+++ b/chervilspindle/routing/process_test.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 import uvloop
 
@@ -12,6 +14,7 @@
 from chervilspindle.platform import names as platform_names
 from chervilspindle.platform import samples
 from chervilspindle.platform import settings as platform_settings
+from chervilspindle.routing import documents
 from chervilspindle.routing import process
 from chervilspindle.wire import messages
 
@@ -111,3 +114,51 @@
     )
     assert set(entry.context.table.target_by_id) == {"a-sound"}
     assert entry.entry.document.version == 7
+
+
+VALUES = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.integers(-(10**400), 10**400),
+    strategies.floats(allow_nan=False, allow_infinity=False),
+    strategies.text(max_size=20),
+    strategies.just([]),
+    strategies.just({}),
+)
+FIELDS = (
+    *((place, "routes") for place in samples.build_route("", "", "", True)),
+    *((place, "services") for place in ("name", "max-connections")),
+    ("body-max-bytes", "limits"),
+    ("idle-timeout-ms", "limits"),
+    ("version", ""),
+)
+
+
+@hypothesis.settings(
+    derandomize=True,
+    max_examples=400,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
+)
+@hypothesis.given(strategies.sampled_from(FIELDS), VALUES)
+def test_any_document_that_passes_the_checks_can_be_applied(
+    entry, field, value
+):
+    key, place = field
+    configuration = json.loads(build_stored_document(1).data)
+    configuration["limits"] = {}
+    part = configuration[place] if place else configuration
+    (part[0] if isinstance(part, list) else part)[key] = value
+    data = json.dumps(configuration).encode()
+    try:
+        document = platform_documents.decode_document(data)
+    except ValueError:
+        return
+    if documents.check_document(document):
+        return
+    entry.entry.document = None
+    stored = rows.StoredDocument(document.version, data)
+    entry._apply_delta(build_delta(5, (build_endpoint("a"),), stored))
+    assert entry.entry.document == document
+    assert entry.context.table.target_by_id
