A command that cannot be encoded fails alone

An announcement with an integer beyond 64 bits, or the leader's own mark of a lost endpoint with such a sequence, raised in ControlNode._propose_batch, where the commands of one turn are encoded together. Everything proposed in that turn was dropped without an answer, the operator's change among it, and so were the replies to all messages received in it.

Each command is now encoded when it is proposed: one that has no encoding gets MALFORMED (not run) and a command-refused line; the log entry joins what is encoded.

--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -34,9 +34,9 @@
 
 
 class Proposal(typing.NamedTuple):
-    """A command that is not committed yet."""
+    """An encoded command that is not committed yet."""
 
-    command: typing.NamedTuple
+    encoded: tuple
     deferred: defer.Deferred
 
 
@@ -211,12 +211,24 @@
         Deferred
             Fires with the result of applying the command. Fails with
             NO_LEADER and not_run if the command is certainly not in the log,
-            and with OUTCOME_UNKNOWN if it may be.
+            and with OUTCOME_UNKNOWN if it may be; with MALFORMED if it has
+            no encoding.
         """
         if not self.is_leader():
             return defer.fail(self.build_no_leader_error())
+        try:
+            encoded = state_module.encode_command(command)
+        except (OverflowError, TypeError, ValueError) as error:
+            name = type(command).__name__
+            logs.log_decision("command-refused", command=name, why=str(error))
+            return defer.fail(
+                errors.build_error(
+                    errors.ErrorKind.MALFORMED,
+                    f"{name} cannot be stored: {error}",
+                )
+            )
         deferred = defer.Deferred()
-        self.proposals.append(Proposal(command, deferred))
+        self.proposals.append(Proposal(encoded, deferred))
         self._schedule_flush()
         return deferred
 
@@ -309,7 +321,7 @@
             return ()
         proposals, self.proposals = self.proposals, []
         now = self.read_clock()
-        data = state_module.encode_batch(p.command for p in proposals)
+        data = state_module.join_commands(p.encoded for p in proposals)
         result, index = raft.propose(self.raft, data, now)
         if index is None:
             for proposal in proposals:
--- a/chervilspindle/control/state.py
+++ b/chervilspindle/control/state.py
@@ -245,12 +245,25 @@
 }
 
 
+def encode_command(command) -> tuple[str, msgspec.Raw]:
+    """Encode one command of a log entry.
+
+    Raises
+    ------
+    OverflowError, TypeError, ValueError
+        If a value has no encoding, such as an integer beyond 64 bits.
+    """
+    return type(command).__name__, msgspec.Raw(_ENCODER.encode(command))
+
+
+def join_commands(encoded) -> bytes:
+    """Build the data of one log entry from encoded commands."""
+    return _ENCODER.encode(Batch(tuple(encoded)))
+
+
 def encode_batch(commands) -> bytes:
     """Encode commands as the data of one log entry."""
-    packed = tuple(
-        (type(c).__name__, msgspec.Raw(_ENCODER.encode(c))) for c in commands
-    )
-    return _ENCODER.encode(Batch(packed))
+    return join_commands(encode_command(c) for c in commands)
 
 
 def decode_batch(data: bytes) -> tuple:
