A stored row that cannot be replaced no longer holds up lost endpoints

The marks of all endpoints that are lost at a moment go into one command with sequence + 1 each. A row whose sequence is 2**64 - 1, stored by a build without the check of announcements, has no successor, so that no endpoint was marked as lost any more: entries went on trying endpoints that were gone.

Such a row is left out (entries leave it out as well), and the leader checks announcements that members forward, since a member of another build may take what this one refuses.

Evidence: frontend_test.py, red before.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -17,6 +17,7 @@
 
 from chervilspindle.control import locality
 from chervilspindle.control import state as state_module
+from chervilspindle.core import endpoint_checks
 from chervilspindle.core import errors
 from chervilspindle.core import logs
 from chervilspindle.core import rows
@@ -286,7 +287,10 @@
             announced_ms = self.last_announced_ms_by_id.setdefault(
                 endpoint.endpoint_id, now
             )
-            if announced_ms < announced_after_ms:
+            # A row with a sequence out of range cannot be replaced; entries
+            # do not use it.
+            is_replaceable = endpoint.sequence < rows.FINAL_SEQUENCE
+            if announced_ms < announced_after_ms and is_replaceable:
                 timed_out.append(endpoint)
         if len(timed_out) > len(usable) * (1.0 - MIN_ANNOUNCED_SHARE):
             return
@@ -351,6 +355,10 @@
 def _handle_announce(
     message: messages.AnnounceCall, frontend: ControlFrontend
 ):
+    mistake = endpoint_checks.find_mistake(message.endpoint)
+    if mistake:
+        # The member that forwards it may be of a build without this check.
+        raise errors.build_error(errors.ErrorKind.MALFORMED, mistake)
     frontend.last_announced_ms_by_id[message.endpoint.endpoint_id] = (
         frontend.read_clock()
     )
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -183,7 +183,8 @@
     for number in range(4):
         frontend.announce(build_endpoint(endpoint_id=f"i-{number}"))
     # Builds before the check of announcements stored such rows.
-    frontend.announce(build_endpoint(2**64 - 1, endpoint_id="odd"))
+    row = build_endpoint(2**64 - 1, endpoint_id="odd")
+    node.propose(state_module.ReportEndpoints((row,), 1))
     del node.proposed[:]
     for sequence in range(2, 32):
         clock.advance(0.5)
@@ -194,6 +195,16 @@
     state_module.encode_batch(node.proposed)
 
 
+def test_an_unusable_row_from_a_member_of_another_build_is_refused(control):
+    _, node, frontend, _ = control
+    row = build_endpoint(endpoint_id="odd", address="10.0.0.9:" + "9" * 5000)
+    failures = []
+    deferred = defer.maybeDeferred(frontend.announce, row)
+    deferred.addErrback(failures.append)
+    assert failures[0].value.problem.kind is errors.ErrorKind.MALFORMED
+    assert node.proposed == []
+
+
 def test_no_endpoint_is_lost_if_none_announces_itself(control):
     clock, node, frontend, _ = control
     for number in range(4):
