Quarantine: a frequent request is not refused for another one's crashes

Callers got 503 crashes_endpoints for ten minutes on a query that all of them send, at all entries: it had run at five endpoints that another content ended, and what is refused is sent no more, so that no answer clears it.

An entry remembers for a minute which contents were answered (4096 at most). It serves one of these on as long as contents that were not answered explain each endpoint that ended under it.

The test of a frequent content failed before.

--- a/chervilspindle/routing/quarantine.py
+++ b/chervilspindle/routing/quarantine.py
@@ -13,9 +13,14 @@
 
 An answer to any request of the content clears the record, so that a request
 which merely ran beside the one that crashes is cleared by its next shard or
-repeat.
+repeat. A content that endpoints have answered lately is not refused either,
+as long as all the endpoints that ended under it also ended under contents that
+none has answered.
 """
 
+import collections
+import math
+
 from chervilspindle.core import errors
 from chervilspindle.core import logs
 from chervilspindle.core import rows
@@ -29,10 +34,37 @@
 MAX_ASKED = 3  # entries
 REPORT_BATCH_S = 0.02  # crashes within this time share one report
 REPORT_RETRY_S = 0.3
+ANSWERED_MEMORY_S = 60.0
+MAX_ANSWERED_CONTENTS = 4096
 # A VM that reaches control later was cut off, perhaps from the endpoints too.
 REPORT_LIFETIME_S = 5.0
 
 
+def find_blocked(records, answered) -> set[str]:
+    """Return the contents that crash endpoints, of those under which some did.
+
+    Answers the load of a frequent request that runs at endpoints which
+    another request ends.
+
+    Parameters
+    ----------
+    records : collection of rows.CrashRecord
+    answered : collection of str
+        Contents that an endpoint has answered lately.
+    """
+    blocked = {r.content for r in records if r.content not in answered}
+    explained = {
+        endpoint
+        for record in records
+        if record.content in blocked
+        for endpoint in record.endpoints
+    }
+    blocked.update(
+        r.content for r in records if not explained.issuperset(r.endpoints)
+    )
+    return blocked
+
+
 class Quarantine:
     """Contents that crash endpoints, as known to one entry.
 
@@ -51,6 +83,8 @@
     send_report : callable or None
         ``send_report(report)`` sends a `messages.CrashReport` to control and
         returns a Deferred; None without control.
+    answered_s_by_content : OrderedDict of str to float
+        Loop time of the last answer, oldest first.
     """
 
     def __init__(self, loop, table, reachability):
@@ -61,6 +95,8 @@
         self.send_report = None
         self.record_by_content = {}
         self.blocked_contents = set()
+        self.explained_contents = set()
+        self.answered_s_by_content = collections.OrderedDict()
         self.callbacks_by_endpoint = {}
         self.pending_by_content = {}
 
@@ -72,11 +108,13 @@
             self.record_by_content[record.content] = record
         for content in gone:
             self.record_by_content.pop(content, None)
-        blocked = {
-            record.content
+        suspects = [
+            record
             for record in self.record_by_content.values()
             if len(record.endpoints) >= MIN_CRASHES
-        }
+        ]
+        answered = self._list_answered(suspects)
+        blocked = find_blocked(suspects, answered)
         for content in blocked - self.blocked_contents:
             record = self.record_by_content[content]
             logs.log_decision(
@@ -84,6 +122,15 @@
                 content=content,
                 endpoints=list(record.endpoints),
             )
+        explained = {r.content for r in suspects} - blocked
+        for content in explained - self.explained_contents:
+            logs.log_decision(
+                "content-explained",
+                content=content,
+                endpoints=list(self.record_by_content[content].endpoints),
+                by=sorted(blocked),
+            )
+        self.explained_contents = explained
         for content in self.blocked_contents - blocked:
             logs.log_decision("content-released", content=content)
         self.blocked_contents = blocked
@@ -103,11 +150,23 @@
         )
         return max(0.0, (expires_ms - logs.read_wall_ms()) / 1000.0)
 
+    def _list_answered(self, records) -> set[str]:
+        """Return the contents that an endpoint answered lately."""
+        since_s = self.loop.time() - ANSWERED_MEMORY_S if records else 0.0
+        return {
+            record.content
+            for record in records
+            if self.answered_s_by_content.get(record.content, -math.inf)
+            > since_s
+        }
+
     def record_answered(self, request):
         """Clear the record of a content that an endpoint has answered."""
-        if not self.record_by_content:
-            return
         content = request_content.compute_digest(request)
+        self.answered_s_by_content[content] = self.loop.time()
+        self.answered_s_by_content.move_to_end(content)
+        if len(self.answered_s_by_content) > MAX_ANSWERED_CONTENTS:
+            self.answered_s_by_content.popitem(last=False)
         if self.record_by_content.pop(content, None) is not None:
             self.blocked_contents.discard(content)
             self._send(messages.CrashReport(content, ()), self.loop.time())
--- a/chervilspindle/routing/quarantine_test.py
+++ b/chervilspindle/routing/quarantine_test.py
@@ -40,7 +40,7 @@
 
 
 def test_a_content_is_refused_from_its_third_crash_until_it_expires():
-    one = quarantine.Quarantine(None, None, None)
+    one = quarantine.Quarantine(Clock(), None, None)
     request = build_request()
     one.apply((build_record(request, ("a@1", "b@1")),), (), True)
     assert one.find_wait_s(request) == 0.0
@@ -55,6 +55,56 @@
     assert not one.blocked_contents
 
 
+class Clock:
+    """A loop that only tells the time."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def time(self):
+        return self.now
+
+
+def test_a_frequent_content_is_not_refused_for_another_ones_crashes():
+    clock = Clock()
+    one = quarantine.Quarantine(clock, None, None)
+    crashing, frequent = build_request(b"/crash"), build_request(b"/often")
+    one.record_answered(frequent)
+    ended = ("a@1", "b@1", "c@1")
+    one.apply((build_record(frequent, ended),), (), True)
+    assert one.find_wait_s(frequent) > 0.0
+    one.apply((build_record(crashing, (*ended, "d@1")),), (), False)
+    assert one.find_wait_s(frequent) == 0.0
+    assert one.find_wait_s(crashing) > 0.0
+    one.apply((build_record(frequent, (*ended, "e@1")),), (), False)
+    assert one.find_wait_s(frequent) > 0.0
+
+
+def test_a_content_that_was_not_answered_lately_stays_refused():
+    clock = Clock()
+    one = quarantine.Quarantine(clock, None, None)
+    crashing, other = build_request(b"/crash"), build_request(b"/other")
+    one.record_answered(other)
+    clock.now += quarantine.ANSWERED_MEMORY_S + 1.0
+    ended = ("a@1", "b@1", "c@1")
+    rows_of_both = (build_record(crashing, ended), build_record(other, ended))
+    one.apply(rows_of_both, (), True)
+    assert one.find_wait_s(crashing) > 0.0 and one.find_wait_s(other) > 0.0
+
+
+def test_a_crashing_content_that_was_answered_before_is_still_refused():
+    one = quarantine.Quarantine(Clock(), None, None)
+    crashing, beside = build_request(b"/crash"), build_request(b"/beside")
+    one.record_answered(crashing)
+    ended = ("a@1", "b@1", "c@1", "d@1")
+    one.apply(
+        (build_record(crashing, ended), build_record(beside, ended[:3])),
+        (),
+        True,
+    )
+    assert one.find_wait_s(crashing) > 0.0
+
+
 def test_an_answer_clears_a_content_here_and_in_control():
     class Loop:
         def time(self):
