Answers: bytes after an answer no longer change its status

What callers saw: a backend's 500 followed, in the same read, by the head of another answer was passed on with the status of that head, 200 with the stamp and the body of the failure; a 200 followed by "HTTP/1.1 5" as status 5, by an interim answer as 103.

Cause: the status was asked of the parser when the answer was handed over, and the parser had gone on to the surplus head by then. Headers and body were kept apart already. Ruled out: bytes that come in a later read close the connection, and an answer that names another attempt is refused.

The status is now taken when the head of the answer is complete, with its headers.

--- /dev/null
+++ b/chervilspindle/wire/endpoint_answers_test.py
@@ -0,0 +1,78 @@
+"""Tests of the answers of endpoints: cut short, odd, or followed by more."""
+
+import pytest
+
+from chervilspindle.wire import endpoint_http
+from chervilspindle.wire import receive_limits
+from chervilspindle.wire import receive_limits_test
+
+ID_HEADER = b"x-id"
+ANSWERED = endpoint_http.Ending.ANSWERED
+INVALID = endpoint_http.Ending.INVALID
+
+
+class Exchange:
+    """One request on a connection, whose bytes the test delivers."""
+
+    def __init__(self, method=b"GET"):
+        self.events = []
+        self.answers = []
+        self.pool = endpoint_http.EndpointPool(
+            receive_limits_test.FakeLoop(),
+            "127.0.0.1:1",
+            ID_HEADER,
+            1,
+            self.events.append,
+            receive_limits.ReceiveBudget(2**26),
+        )
+        self.call = endpoint_http.Call(
+            method + b" / HTTP/1.1\r\nHost: h\r\n\r\n",
+            b"id",
+            1.0,
+            lambda call, answer: self.answers.append(answer),
+        )
+        self.pool.submit(self.call)
+        self.connection = endpoint_http.EndpointConnection(self.pool)
+        self.connection.connection_made(receive_limits_test.FakeTransport())
+
+    def receive(self, *pieces):
+        for piece in pieces:
+            if not self.connection.transport.is_closing():
+                self.connection.data_received(piece)
+        return self
+
+    def end(self, is_reset=False):
+        """End the connection; return the one answer."""
+        if is_reset:
+            self.connection.connection_lost(ConnectionResetError())
+        else:
+            if not self.connection.transport.is_closing():
+                self.connection.eof_received()
+            self.connection.connection_lost(None)
+        assert len(self.answers) == 1 and self.pool.count == 0
+        assert self.pool.receive_budget.total_bytes == 0
+        return self.answers[0]
+
+    def is_reusable(self):
+        return self.connection in self.pool.idle
+
+
+@pytest.mark.parametrize("status", (200, 404, 500))
+@pytest.mark.parametrize(
+    "surplus",
+    (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
+        b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 2",
+        b"HTTP/1.1 ",
+        b"HTTP/1.1 103 Early\r\n\r\n",
+        b"\r\n\r\n",
+        b"surplus",
+    ),
+)
+def test_bytes_after_an_answer_do_not_change_its_status(status, surplus):
+    head = b"HTTP/1.1 %d Any\r\nContent-Length: 4\r\n\r\n" % status
+    exchange = Exchange().receive(head + b"body" + surplus)
+    answer = exchange.end()
+    assert answer.ending is ANSWERED
+    assert (answer.status, answer.body) == (status, b"body")
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -442,6 +442,7 @@
         self.parser = None
         self.call = None
         self.must_close = False
+        self.status = 0
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.headers = []
@@ -566,6 +567,8 @@
         if self.complete:
             return
         self.in_body = True
+        # The parser's status is that of the last head, even a surplus one.
+        self.status = self.parser.get_status_code()
         values = self.value_by_name
         encoding = values.get(b"transfer-encoding", b"")
         self.until_close = (
@@ -588,14 +591,14 @@
         """Mark the answer as complete, unless it is an interim one."""
         if self.complete:
             return
-        if self.parser.get_status_code() < 200:
+        if self.status < 200:
             self.in_body = False
             return
         self.complete = True
         if self.until_close and not self.must_close:
             # With neither a length nor chunks, only an answer that has no
             # body (204, 304) leaves the connection usable.
-            self.must_close = self.parser.get_status_code() not in (204, 304)
+            self.must_close = self.status not in (204, 304)
 
     def _read_keep_alive(self, value: bytes):
         for item in value.split(b","):
@@ -608,7 +611,7 @@
         self.pool.receive_budget.release(self)
         answer = Answer(
             Ending.ANSWERED,
-            self.parser.get_status_code(),
+            self.status,
             self.headers,
             self.value_by_name,
             b"".join(self.body),
