Answers: all lines of Transfer-Encoding are read, unknown codings refused

What callers saw: an answer with "Transfer-Encoding: gzip" (or identity) and "chunked" on a line of its own, cut by a clean close within its chunks, was passed on as a 200 with an empty or short body, framed as whole; a body coded with gzip was passed on as if it were the body itself.

Cause: only the first line was looked at, so that the answer counted as one that ends with its connection, while the parser read chunks. Ruled out: the same answers cut by a reset, and with one line only, were lost answers before; Content-Length beside chunks, twice or malformed is refused by the parser.

All lines are joined now. The only codings that can be decoded are chunked and identity; an answer with another one is invalid.

--- a/chervilspindle/wire/endpoint_answers_test.py
+++ b/chervilspindle/wire/endpoint_answers_test.py
@@ -76,3 +76,56 @@
     answer = exchange.end()
     assert answer.ending is ANSWERED
     assert (answer.status, answer.body) == (status, b"body")
+
+
+@pytest.mark.parametrize(
+    "lines",
+    (
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding:\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+    ),
+)
+@pytest.mark.parametrize("is_reset", (False, True))
+def test_chunks_cut_short_are_no_answer_however_they_are_announced(
+    lines, is_reset
+):
+    chunks = b"5\r\nhello\r\n0\r\n\r\n"
+    for length in range(len(chunks)):
+        exchange = Exchange().receive(
+            b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n" + chunks[:length]
+        )
+        assert exchange.end(is_reset).ending is not ANSWERED, length
+
+
+@pytest.mark.parametrize(
+    "coding",
+    (b"gzip", b"gzip, chunked", b"chunked, gzip", b"deflate", b"xchunked"),
+)
+def test_a_body_in_an_unknown_transfer_coding_is_no_answer(coding):
+    """It would be passed on as if it were the body itself."""
+    for body in (b"hello", b"5\r\nhello\r\n0\r\n\r\n"):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding
+        exchange = Exchange().receive(head + b"\r\n\r\n" + body)
+        assert exchange.end().ending is INVALID
+
+
+@pytest.mark.parametrize(
+    "coding", (b"chunked", b"Chunked", b"identity, chunked")
+)
+def test_a_chunked_body_is_decoded(coding):
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding
+    exchange = Exchange().receive(
+        head + b"\r\n\r\n" + b"5\r\nhello\r\n0\r\n\r\n"
+    )
+    assert exchange.is_reusable()
+    answer = exchange.end()
+    assert (answer.ending, answer.body) == (ANSWERED, b"hello")
+
+
+def test_a_body_with_the_identity_coding_ends_with_the_connection():
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n"
+    assert Exchange().receive(head + b"hello").end().body == b"hello"
+    reset = Exchange().receive(head + b"hello").end(is_reset=True)
+    assert reset.ending is endpoint_http.Ending.BROKEN
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -453,6 +453,7 @@
         self.complete = False
         self.in_body = False
         self.until_close = False
+        self.is_decodable = True
 
     def connection_made(self, transport):
         """Add the open connection to the pool."""
@@ -468,6 +469,7 @@
         self.received_bytes = 0
         self.complete = False
         self.in_body = False
+        self.is_decodable = True
         self.parser = httptools.HttpResponseParser(self)
         self.transport.write(call.data)
         self.pool.link_observer.record_sent()
@@ -517,6 +519,9 @@
             if not self.complete:
                 self._fail(Ending.INVALID)
                 return
+        if not self.is_decodable:
+            self._fail(Ending.INVALID)
+            return
         self.received_bytes += len(data)
         if self.body_bytes > call.max_body_bytes:
             self.drop_answer("body_limit")
@@ -570,11 +575,11 @@
         # The parser's status is that of the last head, even a surplus one.
         self.status = self.parser.get_status_code()
         values = self.value_by_name
-        encoding = values.get(b"transfer-encoding", b"")
-        self.until_close = (
-            b"content-length" not in values
-            and b"chunked" not in encoding.lower()
-        )
+        codings = ()
+        if b"transfer-encoding" in values:
+            codings = list_transfer_codings(self.headers)
+            self.is_decodable = codings in ((), (b"chunked",))
+        self.until_close = b"content-length" not in values and not codings
         if b"close" in values.get(b"connection", b"").lower():
             self.must_close = True
         if b"keep-alive" in values:
@@ -637,3 +642,13 @@
         call = self.call
         self.abort()
         self.pool.end(call, Answer(ending))
+
+
+def list_transfer_codings(headers) -> tuple[bytes, ...]:
+    """Return the transfer codings of a message in lower case, in order.
+
+    All header lines count; `identity` is left out.
+    """
+    lines = [v for name, v in headers if name == b"transfer-encoding"]
+    codings = (c.strip().lower() for c in b",".join(lines).split(b","))
+    return tuple(c for c in codings if c not in (b"", b"identity"))
