Answers: a huge Keep-Alive timeout no longer makes an answer invalid

What callers saw: 502, or a second send, for a whole and signed answer whose Keep-Alive names a timeout of 400 or 5,000 digits.

Cause: the timeout was converted with int, which refuses more than 4,300 digits, and lowered by half a second, which overflows from 309 digits on; raised within the parser, either counts as bytes that are no answer.

The timeout is read as a float and bounded; a malformed one is ignored and counted as an event. Failed before: the test's 2 cases; the 9 of the second test, of malformed values, held before and hold now.

--- a/chervilspindle/wire/endpoint_answers_test.py
+++ b/chervilspindle/wire/endpoint_answers_test.py
@@ -129,3 +129,35 @@
     assert Exchange().receive(head + b"hello").end().body == b"hello"
     reset = Exchange().receive(head + b"hello").end(is_reset=True)
     assert reset.ending is endpoint_http.Ending.BROKEN
+
+
+@pytest.mark.parametrize("digits", (400, 5000))
+def test_a_huge_keep_alive_timeout_does_not_spoil_the_answer(digits):
+    head = (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nKeep-Alive: timeout="
+        + b"9" * digits
+    )
+    exchange = Exchange().receive(head + b"\r\n\r\nbody")
+    assert exchange.is_reusable()
+    assert exchange.end().body == b"body"
+
+
+@pytest.mark.parametrize(
+    "value,expected_s",
+    (
+        (b"timeout=3", 3 - endpoint_http.IDLE_MARGIN_S),
+        (b"max=100, Timeout=7", 7 - endpoint_http.IDLE_MARGIN_S),
+        (b"timeout=0", 0.0),
+        (b"timeout=-1", endpoint_http.DEFAULT_IDLE_LIMIT_S),
+        (b"timeout=1e9", endpoint_http.DEFAULT_IDLE_LIMIT_S),
+        (b"timeout=nan", endpoint_http.DEFAULT_IDLE_LIMIT_S),
+        (b"timeout=\xb2", endpoint_http.DEFAULT_IDLE_LIMIT_S),
+        (b"timeout", endpoint_http.DEFAULT_IDLE_LIMIT_S),
+        (b"=", endpoint_http.DEFAULT_IDLE_LIMIT_S),
+    ),
+)
+def test_a_malformed_keep_alive_timeout_is_ignored(value, expected_s):
+    head = b"HTTP/1.1 204 No\r\nKeep-Alive: " + value
+    exchange = Exchange().receive(head + b"\r\n\r\n")
+    assert exchange.connection.idle_limit_s == expected_s
+    assert exchange.end().status == 204
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -19,6 +19,7 @@
 
 CONNECT_TIMEOUT_S = 0.5  # several round trips within a region
 DEFAULT_IDLE_LIMIT_S = 4.0  # for endpoints that state no keep-alive timeout
+MAX_IDLE_LIMIT_S = 3600.0
 IDLE_MARGIN_S = 0.5  # stops reuse before the endpoint closes the connection
 # Longest idle time of a connection that a request which must run at most once
 # may reuse; after longer, the endpoint may be closing it.
@@ -608,8 +609,14 @@
     def _read_keep_alive(self, value: bytes):
         for item in value.split(b","):
             name, _, text = item.strip().partition(b"=")
-            if name.lower() == b"timeout" and text.isdigit():
-                self.idle_limit_s = max(0.0, int(text) - IDLE_MARGIN_S)
+            if name.lower() != b"timeout":
+                continue
+            if text.isdigit():
+                # Unlike int, float takes any number of digits.
+                seconds = min(float(text), MAX_IDLE_LIMIT_S)
+                self.idle_limit_s = max(0.0, seconds - IDLE_MARGIN_S)
+            else:
+                self.pool.on_event("malformed-keep-alive")
 
     def _finish(self):
         call, self.call = self.call, None
