Answers: trailers of an endpoint are not taken for headers

What callers saw: the fields after the last chunk of a chunked answer among the headers of the answer; an unsigned answer whose trailer holds a signature passed for a signed one.

Cause: the parser reports both by the same callback. RFC 9110, 6.5.1, lets a recipient merge only fields that are defined for that; none of ours is. Failed before: the new test; holds after.

--- a/chervilspindle/wire/endpoint_answers_test.py
+++ b/chervilspindle/wire/endpoint_answers_test.py
@@ -161,3 +161,20 @@
     exchange = Exchange().receive(head + b"\r\n\r\n")
     assert exchange.connection.idle_limit_s == expected_s
     assert exchange.end().status == 204
+
+
+def test_trailers_are_not_taken_for_headers():
+    """A signature after the body would sign an answer that has none."""
+    answer = (
+        Exchange()
+        .receive(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: 1\r\n\r\n"
+            b"4\r\nbody\r\n0\r\nStamp: s\r\nA: 2\r\nX-Id: other\r\n\r\n"
+        )
+        .end()
+    )
+    assert answer.ending is ANSWERED and answer.body == b"body"
+    assert list(answer.headers) == [
+        (b"transfer-encoding", b"chunked"),
+        (b"a", b"1"),
+    ]
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -562,8 +562,8 @@
         self.body_bytes = 0
 
     def on_header(self, name: bytes, value: bytes):
-        """Append one header."""
-        if not self.complete:
+        """Append one header; trailers are ignored."""
+        if not self.complete and not self.in_body:
             name = name.lower()
             self.headers.append((name, value))
             self.value_by_name.setdefault(name, value)
