Answers: connections that endpoints will close are not used again

What callers saw: after an answer in HTTP/1.0, or one whose second Connection line says close, the next request went out on a connection that its endpoint was closing: lost, and not repeated if it is unsafe.

Cause: only the first Connection line was looked at, and not the version. The parser knows both, as well as the framing; it is asked now. Failed before: 2 of the 6 cases; hold after, as do the four of answers that have no body, which were reused before.

--- a/chervilspindle/wire/endpoint_answers_test.py
+++ b/chervilspindle/wire/endpoint_answers_test.py
@@ -178,3 +178,39 @@
         (b"transfer-encoding", b"chunked"),
         (b"a", b"1"),
     ]
+
+
+@pytest.mark.parametrize(
+    "head,is_reusable",
+    (
+        (b"HTTP/1.1 200 OK\r\n", True),
+        (b"HTTP/1.0 200 OK\r\n", False),
+        (b"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n", True),
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\n", False),
+        (b"HTTP/1.1 200 OK\r\nConnection: x, Close\r\n", False),
+        (b"HTTP/1.1 200 OK\r\nConnection: x\r\nConnection: close\r\n", False),
+    ),
+)
+def test_a_connection_that_the_endpoint_will_close_is_not_used_again(
+    head, is_reusable
+):
+    """An unsafe request on it would be lost and must not be repeated."""
+    answer = head + b"Content-Length: 4\r\n\r\nbody"
+    exchange = Exchange().receive(answer)
+    assert exchange.is_reusable() is is_reusable
+    assert exchange.end().body == b"body"
+
+
+@pytest.mark.parametrize(
+    "head",
+    (
+        b"HTTP/1.1 204 No Content\r\n",
+        b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n",
+        b"HTTP/1.1 304 Not Modified\r\n",
+        b"HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n",
+    ),
+)
+def test_an_answer_without_a_body_leaves_the_connection_open(head):
+    exchange = Exchange().receive(head + b"\r\n")
+    assert exchange.is_reusable()
+    assert exchange.end().body == b""
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -581,8 +581,6 @@
             codings = list_transfer_codings(self.headers)
             self.is_decodable = codings in ((), (b"chunked",))
         self.until_close = b"content-length" not in values and not codings
-        if b"close" in values.get(b"connection", b"").lower():
-            self.must_close = True
         if b"keep-alive" in values:
             self._read_keep_alive(values[b"keep-alive"])
 
@@ -601,10 +599,8 @@
             self.in_body = False
             return
         self.complete = True
-        if self.until_close and not self.must_close:
-            # With neither a length nor chunks, only an answer that has no
-            # body (204, 304) leaves the connection usable.
-            self.must_close = self.status not in (204, 304)
+        if not self.parser.should_keep_alive():
+            self.must_close = True
 
     def _read_keep_alive(self, value: bytes):
         for item in value.split(b","):
