Answers: the answer to HEAD is complete after its header

What callers saw: 504, or 502 once the endpoint closed, for a HEAD request whose answer names the length that the body would have.

Cause: the parser does not know the request and waited for the body. The connection is closed after such an answer, as an endpoint that sends the body all the same can't be told from one that does not.

--- a/chervilspindle/wire/endpoint_answers_test.py
+++ b/chervilspindle/wire/endpoint_answers_test.py
@@ -214,3 +214,23 @@
     exchange = Exchange().receive(head + b"\r\n")
     assert exchange.is_reusable()
     assert exchange.end().body == b""
+
+
+@pytest.mark.parametrize(
+    "lines",
+    (
+        b"Content-Length: 7\r\n",
+        b"Transfer-Encoding: chunked\r\n",
+        b"",
+    ),
+)
+def test_the_answer_to_head_is_complete_after_its_header(lines):
+    head = b"HTTP/1.1 200 OK\r\nStamp: s\r\n" + lines
+    for surplus in (b"", b"surplus"):
+        exchange = Exchange(b"HEAD").receive(
+            b"HTTP/1.1 103 Early\r\n\r\n", head, b"\r\n" + surplus
+        )
+        assert [a.status for a in exchange.answers] == [200]
+        assert not exchange.is_reusable()
+        answer = exchange.end()
+        assert answer.ending is ANSWERED and answer.body == b""
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -583,6 +583,11 @@
         self.until_close = b"content-length" not in values and not codings
         if b"keep-alive" in values:
             self._read_keep_alive(values[b"keep-alive"])
+        if self.call.data.startswith(b"HEAD ") and self.status >= 200:
+            # The parser does not know the request and expects a body.
+            self.complete = True
+            self.is_decodable = True
+            self.must_close = True
 
     def on_body(self, body: bytes):
         """Append a piece of the body."""
