Answers: cut after every byte, no answer is taken for more than it is

The report of a backend that closes in the middle of its answer's head does not hold for the connections to endpoints: ten kinds of answers cut after each byte, closed and reset, in one read and byte by byte, are BROKEN, and six without a length are complete at a clean close after their head only. Sixteen doubtful heads and seven kinds of bytes that are no answer are INVALID, and any bytes end a request once.

--- a/chervilspindle/wire/endpoint_answers_test.py
+++ b/chervilspindle/wire/endpoint_answers_test.py
@@ -1,5 +1,7 @@
 """Tests of the answers of endpoints: cut short, odd, or followed by more."""
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from chervilspindle.wire import endpoint_http
@@ -9,6 +11,64 @@
 ID_HEADER = b"x-id"
 ANSWERED = endpoint_http.Ending.ANSWERED
 INVALID = endpoint_http.Ending.INVALID
+SIGNED = b"HTTP/1.1 200 OK\r\nStamp: s\r\nX-Id: id\r\n"
+# Whole answers, with their status and body.
+WHOLE_BY_NAME = {
+    "length": (SIGNED + b"Content-Length: 5\r\n\r\nhello", 200, b"hello"),
+    "empty": (SIGNED + b"Content-Length: 0\r\n\r\n", 200, b""),
+    "chunks": (
+        SIGNED + b"Transfer-Encoding: chunked\r\n\r\n"
+        b"5\r\nhello\r\nA;x=y\r\n0123456789\r\n0\r\n\r\n",
+        200,
+        b"hello0123456789",
+    ),
+    "trailers": (
+        SIGNED + b"Transfer-Encoding: chunked\r\nTrailer: T\r\n\r\n"
+        b"5\r\nhello\r\n0\r\nT: 1\r\n\r\n",
+        200,
+        b"hello",
+    ),
+    "interim": (
+        b"HTTP/1.1 100 Continue\r\n\r\n"
+        b"HTTP/1.1 103 Early Hints\r\nStamp: no\r\nLink: /\r\n\r\n"
+        + SIGNED
+        + b"Content-Length: 5\r\n\r\nhello",
+        200,
+        b"hello",
+    ),
+    "interim with a length": (
+        b"HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n"
+        + SIGNED
+        + b"Content-Length: 5\r\n\r\nhello",
+        200,
+        b"hello",
+    ),
+    "failure": (
+        b"HTTP/1.1 500 Error\r\nStamp: s\r\nContent-Length: 2\r\n\r\nno",
+        500,
+        b"no",
+    ),
+    "no content": (b"HTTP/1.1 204 No\r\nStamp: s\r\n\r\n", 204, b""),
+    "not modified": (
+        b"HTTP/1.1 304 No\r\nContent-Length: 5\r\nStamp: s\r\n\r\n",
+        304,
+        b"",
+    ),
+    "old version": (
+        b"HTTP/1.0 200 OK\r\nStamp: s\r\nContent-Length: 5\r\n\r\nhello",
+        200,
+        b"hello",
+    ),
+}
+# Heads of answers whose body ends with the connection.
+OPEN_ENDED_HEADS = (
+    SIGNED + b"\r\n",
+    SIGNED + b"Connection: close\r\n\r\n",
+    SIGNED + b"Connection: Upgrade\r\nUpgrade: x\r\n\r\n",
+    SIGNED + b"Transfer-Encoding: identity\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" + SIGNED + b"\r\n",
+    b"HTTP/1.0 200 OK\r\nStamp: s\r\n\r\n",
+)
 
 
 class Exchange:
@@ -234,3 +294,134 @@
         assert not exchange.is_reusable()
         answer = exchange.end()
         assert answer.ending is ANSWERED and answer.body == b""
+
+
+@pytest.mark.parametrize("name", WHOLE_BY_NAME)
+@pytest.mark.parametrize("is_reset", (False, True))
+@pytest.mark.parametrize("is_split", (False, True))
+def test_an_answer_cut_after_any_byte_is_answered_only_if_whole(
+    name, is_reset, is_split
+):
+    data, status, body = WHOLE_BY_NAME[name]
+    whole = Exchange().receive(data).end()
+    for length in range(len(data)):
+        cut = data[:length]
+        pieces = [cut[i : i + 1] for i in range(length)] if is_split else [cut]
+        answer = Exchange().receive(*pieces).end(is_reset)
+        assert answer.ending is endpoint_http.Ending.BROKEN, length
+    assert (whole.ending, whole.status, whole.body) == (ANSWERED, status, body)
+
+
+@pytest.mark.parametrize("head", OPEN_ENDED_HEADS)
+def test_an_answer_without_a_length_is_complete_only_at_a_clean_close(head):
+    for length in range(len(head)):
+        for is_reset in (False, True):
+            answer = Exchange().receive(head[:length]).end(is_reset)
+            assert answer.ending is endpoint_http.Ending.BROKEN, length
+    for body in (b"", b"hello"):
+        reset = Exchange().receive(head + body).end(is_reset=True)
+        assert reset.ending is endpoint_http.Ending.BROKEN
+        exchange = Exchange().receive(head, body)
+        assert not exchange.answers
+        answer = exchange.end()
+        assert answer.ending is ANSWERED and answer.body == body
+        assert not exchange.is_reusable()
+
+
+@pytest.mark.parametrize(
+    "lines",
+    (
+        b"Content-Length: 2\r\nContent-Length: 5\r\n",
+        b"Content-Length: 5\r\nContent-Length: 5\r\n",
+        b"Content-Length: 5, 5\r\n",
+        b"Content-Length: -1\r\n",
+        b"Content-Length:\r\n",
+        b"Content-Length: 5 5\r\n",
+        b"Content-Length: 0x5\r\n",
+        b"Content-Length: " + b"9" * 5000 + b"\r\n",
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+        b"Transfer-Encoding:\r\n chunked\r\n",
+        b"Stamp: a\r\n b\r\nContent-Length: 5\r\n",
+        b"Stamp: a\rb\r\nContent-Length: 5\r\n",
+        b"Stamp: a\nb: c\r\nContent-Length: 5\r\n",
+        b"Stamp: a\0b\r\nContent-Length: 5\r\n",
+        b"Stamp : a\r\nContent-Length: 5\r\n",
+    ),
+)
+def test_an_answer_with_a_doubtful_head_is_no_answer(lines):
+    head = b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n"
+    for is_reset in (False, True):
+        for body in (b"", b"hello", b"5\r\nhello\r\n0\r\n\r\n"):
+            answer = Exchange().receive(head + body).end(is_reset)
+            assert answer.ending is INVALID
+
+
+def test_an_answer_to_another_attempt_is_no_answer():
+    for attempt in (b"other", b"", b"id2", b"ID"):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Id: " + attempt
+        exchange = Exchange().receive(head + b"\r\n\r\n")
+        assert not exchange.is_reusable()
+        assert exchange.end().ending is INVALID
+        assert exchange.events.count("foreign-answer") == 1
+
+
+@pytest.mark.parametrize(
+    "answer",
+    (
+        b"HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+        b"HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/2.5 200 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+        b"hello",
+    ),
+)
+def test_bytes_that_are_no_answer_are_invalid(answer):
+    assert Exchange().receive(answer).end().ending is INVALID
+
+
+FRAGMENTS = (
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.0 200 OK\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"HTTP/1.1 204 No\r\n",
+    b"HTTP/1.1 500 No\r\n",
+    b"Content-Length: 5\r\n",
+    b"Content-Length: 0\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding: gzip\r\n",
+    b"Connection: close\r\n",
+    b"Keep-Alive: timeout=",
+    b"X-Id: id\r\n",
+    b"X-Id: ",
+    b"9" * 400,
+    b"hello",
+    b"5\r\nhello\r\n",
+    b"0\r\n\r\n",
+    b"\r\n",
+)
+
+
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+@hypothesis.given(
+    pieces=strategies.lists(
+        strategies.one_of(
+            strategies.sampled_from(FRAGMENTS), strategies.binary(max_size=20)
+        ),
+        max_size=12,
+    ),
+    is_split=strategies.booleans(),
+    is_reset=strategies.booleans(),
+)
+def test_any_bytes_end_a_request_once(pieces, is_split, is_reset):
+    """No exception leaves the connection, and no head can carry another."""
+    exchange = Exchange()
+    exchange.receive(*(pieces if is_split else [b"".join(pieces)]))
+    answer = exchange.end(is_reset)
+    assert (answer.ending is ANSWERED) == bool(answer.status)
+    if answer.ending is ANSWERED:
+        assert 200 <= answer.status <= 999
+    for name, value in answer.headers:
+        assert not set(name + value) & set(b"\r\n\0")
