Answers: a cut answer to an owner has no result and may have run

The other lane's client, Twisted's agent: five framings, queries and commands, cut after every byte by a clean close and by a reset; the whole answer is the only one with a result. A body without a length that is reset looks complete to the agent, but a JSON object that is cut can't be decoded.

--- a/chervilspindle/wire/endpoint_client_test.py
+++ b/chervilspindle/wire/endpoint_client_test.py
@@ -2,10 +2,28 @@
 
 import json
 
+import hypothesis
+from hypothesis import strategies
 import pytest
+from twisted.internet import defer
+from twisted.internet import epollreactor
+from twisted.internet import protocol
 
 from chervilspindle.core import errors
 from chervilspindle.wire import endpoint_client
+from chervilspindle.wire import messages
+from chervilspindle.wire import receive_limits
+
+DEADLINE_MS = 1500
+# Each with a run id of four digits.
+HEAD_BY_FRAMING = {
+    "length": "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n",
+    "chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "none": "HTTP/1.1 200 OK\r\n\r\n",
+    "interim": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+    "Content-Length: {length}\r\n\r\n",
+    "failure": "HTTP/1.1 503 No\r\nContent-Length: {length}\r\n\r\n",
+}
 
 
 def encode(**fields):
@@ -57,3 +75,99 @@
 def test_refusal_without_not_run_may_have_run():
     result = endpoint_client.read_answer(503, encode(kind="shed"), "run")
     assert result.dispatched
+
+
+def build_answer(framing, run_id):
+    """Return a whole answer of an endpoint."""
+    kind = "shed" if framing == "failure" else ""
+    body = encode(
+        request_id=run_id, snapshot=3, value=[1], kind=kind, not_run=True
+    )
+    head = HEAD_BY_FRAMING[framing].format(length=len(body)).encode()
+    if framing == "chunks":
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    return head + body
+
+
+class CuttingEndpoint(protocol.Protocol):
+    """Answers with the number of bytes that the run's id names."""
+
+    def __init__(self, framing, is_reset):
+        self.framing = framing
+        self.is_reset = is_reset
+        self.received = b""
+
+    def dataReceived(self, data):
+        self.received += data
+        if not self.received.endswith(b"}"):
+            return
+        body = self.received.partition(b"\r\n\r\n")[2]
+        run_id = json.loads(body)["request_id"]
+        answer = build_answer(self.framing, run_id)
+        self.transport.write(answer[: int(run_id)])
+        if self.is_reset:
+            reactor = self.factory.reactor
+            reactor.callLater(0.01, self.transport.abortConnection)
+        else:
+            self.transport.loseConnection()
+
+
+def run_cut(framing, is_reset, command=False):
+    """Run one request for each number of bytes; return the results."""
+    reactor = epollreactor.EPollReactor()
+    factory = protocol.Factory.forProtocol(
+        lambda: CuttingEndpoint(framing, is_reset)
+    )
+    factory.noisy = False
+    factory.reactor = reactor
+    port = reactor.listenTCP(0, factory, 400, "127.0.0.1")
+    client = endpoint_client.EndpointClient(
+        reactor,
+        f"127.0.0.1:{port.getHost().port}",
+        400,
+        receive_limits.ReceiveBudget(2**26),
+    )
+    end = len(build_answer(framing, "0000"))
+    run_ids = [f"{cut:04}" for cut in range(end + 1)]
+    results = []
+
+    def start():
+        if command:
+            calls = [
+                client.run_command(run_id, "key", b"{}", DEADLINE_MS)
+                for run_id in run_ids
+            ]
+        else:
+            calls = [
+                client.run_query(run_id, b"{}", 3, 0, 1, DEADLINE_MS)
+                for run_id in run_ids
+            ]
+        gathered = defer.gatherResults(calls)
+        gathered.addBoth(results.append)
+        gathered.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run(installSignalHandlers=False)
+    return results[0]
+
+
+@pytest.mark.parametrize("framing", HEAD_BY_FRAMING)
+@pytest.mark.parametrize("is_reset", (False, True))
+@pytest.mark.parametrize("command", (False, True))
+def test_an_answer_cut_after_any_byte_may_have_run_and_has_no_result(
+    framing, is_reset, command
+):
+    *cut, whole = run_cut(framing, is_reset, command)
+    lost = endpoint_client.RunResult(
+        errors.ErrorKind.CONNECTION_LOST.value,
+        True,
+        0,
+        0,
+        messages.EMPTY_VALUE,
+    )
+    for length, result in enumerate(cut):
+        assert result == lost, length
+    if framing == "failure":
+        assert (whole.status, whole.dispatched) == ("overloaded", False)
+    else:
+        assert (whole.status, whole.snapshot) == ("ok", 3)
