Answers: a deeply nested answer to an owner counts as a lost connection

What operators would see: an endpoint of the product's own deployments whose answer is nested thousands deep, in its value or in an unknown field, kept its slot at the owner; the part was answered only at its deadline.

Cause: the decoder raises RecursionError, which is no MsgspecError, so that the work that was running never ended (by reading: cancelling its call later has no effect, as the call has ended). Caught with the others now. Failed before: the test's 2 cases; hold after.

--- a/chervilspindle/wire/endpoint_client.py
+++ b/chervilspindle/wire/endpoint_client.py
@@ -400,7 +400,7 @@
     """
     try:
         body = _BODY.decode(data)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return _build_failure(errors.ErrorKind.CONNECTION_LOST, True)
     if body.request_id != run_id:
         return _build_failure(errors.ErrorKind.CONNECTION_LOST, True)
--- a/chervilspindle/wire/endpoint_client_test.py
+++ b/chervilspindle/wire/endpoint_client_test.py
@@ -171,3 +171,15 @@
         assert (whole.status, whole.dispatched) == ("overloaded", False)
     else:
         assert (whole.status, whole.snapshot) == ("ok", 3)
+
+
+NESTED = b'{"request_id":"run","%s":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+
+
+@pytest.mark.parametrize("field", (b"value", b"unknown"))
+def test_a_deeply_nested_answer_may_have_run(field):
+    """An exception here would keep the endpoint's slot for good."""
+    data = NESTED % field
+    result = endpoint_client.read_answer(200, data, "run")
+    assert result.status == errors.ErrorKind.CONNECTION_LOST.value
+    assert result.dispatched
