Answers: advice of an endpoint on when to retry is bounded

What callers would see: a refusal of an endpoint that advises to retry after 10**22 ms took the other parts of its reply with it, as the frame between owner and entry can't hold the number (OverflowError, tried by hand); smaller ones went to the caller as Retry-After of years, negative ones as well.

The advice is kept within 0 and ten minutes where it is read. Failed before: 3 of the 4 cases; hold after.

--- a/chervilspindle/wire/endpoint_client.py
+++ b/chervilspindle/wire/endpoint_client.py
@@ -34,6 +34,7 @@
 # An endpoint ends a request at its deadline; later its slot is free, even if
 # it is still sending.
 DEADLINE_OVERRUN_S = 2.0
+MAX_RETRY_AFTER_MS = 600_000
 
 _NOT_CONNECTED = (
     internet_error.ConnectError,
@@ -409,7 +410,7 @@
     return RunResult(
         read_kind(body.kind),
         not body.not_run,
-        body.retry_after_ms,
+        min(max(0, body.retry_after_ms), MAX_RETRY_AFTER_MS),
         body.snapshot,
         bytes(body.value),
     )
--- a/chervilspindle/wire/endpoint_client_test.py
+++ b/chervilspindle/wire/endpoint_client_test.py
@@ -183,3 +183,33 @@
     result = endpoint_client.read_answer(200, data, "run")
     assert result.status == errors.ErrorKind.CONNECTION_LOST.value
     assert result.dispatched
+
+
+@pytest.mark.parametrize(
+    "advice,expected_ms",
+    (
+        (-5, 0),
+        (250, 250),
+        (10**9, endpoint_client.MAX_RETRY_AFTER_MS),
+        (10**22, endpoint_client.MAX_RETRY_AFTER_MS),
+    ),
+)
+def test_advice_out_of_range_does_not_keep_back_the_reply(advice, expected_ms):
+    """Replies of several parts share a frame, which could not be encoded."""
+    data = encode(kind="shed", not_run=True, retry_after_ms=advice)
+    result = endpoint_client.read_answer(503, data, "run")
+    assert result.retry_after_ms == expected_ms
+    reply = messages.PartReply(
+        0,
+        "desk.0",
+        result.status,
+        result.dispatched,
+        result.retry_after_ms,
+        0.0,
+        0.0,
+        0.0,
+        result.value,
+    )
+    message = messages.SubReply("r", 1, (reply,))
+    frame = messages.encode_frame(message, 0, False)
+    assert messages.decode_frame(frame)[0] == message
