Answers: an endpoint's value that is not UTF-8 is no result

What callers would see: one endpoint's string with bytes that are not UTF-8 in the answer to a query, which then isn't JSON as a whole: the sound results beside it can't be read either.

Cause: values are left raw, and the decoder checks the strings of decoded fields only. The answer as a whole is checked now, for probes too. Failed before: the test's 2 cases; hold after. A second test feeds any bytes and any value of each field: a result, a known error kind, advice in range and a JSON value, never an exception; 300 examples.

--- a/chervilspindle/wire/endpoint_client.py
+++ b/chervilspindle/wire/endpoint_client.py
@@ -400,8 +400,8 @@
     A response that names another request counts as a lost connection.
     """
     try:
-        body = _BODY.decode(data)
-    except (msgspec.MsgspecError, RecursionError):
+        body = _decode(_BODY, data)
+    except (ValueError, RecursionError):
         return _build_failure(errors.ErrorKind.CONNECTION_LOST, True)
     if body.request_id != run_id:
         return _build_failure(errors.ErrorKind.CONNECTION_LOST, True)
@@ -421,14 +421,20 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    ValueError or RecursionError
     """
-    state = _STATE.decode(data)
+    state = _decode(_STATE, data)
     if state.result is not None and state.result.kind:
         state.result.kind = read_kind(state.result.kind)
     return state
 
 
+def _decode(decoder, data):
+    # The decoder does not look into strings of values that it leaves raw.
+    data.decode()
+    return decoder.decode(data)
+
+
 def read_kind(endpoint_kind: str) -> str:
     """Return the `ErrorKind` value for an error kind of an endpoint."""
     kind = _KIND_BY_ENDPOINT_KIND.get(
--- a/chervilspindle/wire/endpoint_client_test.py
+++ b/chervilspindle/wire/endpoint_client_test.py
@@ -213,3 +213,51 @@
     message = messages.SubReply("r", 1, (reply,))
     frame = messages.encode_frame(message, 0, False)
     assert messages.decode_frame(frame)[0] == message
+
+
+@pytest.mark.parametrize("value", (b'"\xff"', b'["\xed\xa0\x80"]'))
+def test_a_value_that_is_not_utf_8_is_no_result(value):
+    """The answer of a query holds the values of all shards."""
+    data = b'{"request_id":"run","value":' + value + b"}"
+    result = endpoint_client.read_answer(200, data, "run")
+    assert result.status == errors.ErrorKind.CONNECTION_LOST.value
+    with pytest.raises(ValueError):
+        endpoint_client.read_state(b'{"state":"x","result":' + data + b"}")
+
+
+JSON_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(),
+    lambda inner: strategies.lists(inner, max_size=3)
+    | strategies.dictionaries(strategies.text(), inner, max_size=3),
+    max_leaves=6,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(
+    code=strategies.sampled_from((200, 204, 404, 429, 500, 503)),
+    data=strategies.one_of(
+        strategies.binary(max_size=60),
+        strategies.fixed_dictionaries(
+            {"request_id": strategies.just("run") | JSON_VALUES},
+            optional={
+                "snapshot": JSON_VALUES,
+                "value": JSON_VALUES,
+                "kind": JSON_VALUES | strategies.just("shed"),
+                "not_run": JSON_VALUES,
+                "retry_after_ms": JSON_VALUES,
+            },
+        ).map(lambda fields: json.dumps(fields).encode()),
+    ),
+)
+def test_any_answer_is_a_result_or_a_lost_connection(code, data):
+    result = endpoint_client.read_answer(code, data, "run")
+    assert result.dispatched or b'"not_run": true' in data
+    assert 0 <= result.retry_after_ms <= endpoint_client.MAX_RETRY_AFTER_MS
+    json.loads(result.value)
+    if result.status != "ok":
+        errors.ErrorKind(result.status)
