Answers: a load that an endpoint states out of range is ignored

What callers saw: 504 at the deadline for single requests that endpoints had answered whole and signed, and 503 for queries, where the stated load has 309 digits or more.

Cause: the numbers were taken as they came; the conversion to a float raised within the callback of the answer, which was lost with it. With more than 4,300 digits int refused them. Negative numbers and underscores were taken.

Each number has at most six ASCII digits now; anything else is ignored, with a log line and a counted event. The stand-in endpoint got settings for its load and further headers.

--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -6,6 +6,7 @@
 import logging
 import typing
 
+from chervilspindle.core import logs
 from chervilspindle.routing import documents
 from chervilspindle.routing import endpoints
 from chervilspindle.routing import permission
@@ -41,6 +42,8 @@
 # Longest wait for a permit, as a share of the objective, or of the time left
 # without one: the answer is to arrive in time.
 MAX_PERMIT_WAIT_SHARE = 0.5
+MAX_LOAD_DIGITS = 6  # of each number in a stated load
+MAX_LOGGED_CHARACTERS = 40  # of a malformed header
 PERMIT_LIFETIME_S = 0.5  # of a permit that waits for a connection
 # Reasons of outcomes.
 HELD_BACK = endpoint_http.Ending.HELD_BACK.value
@@ -418,6 +421,13 @@
         parsed = parse_load(load)
         if parsed is not None:
             selection.record_load(health, *parsed, now)
+        else:
+            context.metrics.count_event("malformed-load")
+            logs.log_decision(
+                "endpoint-load-malformed",
+                endpoint=target.endpoint.endpoint_id,
+                value=load.decode("latin-1")[:MAX_LOGGED_CHARACTERS],
+            )
     if answer.ending is endpoint_http.Ending.ANSWERED:
         if outcome.reason != "other_endpoint":
             permission.record_limit(
@@ -464,8 +474,11 @@
 
 def parse_load(value: bytes) -> tuple[int, int, int] | None:
     """Parse running, waiting and slots; None if malformed."""
-    try:
-        running, waiting, slots = map(int, value.split(b","))
-    except ValueError:
+    items = [item.strip() for item in value.split(b",")]
+    if len(items) != 3:
         return None
+    for item in items:
+        if not item.isdigit() or len(item) > MAX_LOAD_DIGITS:
+            return None
+    running, waiting, slots = map(int, items)
     return running, waiting, slots
--- a/chervilspindle/tools/backends.py
+++ b/chervilspindle/tools/backends.py
@@ -80,6 +80,10 @@
         Runs all requests and answers 500.
     limit_per_s : float or None
         Named in all answers; not enforced.
+    load : bytes
+        Stated in answers to requests that ran.
+    extra_headers : tuple of (name, value)
+        Sent in all answers.
     leaving : bool
         Says in all answers that it is leaving; serves on.
     retry_after : str
@@ -112,6 +116,8 @@
         self.refusing = False
         self.failing = False
         self.limit_per_s = None
+        self.load = b"1,0,2"
+        self.extra_headers = ()
         self.leaving = False
         self.retry_after = ""
         self.arrivals_s = []
@@ -199,7 +205,7 @@
 
     def _build_notices(self):
         """Return the headers by which it restricts what it is sent."""
-        headers = []
+        headers = list(self.extra_headers)
         if self.limit_per_s is not None:
             value = f"{self.limit_per_s:.1f}".encode()
             headers.append((names.HEADERS.limit.encode(), value))
@@ -242,7 +248,7 @@
         headers = (
             (names.HEADERS.stamp.encode(), stamp.encode()),
             (names.HEADERS.request_id.encode(), request_id),
-            (names.HEADERS.load.encode(), b"1,0,2"),
+            (names.HEADERS.load.encode(), self.load),
             *self._build_notices(),
         )
         if self.failing:
