Overload: one endpoint with an absurd load no longer sheds its route

What callers would see: nearly all queries of a route refused as overload for a second after each answer of one endpoint that states, say, 999,999 requests, while all others have free slots.

Cause: the mean over endpoints has no bound for a single one. An endpoint counts with at most 16 requests per slot now; where all are that full, 15 of 16 queries are refused, as before.

--- a/chervilspindle/routing/overload.py
+++ b/chervilspindle/routing/overload.py
@@ -16,6 +16,7 @@
 from chervilspindle.routing import selection
 
 FULL_OCCUPANCY = 1.0  # as many requests as slots
+MAX_OCCUPANCY = 16.0  # that one endpoint counts with
 # A reported load decays linearly to 0 within this time; an entry queries each
 # shard a few times a second.
 OCCUPANCY_DECAY_S = 1.0
@@ -44,7 +45,7 @@
         count = 0
         for health in healths:
             load = selection.decay_load(health, now, OCCUPANCY_DECAY_S)
-            shard_total += load / health.slots
+            shard_total += min(load / health.slots, MAX_OCCUPANCY)
             count += 1
         if count:
             total += shard_total / count
--- a/chervilspindle/routing/overload_test.py
+++ b/chervilspindle/routing/overload_test.py
@@ -57,6 +57,16 @@
     assert overload.compute_refused_share(occupancy) == 0.0
 
 
+def test_an_endpoint_that_states_an_absurd_load_is_no_overload():
+    """All queries of its route would be refused for its sake."""
+    shards = [
+        [build_health(0.5), build_health(0.5)] for _ in range(SHARDS - 1)
+    ]
+    shards.append([build_health(0.5), build_health(999_999.0, 1)])
+    occupancy = overload.estimate_occupancy(shards, 0.0)
+    assert overload.compute_refused_share(occupancy) == 0.0
+
+
 def test_refusals_are_spaced_evenly():
     shedder = overload.Shedder(random.Random(1))
     refused = [shedder.refuse_next("r", 0.25) for _ in range(400)]
