Answers: an answer with a malformed signature is unsigned

What callers saw: a query's answer whose list of signatures has an empty entry, or two for one part, for the sake of one endpoint; the whole answer is worthless then, with the sound parts in it.

Cause: that the header is there was all that was asked. A signature is visible ASCII without a comma now; a part with another one is left out and counted as a failed send (unsigned), and its shard is sent again. Two shards whose endpoints sign alike are not looked for.

--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+import re
 import typing
 
 from chervilspindle.core import logs
@@ -42,6 +43,7 @@
 # Longest wait for a permit, as a share of the objective, or of the time left
 # without one: the answer is to arrive in time.
 MAX_PERMIT_WAIT_SHARE = 0.5
+STAMP_PATTERN = re.compile(rb"[!-+\--~]+")  # visible ASCII but the comma
 MAX_LOAD_DIGITS = 6  # of each number in a stated load
 MAX_LOGGED_CHARACTERS = 40  # of a malformed header
 PERMIT_LIFETIME_S = 0.5  # of a permit that waits for a connection
@@ -290,12 +292,17 @@
     if answer.get_header(b"content-encoding") not in (None, b"identity"):
         return SendOutcome(False, True, "encoded")
     if 200 <= answer.status < 300:
-        if answer.get_header(lower.stamp) is None:
+        if not is_stamp(answer.get_header(lower.stamp)):
             return SendOutcome(False, True, "unsigned")
         return SendOutcome(True, True, "ok")
     return SendOutcome(False, True, f"status_{answer.status}")
 
 
+def is_stamp(value: bytes | None) -> bool:
+    """Tell whether a header can be a signature in a list of signatures."""
+    return value is not None and STAMP_PATTERN.fullmatch(value) is not None
+
+
 def build_call(
     template: RequestTemplate,
     request_id: bytes,
--- a/chervilspindle/routing/endpoint_headers_test.py
+++ b/chervilspindle/routing/endpoint_headers_test.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from chervilspindle.platform import names as platform_names
 from chervilspindle.routing import data_path_test
 from chervilspindle.routing import endpoint_calls
+from chervilspindle.wire import endpoint_http
 
 HUGE = "9" * 400
 TOO_LONG = "9" * 5000
@@ -81,3 +83,37 @@
     run_test(test)
     logged = [r for r in caplog.records if "load-malformed" in r.message]
     assert logged and all(len(r.value) <= 40 for r in logged)
+
+
+ODD_STAMPS = (b"", b"a, b", b"a,", b"a b", b"a\tb", b"a\xff")
+
+
+@pytest.mark.parametrize("stamp", ODD_STAMPS)
+def test_an_answer_with_a_malformed_stamp_is_unsigned(stamp):
+    name = platform_names.HEADERS.stamp.lower().encode()
+    headers = ((name, stamp),)
+    answer = endpoint_http.Answer(
+        endpoint_http.Ending.ANSWERED, 200, headers, dict(headers)
+    )
+    names = endpoint_calls.encode_header_names(platform_names.HEADERS)
+    outcome = endpoint_calls.classify_answer(answer, names.lower)
+    assert outcome == endpoint_calls.SendOutcome(False, True, "unsigned")
+
+
+@pytest.mark.parametrize("stamp", ODD_STAMPS)
+def test_a_part_with_a_malformed_stamp_does_not_spoil_the_answer(
+    run_test, stamp
+):
+    """One entry that is no signature makes the whole answer worthless."""
+
+    async def test(world):
+        odd = [world.backend_by_id[f"shard-0-{zone}"] for zone in "ab"]
+        for backend in odd:
+            backend.stamp = stamp
+        status, headers, _ = await world.ask("/all/x")
+        assert status == 200
+        stamps = data_path_test.read_stamps(headers)
+        assert sorted(s.split("-")[1] for s in stamps) == ["1", "2", "3"]
+        assert data_path_test.read_missing(headers) == 1
+
+    run_test(test)
--- a/chervilspindle/tools/backends.py
+++ b/chervilspindle/tools/backends.py
@@ -82,6 +82,8 @@
         Named in all answers; not enforced.
     load : bytes
         Stated in answers to requests that ran.
+    stamp : bytes or None
+        Signature of all answers; None for a sound one.
     extra_headers : tuple of (name, value)
         Sent in all answers.
     leaving : bool
@@ -117,6 +119,7 @@
         self.failing = False
         self.limit_per_s = None
         self.load = b"1,0,2"
+        self.stamp = None
         self.extra_headers = ()
         self.leaving = False
         self.retry_after = ""
@@ -244,9 +247,11 @@
             transport.write(head)
             self._send_endless(transport, filler)
             return
-        stamp = f"{self.endpoint_id}.{request_id.decode()}"
+        stamp = self.stamp
+        if stamp is None:
+            stamp = f"{self.endpoint_id}.{request_id.decode()}".encode()
         headers = (
-            (names.HEADERS.stamp.encode(), stamp.encode()),
+            (names.HEADERS.stamp.encode(), stamp),
             (names.HEADERS.request_id.encode(), request_id),
             (names.HEADERS.load.encode(), self.load),
             *self._build_notices(),
