Answers: malformed limits and pauses of endpoints are counted

They were ignored with a log line only. A hypothesis test feeds any value of each header that is parsed, in sequences of answers: the endpoint's verdict ends, the occupancy stays in range and the other replica is usable; 300 examples.

--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -464,15 +464,18 @@
     """Record whether the endpoint is leaving or asks for a pause."""
     restrictions = target.restrictions
     now = context.loop.time()
+    limit = answer.get_header(context.names.lower.limit)
+    if limit is not None and permission.parse_limit(limit) is None:
+        context.metrics.count_event("malformed-limit")
     leaving = answer.get_header(context.names.lower.leaving)
     permission.record_leaving(restrictions, leaving)
     if answer.status == 503:
-        permission.record_pause(
-            restrictions,
-            answer.get_header(b"retry-after"),
-            now,
-            context.random,
+        pause = answer.get_header(b"retry-after")
+        is_read = permission.record_pause(
+            restrictions, pause, now, context.random
         )
+        if not is_read:
+            context.metrics.count_event("ignored-retry-after")
     verdict = permission.evaluate(restrictions, now)
     if not verdict.allowed and not verdict.needs_permit:
         for _ in range(target.pool.hold_back_waiting()):
--- a/chervilspindle/routing/endpoint_headers_test.py
+++ b/chervilspindle/routing/endpoint_headers_test.py
@@ -1,12 +1,18 @@
 """Tests of what endpoints state in headers: any value is borne."""
 
+import asyncio
 import logging
+import math
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from chervilspindle.platform import names as platform_names
 from chervilspindle.routing import data_path_test
 from chervilspindle.routing import endpoint_calls
+from chervilspindle.routing import overload
+from chervilspindle.routing import permission
 from chervilspindle.wire import endpoint_http
 
 HUGE = "9" * 400
@@ -117,3 +123,100 @@
         assert data_path_test.read_missing(headers) == 1
 
     run_test(test)
+
+
+@pytest.mark.parametrize(
+    "name,event",
+    (
+        (platform_names.HEADERS.limit, "malformed-limit"),
+        ("Retry-After", "ignored-retry-after"),
+    ),
+)
+@pytest.mark.parametrize("value", (b"nan", b"-1", b"soon", b"\xb2", b""))
+def test_a_malformed_limit_or_pause_is_counted(run_test, name, event, value):
+    async def test(world):
+        for zone in "ab":
+            backend = world.backend_by_id[f"desk-{zone}"]
+            backend.extra_headers = ((name.encode(), value),)
+            backend.refusing = True
+        assert (await world.ask("/one/x"))[0] == 503
+        assert event in read_events(world)
+
+    run_test(test)
+
+
+NUMBERS = strategies.one_of(
+    strategies.integers(),
+    strategies.integers(0, 10),
+    strategies.floats(),
+    strategies.sampled_from(
+        (HUGE, TOO_LONG, "1e999", "-0", "nan", "\u0661", "1_0", "")
+    ),
+).map(str)
+COUNTS = strategies.sampled_from(("0", "1", "7", "-3", HUGE, TOO_LONG))
+HEADER_VALUES = strategies.one_of(
+    strategies.tuples(COUNTS, COUNTS, COUNTS).map(
+        lambda items: ",".join(items).encode()
+    ),
+    strategies.binary(max_size=20),
+    NUMBERS.map(lambda text: text.encode()),
+    strategies.tuples(NUMBERS, NUMBERS, NUMBERS).map(
+        lambda items: ",".join(items).encode()
+    ),
+    strategies.datetimes().map(
+        lambda date: date.strftime("%a, %d %b %Y %H:%M:%S GMT").encode()
+    ),
+)
+LOWER = endpoint_calls.encode_header_names(platform_names.HEADERS).lower
+PARSED_HEADERS = (
+    LOWER.load,
+    LOWER.limit,
+    LOWER.leaving,
+    LOWER.not_run,
+    LOWER.stamp,
+    b"retry-after",
+    b"content-encoding",
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(
+    answers=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from((200, 204, 421, 429, 500, 503)),
+            strategies.dictionaries(
+                strategies.sampled_from(PARSED_HEADERS), HEADER_VALUES
+            ),
+        ),
+        min_size=1,
+        max_size=3,
+    )
+)
+def test_any_headers_of_an_endpoint_leave_the_others_usable(answers):
+    loop = asyncio.new_event_loop()
+    world = data_path_test.World(loop)
+    context = world.entry.context
+    for backend in world.backend_by_id.values():
+        world.announce(backend)
+    target = context.table.target_by_id["desk-a"]
+    for status, headers in answers:
+        call = endpoint_http.Call(b"", b"id", 0.0, None)
+        call.sent_s = loop.time()
+        answer = endpoint_http.Answer(
+            endpoint_http.Ending.ANSWERED,
+            status,
+            tuple(headers.items()),
+            headers,
+        )
+        outcome = endpoint_calls.handle_answer(target, call, answer, context)
+        assert not outcome.succeeded or status < 300
+    now = loop.time()
+    verdict = permission.evaluate(target.restrictions, now)
+    assert verdict.retry_s == math.inf or verdict.retry_s < now + 1000.0
+    healths = [context.table.list_healths("desk")]
+    occupancy = overload.estimate_occupancy(healths, now)
+    assert 0.0 <= occupancy <= overload.MAX_OCCUPANCY
+    chosen = context.table.choose("desk", ("desk-a",), 100.0, False)
+    assert chosen.endpoint.endpoint_id == "desk-b"
+    assert context.table.choose("desk", (), 100.0, False) is not None
+    loop.close()
--- a/chervilspindle/routing/permission.py
+++ b/chervilspindle/routing/permission.py
@@ -196,7 +196,7 @@
 
 def record_pause(
     restrictions: Restrictions, value: bytes | None, now: float, random
-):
+) -> bool:
     """Record the pause that a refusal asks for, if it does.
 
     Parameters
@@ -207,9 +207,14 @@
     now : float
         Loop time.
     random : random.Random
+
+    Returns
+    -------
+    bool
+        False if the header cannot be used.
     """
     if value is None:
-        return
+        return True
     pause_s = parse_pause_s(value, logs.read_wall_ms() / 1000.0)
     if pause_s is None:
         logs.log_decision(
@@ -217,7 +222,7 @@
             endpoint=restrictions.endpoint_id,
             value=value.decode("latin-1")[:40],
         )
-        return
+        return False
     until_s = now + pause_s * (1.0 + PAUSE_SPREAD * random.random())
     if restrictions.paused_until_s <= now:
         logs.log_decision(
@@ -226,6 +231,7 @@
             pause_ms=round(pause_s * 1000.0),
         )
     restrictions.paused_until_s = max(restrictions.paused_until_s, until_s)
+    return True
 
 
 def record_send(restrictions: Restrictions, cause: str, now: float):
