Callers: a request that asks for an upgrade gets one answer

Answered later, it had one, and the connection was closed after it.

Cause: the parser reports the request as complete before it reports the upgrade, which was refused as if the request had not been taken.

The request is served without the upgrade, as RFC 9110, 7.8, allows; its answer says that the connection closes, and what follows is not read. Failed before: the test's 6 cases; hold after.

--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -249,7 +249,10 @@
                 self.header_bytes += len(data)
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._refuse(400, "protocol upgrades are not supported")
+            # The request is served without the upgrade, as RFC 9110 allows;
+            # what follows it may be of another protocol.
+            self.refused = True
+            return
         except httptools.HttpParserError as error:
             if not self.refused:
                 self._refuse(400, str(error))
@@ -316,7 +319,11 @@
         self.in_header = True
         self.header_bytes = 0
         self.request_started_s = None
-        self.waiting.append((request, self.parser.should_keep_alive()))
+        keep = (
+            self.parser.should_keep_alive()
+            and not self.parser.should_upgrade()
+        )
+        self.waiting.append((request, keep))
         if len(self.waiting) > MAX_PIPELINED:
             self.transport.pause_reading()
         self._serve_next()
--- /dev/null
+++ b/chervilspindle/wire/http_server_test.py
@@ -0,0 +1,127 @@
+"""Tests of the requests of callers: any bytes, odd heads, and limits."""
+
+import asyncio
+
+import pytest
+
+from chervilspindle.core import loops
+from chervilspindle.core import timers as timers_module
+from chervilspindle.wire import http_server
+
+LIMITS = http_server.ServerLimits(2000, 5000, 1000.0, 1000.0)
+
+
+class Transport:
+    """Collects what is written."""
+
+    def __init__(self):
+        self.written = b""
+        self.closed = False
+        self.reading = True
+
+    def get_extra_info(self, name):
+        return None
+
+    def write(self, data):
+        assert not self.closed
+        self.written += data
+
+    def close(self):
+        self.closed = True
+
+    def is_closing(self):
+        return self.closed
+
+    def pause_reading(self):
+        self.reading = False
+
+    def resume_reading(self):
+        self.reading = True
+
+
+class Caller:
+    """One connection of a caller to a server that answers at once."""
+
+    def __init__(self, loop, handle=None):
+        self.loop = loop
+        self.requests = []
+        self.exchanges = []
+        self.handle = handle or self.answer
+        server = http_server.HttpServer(
+            loop,
+            timers_module.TimerService(loops.LoopClock(loop)),
+            "test",
+            self.accept,
+            lambda: LIMITS,
+        )
+        self.connection = http_server.ServerConnection(server)
+        self.transport = Transport()
+        self.connection.connection_made(self.transport)
+
+    def accept(self, exchange):
+        self.requests.append(exchange.request)
+        self.exchanges.append(exchange)
+        self.handle(exchange)
+
+    def answer(self, exchange):
+        exchange.respond(200, (), b"ok")
+
+    def send(self, *pieces):
+        for piece in pieces:
+            if not self.transport.closed:
+                self.connection.data_received(piece)
+        return self
+
+    def run_soon(self):
+        """Run the callbacks that are due."""
+        self.loop.call_soon(self.loop.stop)
+        self.loop.run_forever()
+
+    def read_statuses(self):
+        """Return the statuses of the answers that were written."""
+        rest, statuses = self.transport.written, []
+        while rest:
+            head, _, rest = rest.partition(b"\r\n\r\n")
+            lines = head.split(b"\r\n")
+            assert lines[0].startswith(b"HTTP/1.1 "), lines[0]
+            statuses.append(int(lines[0].split()[1]))
+            lengths = [
+                int(line.split(b":")[1])
+                for line in lines
+                if line.lower().startswith(b"content-length:")
+            ]
+            rest = rest[sum(lengths) :]
+        return statuses
+
+
+@pytest.fixture
+def loop():
+    loop = asyncio.new_event_loop()
+    yield loop
+    loop.close()
+
+
+def hold(exchange):
+    """Answer nothing yet."""
+
+
+UPGRADES = (
+    b"CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n",
+    b"GET / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
+    b"Upgrade: h2c\r\n\r\n",
+    b"POST / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
+    b"Upgrade: h2c\r\nContent-Length: 3\r\n\r\nabc",
+)
+
+
+@pytest.mark.parametrize("request_bytes", UPGRADES)
+@pytest.mark.parametrize("rest", (b"", b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+def test_a_request_to_upgrade_gets_one_answer(loop, request_bytes, rest):
+    caller = Caller(loop).send(request_bytes + rest)
+    caller.run_soon()
+    assert len(caller.read_statuses()) == 1
+    assert caller.transport.closed
+    late = Caller(loop, hold).send(request_bytes + rest)
+    for exchange in late.exchanges:
+        exchange.respond(200, (), b"ok")
+    assert len(late.read_statuses()) == 1 and late.transport.closed
