Callers: a refusal is not written in place of a queued request's answer

What callers would see: 400, 413 or 431 as the answer to a proper pipelined request, if the bytes of an unreadable one behind it arrive in the turn of the loop between two answers. The queued request was then dropped unserved.

Cause: a refusal waited for the answer in progress only; between answers none is, though requests are queued. The connection is closed now without this answer, as the queued requests were already dropped before.

--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -392,7 +392,11 @@
                 "why": reason,
             },
         )
-        if self.exchange is None:
+        if self.exchange is None and self.waiting:
+            # This answer would be taken for that of the queued request.
+            self.waiting.clear()
+            self.transport.close()
+        elif self.exchange is None:
             self._write(status, (), reason.encode(), b"GET", False)
             self.transport.close()
         else:
--- a/chervilspindle/wire/http_server_test.py
+++ b/chervilspindle/wire/http_server_test.py
@@ -125,3 +125,35 @@
     for exchange in late.exchanges:
         exchange.respond(200, (), b"ok")
     assert len(late.read_statuses()) == 1 and late.transport.closed
+
+
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+REFUSED_LATER = (
+    b"nonsense\r\n\r\n",
+    b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 3000 + b"\r\n\r\n",
+    b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n" + b"a" * 9000,
+)
+
+
+@pytest.mark.parametrize("refused", REFUSED_LATER)
+def test_a_refusal_is_never_taken_for_the_answer_to_a_waiting_request(
+    loop, refused
+):
+    """Between two answers, no exchange is in progress for a moment."""
+    caller = Caller(loop, hold).send(GET + GET)
+    caller.exchanges[0].respond(200, (), b"ok")
+    caller.send(refused)
+    caller.run_soon()
+    for exchange in caller.exchanges[1:]:
+        exchange.respond(200, (), b"ok")
+    caller.run_soon()
+    assert caller.read_statuses() in ([200], [200, 200])
+    assert caller.transport.closed
+
+
+@pytest.mark.parametrize("refused", REFUSED_LATER)
+def test_a_refusal_waits_for_the_answer_in_progress(loop, refused):
+    caller = Caller(loop, hold).send(GET, refused)
+    assert not caller.transport.written
+    caller.exchanges[0].respond(200, (), b"ok")
+    assert caller.read_statuses() == [200] and caller.transport.closed
