Callers: trailers of a request are not taken for headers

What endpoints would see: fields behind the last chunk of a caller's body among the headers of the request, a second Host or Content-Encoding, say, that no check of the head has seen; how many was not limited either.

Cause: the parser reports both by the same callback. RFC 9112, 7.1.2, lets a recipient drop trailers. The head ended before any of them is reported. Failed before: the new test; holds after.

--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -276,8 +276,9 @@
         self.target += url
 
     def on_header(self, name: bytes, value: bytes):
-        """Append one header."""
-        self.headers.append((name.lower(), value))
+        """Append one header; trailers are ignored."""
+        if self.in_header:
+            self.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
         """Check the header section before the body is read."""
--- a/chervilspindle/wire/http_server_test.py
+++ b/chervilspindle/wire/http_server_test.py
@@ -157,3 +157,17 @@
     assert not caller.transport.written
     caller.exchanges[0].respond(200, (), b"ok")
     assert caller.read_statuses() == [200] and caller.transport.closed
+
+
+CHUNKED = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def test_trailers_of_a_request_are_not_taken_for_headers(loop):
+    caller = Caller(loop).send(
+        CHUNKED + b"3\r\nabc\r\n0\r\nHost: other\r\nX-Id: other\r\n\r\n" + GET
+    )
+    assert caller.requests[0].body == b"abc"
+    assert dict(caller.requests[0].headers) == {
+        b"host": b"h",
+        b"transfer-encoding": b"chunked",
+    }
