Callers: the framing of a chunked body is limited

What operators would see: memory that grows with the trailers, or CPU time with the chunk extensions, of a caller that sends them without end; only the time that a request may take to arrive bounded them.

Cause: the limits counted the head and the bytes of the body. The bytes outside the body are limited now to those that a head may have and sixteen for each byte of the body: a body in chunks of one byte each, with extensions, is read as before. Failed before: the 6 cases of the first test; the second held before, both hold after.

--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -20,6 +20,7 @@
 SWEEP_S = 0.5
 MAX_PIPELINED = 16
 MAX_HEADERS = 200
+CHUNK_OVERHEAD_RATIO = 16  # framing of chunks with one byte each
 # In Linux's `struct tcp_info`, the smoothed round trip time in us.
 TCP_INFO_BYTES = 104
 TCP_INFO_RTT_OFFSET = 68
@@ -203,6 +204,7 @@
         self.body = []
         self.header_bytes = 0
         self.body_bytes = 0
+        self.received_bytes = 0  # since the end of the head
         self.in_header = True
         self.request_started_s = None
         self.idle_since_s = server.loop.time()
@@ -247,6 +249,7 @@
         try:
             if self.in_header:
                 self.header_bytes += len(data)
+            self.received_bytes += len(data)
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             # The request is served without the upgrade, as RFC 9110 allows;
@@ -260,6 +263,11 @@
         limit = self.server.read_limits().header_bytes
         if self.in_header and self.header_bytes > limit:
             self._refuse(431, "header is too large")
+        elif not self.in_header and (
+            self.received_bytes - self.body_bytes
+            > limit + CHUNK_OVERHEAD_RATIO * self.body_bytes
+        ):
+            self._refuse(413, "framing of the body is too large")
 
     def on_message_begin(self):
         """Reset the state for a new request."""
@@ -283,6 +291,7 @@
     def on_headers_complete(self):
         """Check the header section before the body is read."""
         self.in_header = False
+        self.received_bytes = 0
         size = len(self.target)
         expects = False
         for name, value in self.headers:
--- a/chervilspindle/wire/http_server_test.py
+++ b/chervilspindle/wire/http_server_test.py
@@ -131,7 +131,8 @@
 REFUSED_LATER = (
     b"nonsense\r\n\r\n",
     b"GET / HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 3000 + b"\r\n\r\n",
-    b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n" + b"a" * 9000,
+    b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n"
+    + b"a" * 9000,
 )
 
 
@@ -171,3 +172,26 @@
         b"host": b"h",
         b"transfer-encoding": b"chunked",
     }
+
+
+@pytest.mark.parametrize(
+    "filler",
+    (
+        b"0\r\n" + b"X-Filler: 0123456789\r\n" * 1000,
+        b"0\r\nX-Filler: " + b"v" * 20_000,
+        b"1;e=" + b"e" * 20_000,
+    ),
+)
+@pytest.mark.parametrize("piece_bytes", (100, 10**6))
+def test_endless_framing_of_a_request_is_refused(loop, filler, piece_bytes):
+    size = len(filler)
+    pieces = [filler[i : i + piece_bytes] for i in range(0, size, piece_bytes)]
+    caller = Caller(loop).send(CHUNKED, *pieces)
+    assert caller.read_statuses() == [413] and caller.transport.closed
+    assert not caller.requests
+
+
+def test_small_chunks_within_the_limits_are_read(loop):
+    chunks = [b"1;x=y\r\nb\r\n"] * LIMITS.body_bytes
+    caller = Caller(loop).send(CHUNKED, *chunks, b"0\r\n\r\n")
+    assert caller.requests[0].body == b"b" * LIMITS.body_bytes
