Callers: a body in a transfer coding other than chunked is refused

What endpoints would see: a body coded with gzip, say, from which only the chunks were taken off, without the header that names the coding: another body than the caller sent.

Cause: the coding concerns one connection, so its header is not passed on, and nothing looked at its value. 501 now, as RFC 9112, 6.1, has it, before the body is read. Failed before: 3 cases; hold after.

--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -294,13 +294,18 @@
         self.received_bytes = 0
         size = len(self.target)
         expects = False
+        codings = []
         for name, value in self.headers:
             size += len(name) + len(value) + 4
             if name == b"expect" and value.lower() == b"100-continue":
                 expects = True
+            elif name == b"transfer-encoding":
+                codings.append(value.strip().lower())
         limits = self.server.read_limits()
         if size > limits.header_bytes or len(self.headers) > MAX_HEADERS:
             self._refuse(431, "header is too large")
+        elif codings not in ([], [b"chunked"]):
+            self._refuse(501, "transfer coding is not supported")
         elif expects and self.exchange is None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
--- a/chervilspindle/wire/http_server_test.py
+++ b/chervilspindle/wire/http_server_test.py
@@ -195,3 +195,19 @@
     chunks = [b"1;x=y\r\nb\r\n"] * LIMITS.body_bytes
     caller = Caller(loop).send(CHUNKED, *chunks, b"0\r\n\r\n")
     assert caller.requests[0].body == b"b" * LIMITS.body_bytes
+
+
+@pytest.mark.parametrize(
+    "lines",
+    (
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: x\r\nTransfer-Encoding: gzip, chunked\r\n",
+    ),
+)
+def test_a_body_in_an_unknown_transfer_coding_is_refused(loop, lines):
+    """It would be passed on without its coding: another body."""
+    head = b"POST / HTTP/1.1\r\nHost: h\r\n" + lines + b"\r\n"
+    caller = Caller(loop).send(head + b"3\r\nabc\r\n0\r\n\r\n")
+    assert not caller.requests
+    assert caller.read_statuses() == [501] and caller.transport.closed
