Callers: deadlines are bounded, malformed ones are counted

What operators saw: log lines that are no JSON ("caller_ms": Infinity) for callers whose deadline has 309 digits or more, and no trace of deadlines that can't be read, which are ignored: the request has its route's timeout.

Cause: the digits were converted as they came. Ruled out: int's limit of 4,300 digits (a float is read), unicode digits, nan and negative numbers were no number before.

--- a/chervilspindle/routing/entry.py
+++ b/chervilspindle/routing/entry.py
@@ -21,6 +21,8 @@
 # Typical time from the start of an entry to its first document.
 FIRST_DOCUMENT_S = 0.8
 MIN_RETRY_AFTER_S = 0.1
+MAX_LOGGED_CHARACTERS = 40  # of a malformed header
+MAX_CALLER_MS = 86_400_000.0
 
 
 class RoutingEntry:
@@ -103,12 +105,23 @@
                 exchange, 503, headers, "crashes_endpoints", content=content
             )
             return
-        caller_ms = parse_ms(request.get_header(lower.deadline_ms))
+        deadline = request.get_header(lower.deadline_ms)
+        caller_ms = parse_ms(deadline)
+        if caller_ms is None and deadline is not None:
+            self._record_malformed_deadline(request_id, deadline)
         incoming = endpoint_calls.IncomingRequest(
             exchange, route, self.document.version, request_id, caller_ms
         )
         self._start(incoming)
 
+    def _record_malformed_deadline(self, request_id, value):
+        self.context.metrics.count_event("malformed-deadline")
+        logs.log_decision(
+            "deadline-malformed",
+            request_id=request_id.decode("latin-1"),
+            value=value.decode("latin-1")[:MAX_LOGGED_CHARACTERS],
+        )
+
     def _start(self, incoming):
         route = incoming.route
         if route.shards:
@@ -167,10 +180,10 @@
 
 
 def parse_ms(value: bytes | None) -> float | None:
-    """Parse a time in ms; None if missing or malformed."""
+    """Parse a time in ms, up to a day; None if missing or malformed."""
     if value is None or not value.strip().isdigit():
         return None
-    return float(value)
+    return min(float(value), MAX_CALLER_MS)
 
 
 def _read_host(value: bytes) -> str:
--- a/chervilspindle/routing/entry_test.py
+++ b/chervilspindle/routing/entry_test.py
@@ -4,16 +4,12 @@
 import json
 import logging
 
-import hypothesis
-from hypothesis import strategies
 import pytest
 
 from chervilspindle.core import logs
 from chervilspindle.platform import names as platform_names
 from chervilspindle.routing import data_path_test
-from chervilspindle.routing import documents
 from chervilspindle.routing import entry as entry_module
-from chervilspindle.wire import http_server
 
 NAMES = platform_names.HEADERS
 READ_S = 2.0
@@ -68,3 +64,46 @@
         assert await send_raw(world, whole) == 200
 
     run_test(test)
+
+
+@pytest.mark.parametrize(
+    "value,expected_ms",
+    (
+        (None, None),
+        (b"0", 0.0),
+        (b" 900 ", 900.0),
+        (b"9" * 400, entry_module.MAX_CALLER_MS),
+        (b"9" * 5000, entry_module.MAX_CALLER_MS),
+        (b"", None),
+        (b"-1", None),
+        (b"+1", None),
+        (b"1e3", None),
+        (b"nan", None),
+        (b"1_0", None),
+        (b"\xb2", None),
+        ("\u0661".encode(), None),
+    ),
+)
+def test_a_deadline_is_bounded_or_malformed(value, expected_ms):
+    assert entry_module.parse_ms(value) == expected_ms
+
+
+@pytest.mark.parametrize("path", (b"/one/x", b"/once/x", b"/all/x"))
+@pytest.mark.parametrize("value", (b"9" * 5000, b"soon", b"-1", b""))
+def test_an_odd_deadline_is_served_and_logged_as_json(
+    run_test, caplog, path, value
+):
+    caplog.set_level(logging.INFO, "chervilspindle.decision")
+
+    async def test(world):
+        line = NAMES.deadline_ms.encode() + b": " + value
+        request = build_request((b"Host: h.example", line), path)
+        assert await send_raw(world, request) == 200
+        rows = world.entry.context.metrics.events.get_all()
+        counted = "malformed-deadline" in [r[0]["event"] for r in rows]
+        assert counted is not value.isdigit()
+
+    run_test(test)
+    formatter = logs.JsonFormatter()
+    for record in caplog.records:
+        json.loads(formatter.format(record), parse_constant=pytest.fail)
