--- a/chervilspindle/routing/entry_test.py
+++ b/chervilspindle/routing/entry_test.py
@@ -107,3 +107,28 @@
     formatter = logs.JsonFormatter()
     for record in caplog.records:
         json.loads(formatter.format(record), parse_constant=pytest.fail)
+
+
+def test_a_route_without_a_practical_timeout_hands_endpoints_a_day(run_test):
+    async def test(world):
+        routes = [r._replace(timeout_ms=1e300) for r in data_path_test.ROUTES]
+        document = world.entry.document
+        world.entry.update_document(
+            document._replace(version=4, routes=tuple(routes))
+        )
+        received = []
+        for backend in world.backend_by_id.values():
+            run = backend._run
+            backend.server.handler = lambda exchange, run=run: (
+                received.append(exchange.request),
+                run(exchange),
+            )
+        for path in (b"/one/x", b"/once/x", b"/all/x"):
+            request = build_request((b"Host: h.example",), path)
+            assert await send_raw(world, request) == 200
+        name = NAMES.deadline_ms.lower().encode()
+        for request in received:
+            assert int(request.get_header(name)) <= 86_400_000
+        assert received
+
+    run_test(test)
--- a/chervilspindle/routing/request_timing.py
+++ b/chervilspindle/routing/request_timing.py
@@ -12,6 +12,7 @@
 # Latest hedge as a share of the answer time; a hedge has to be answered
 # within the objective.
 MAX_HEDGE_SHARE = 0.33
+MAX_DEADLINE_MS = 86_400_000.0  # of routes with a longer timeout
 DEFAULT_HEDGE_MS = 50.0  # routes without an objective
 # Between a caller and this VM, where the system does not measure it.
 DEFAULT_ROUND_TRIP_MS = 6.0
@@ -87,7 +88,7 @@
         Network round trip to the caller, if known. The objective counts
         from the caller's connection attempt to the arrival of the answer.
     """
-    deadline = timeout_ms
+    deadline = min(timeout_ms, MAX_DEADLINE_MS)
     if caller_ms is not None:
         deadline = min(deadline, caller_ms)
     if not objective_ms:
