Callers: answers that have no body state no length

What callers saw: "Content-Length: 0" in the answer to HEAD, which speaks of the body that GET would have, in a 204, where RFC 9110, 8.6, forbids the field, and in a 304. Answers are otherwise written whole, head and body in one call, so that none can have a head without its body.

--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -21,6 +21,7 @@
 MAX_PIPELINED = 16
 MAX_HEADERS = 200
 CHUNK_OVERHEAD_RATIO = 16  # framing of chunks with one byte each
+NO_BODY_STATUSES = (204, 304)
 # In Linux's `struct tcp_info`, the smoothed round trip time in us.
 TCP_INFO_BYTES = 104
 TCP_INFO_RTT_OFFSET = 68
@@ -426,10 +427,12 @@
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
         for name, value in headers:
             parts.append(b"%s: %s\r\n" % (name, value))
-        parts.append(b"Content-Length: %d\r\n" % len(body))
+        has_body = method != b"HEAD" and status not in NO_BODY_STATUSES
+        if has_body:
+            parts.append(b"Content-Length: %d\r\n" % len(body))
         if not keep:
             parts.append(b"Connection: close\r\n")
         parts.append(b"\r\n")
-        if method != b"HEAD":
+        if has_body:
             parts.append(body)
         self.transport.write(b"".join(parts))
--- a/chervilspindle/wire/http_server_test.py
+++ b/chervilspindle/wire/http_server_test.py
@@ -211,3 +211,23 @@
     caller = Caller(loop).send(head + b"3\r\nabc\r\n0\r\n\r\n")
     assert not caller.requests
     assert caller.read_statuses() == [501] and caller.transport.closed
+
+
+@pytest.mark.parametrize(
+    "method,status,has_length",
+    (
+        (b"GET", 200, True),
+        (b"GET", 404, True),
+        (b"GET", 204, False),
+        (b"GET", 304, False),
+        (b"HEAD", 200, False),
+    ),
+)
+def test_an_answer_without_a_body_states_no_length(
+    loop, method, status, has_length
+):
+    caller = Caller(loop, lambda exchange: exchange.respond(status))
+    caller.send(method + b" / HTTP/1.1\r\nHost: h\r\n\r\n")
+    written = caller.transport.written
+    assert (b"Content-Length: 0\r\n" in written) is has_length
+    assert written.endswith(b"\r\n\r\n") and not caller.transport.closed
