Callers: any bytes of a caller are answered in order, a refusal last

A hypothesis test of the server: fragments of requests and any bytes, in one read or in pieces, answered at once or later.

--- a/chervilspindle/wire/http_server_test.py
+++ b/chervilspindle/wire/http_server_test.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from chervilspindle.core import loops
@@ -231,3 +233,66 @@
     written = caller.transport.written
     assert (b"Content-Length: 0\r\n" in written) is has_length
     assert written.endswith(b"\r\n\r\n") and not caller.transport.closed
+
+
+FRAGMENTS = (
+    GET,
+    CHUNKED,
+    *UPGRADES,
+    b"GET / HTTP/1.1\r\n",
+    b"HEAD / HTTP/1.1\r\n",
+    b"POST / HTTP/1.0\r\n",
+    b"Host: h\r\n",
+    b"Content-Length: 3\r\n",
+    b"Content-Length: 9999\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding: gzip\r\n",
+    b"Connection: close\r\n",
+    b"Connection: Upgrade\r\nUpgrade: x\r\n",
+    b"Expect: 100-continue\r\n",
+    b"3\r\nabc\r\n",
+    b"0\r\n\r\n",
+    b"abc",
+    b"a" * 1500,
+    b"\r\n",
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
+@hypothesis.given(
+    pieces=strategies.lists(
+        strategies.one_of(
+            strategies.sampled_from(FRAGMENTS), strategies.binary(max_size=20)
+        ),
+        max_size=12,
+    ),
+    is_split=strategies.booleans(),
+    answers_late=strategies.booleans(),
+)
+def test_any_bytes_of_a_caller_are_answered_in_order(
+    pieces, is_split, answers_late
+):
+    """Each request has one answer, and a refusal is the last."""
+    loop = asyncio.new_event_loop()
+    caller = Caller(loop, hold if answers_late else None)
+    caller.send(*(pieces if is_split else [b"".join(pieces)]))
+    answered = 0
+    while answered < len(caller.exchanges):
+        caller.exchanges[answered].respond(200, (), b"ok")
+        answered += 1
+        caller.run_soon()
+    caller.run_soon()
+    statuses = [s for s in caller.read_statuses() if s != 100]
+    served = statuses.count(200)
+    assert served == len(caller.requests)
+    assert statuses[:served] == [200] * served
+    assert set(statuses[served:]) <= {400, 413, 431, 501}
+    assert len(statuses) <= served + 1
+    if len(statuses) > served:
+        assert caller.transport.closed
+    for request in caller.requests:
+        assert len(request.body) <= LIMITS.body_bytes
+        for name, value in request.headers:
+            assert not set(name + value) & set(b"\r\n\0")
+        assert not set(request.target) & set(b"\r\n\0 ")
+    loop.close()
