Callers: any headers and target are answered and passed on unchanged

A hypothesis test at the entry, over sockets: any bytes and odd numbers in Host, id, deadline and other headers, any target, GET, POST and HEAD. The stand-in endpoint takes ids that aren't UTF-8.

--- a/chervilspindle/routing/entry_test.py
+++ b/chervilspindle/routing/entry_test.py
@@ -1,10 +1,14 @@
 """Tests of callers' requests at the entry: any header, any target."""
 
 import asyncio
+import functools
 import json
 import logging
 
+import hypothesis
+from hypothesis import strategies
 import pytest
+import uvloop
 
 from chervilspindle.core import logs
 from chervilspindle.platform import names as platform_names
@@ -12,6 +16,12 @@
 from chervilspindle.routing import entry as entry_module
 
 NAMES = platform_names.HEADERS
+# Set by the entry in each request to an endpoint.
+SET_HEADERS = (
+    NAMES.deadline_ms.lower().encode(),
+    NAMES.expected_endpoint.lower().encode(),
+    b"content-length",
+)
 READ_S = 2.0
 
 
@@ -132,3 +142,104 @@
         assert received
 
     run_test(test)
+
+
+def run_sends(test_examples):
+    """Run a hypothesis test with a started world; see `Sends`."""
+    loop = uvloop.new_event_loop()
+    world = data_path_test.World(loop, base=1e9)
+    loop.run_until_complete(world.start())
+    try:
+        test_examples(Sends(world))
+    finally:
+        world.stop()
+        loop.run_until_complete(asyncio.sleep(0.01))
+        loop.close()
+
+
+class Sends:
+    """Sends requests to a world and keeps what its endpoints received."""
+
+    def __init__(self, world):
+        self.world = world
+        self.received = []
+        for backend in world.backend_by_id.values():
+            handler = functools.partial(self.receive, backend)
+            backend.server.handler = handler
+
+    def receive(self, backend, exchange):
+        self.received.append(exchange.request)
+        backend._handle(exchange)
+
+    def send(self, data):
+        """Return the status, and the requests that endpoints received."""
+        self.received.clear()
+        loop = self.world.loop
+        status = loop.run_until_complete(send_raw(self.world, data))
+        return status, list(self.received)
+
+
+VISIBLE = strategies.characters(min_codepoint=0x21, max_codepoint=0x7E)
+VALUES = strategies.one_of(
+    strategies.binary(max_size=30).filter(
+        lambda value: not set(value) & set(b"\r\n")
+    ),
+    strategies.text(VISIBLE, max_size=30).map(str.encode),
+    strategies.integers().map(lambda number: b"%d" % number),
+    strategies.sampled_from(
+        (b"9" * 5000, b"nan", b"inf", b"1e999", b"\xb2", b"a\tb c")
+    ),
+)
+SENT_HEADERS = strategies.fixed_dictionaries(
+    {
+        b"Host": strategies.just(b"h.example") | VALUES,
+        NAMES.request_id.encode(): strategies.just(b"id-1") | VALUES,
+    },
+    optional={
+        NAMES.deadline_ms.encode(): VALUES,
+        NAMES.expected_endpoint.encode(): VALUES,
+        NAMES.not_run.encode(): VALUES,
+        NAMES.stamp.encode(): VALUES,
+        b"Connection": VALUES | strategies.just(b"host, x"),
+        b"Content-Encoding": VALUES,
+        b"Keep-Alive": VALUES,
+        b"Expect": VALUES | strategies.just(b"100-continue"),
+        b"X-Other": VALUES,
+    },
+)
+
+
+def test_any_headers_and_target_are_answered_and_passed_on_unchanged():
+    @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+    @hypothesis.given(
+        headers=SENT_HEADERS,
+        target=strategies.one_of(
+            strategies.sampled_from(
+                (b"/one/x", b"/one/x?q=%00%0d%0a", b"/once/x#y", b"/one/../x")
+            ),
+            VALUES.map(lambda value: b"/one/" + value),
+            VALUES,
+        ),
+        method=strategies.sampled_from((b"GET", b"POST", b"HEAD")),
+    )
+    def check(sends, headers, target, method):
+        lines = [b"%s: %s" % item for item in headers.items()]
+        data = b"\r\n".join(
+            (b"%s %s HTTP/1.1" % (method, target), *lines, b"\r\n")
+        )
+        status, received = sends.send(data)
+        assert status in (100, 200, 400, 404, 431, 501)
+        sent = {n.lower(): v.strip() for n, v in headers.items()}
+        for request in received:
+            assert (request.method, request.target) == (method, target)
+            for name, value in request.headers:
+                if name not in SET_HEADERS:
+                    assert sent.get(name, value) == value
+                    assert name in sent
+        if status == 200:
+            most = 1 if target.startswith(b"/once/") else 2
+            assert 1 <= len(received) <= most
+        sound = build_request((b"Host: h.example",))
+        assert sends.send(sound)[0] == 200
+
+    run_sends(lambda sends: check(sends))
--- a/chervilspindle/tools/backends.py
+++ b/chervilspindle/tools/backends.py
@@ -6,6 +6,7 @@
 
 import random
 import typing
+from urllib import parse
 
 from chervilspindle.core import rows
 from chervilspindle.core import timers as timers_module
@@ -223,9 +224,9 @@
         )
         self.runs.append(
             Run(
-                (request_id or b"").decode(),
+                (request_id or b"").decode("latin-1"),
                 request.method.decode(),
-                request.target.decode(),
+                request.target.decode("latin-1"),
                 request.body,
             )
         )
@@ -249,7 +250,8 @@
             return
         stamp = self.stamp
         if stamp is None:
-            stamp = f"{self.endpoint_id}.{request_id.decode()}".encode()
+            attempt = parse.quote(request_id)
+            stamp = f"{self.endpoint_id}.{attempt}".encode()
         headers = (
             (names.HEADERS.stamp.encode(), stamp),
             (names.HEADERS.request_id.encode(), request_id),
