Peers: a frame that is nested too deeply closes its link like any other

What operators would see: "Fatal error on transport" with a traceback for a peer's frame nested thousands deep, instead of the log line for frames that can't be decoded. Either way the link closes. Cause: RecursionError is no MsgspecError.

Shown not to happen, on the code before too: a frame cut after any byte is not delivered, and a call whose reply is cut fails as one that may have run.

--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -881,7 +881,7 @@
 
     Raises
     ------
-    msgspec.DecodeError, KeyError
+    msgspec.DecodeError, KeyError, RecursionError
     """
     frame = _FRAME.decode(data)
     message = _DECODER_BY_NAME[frame.kind].decode(frame.body)
--- a/chervilspindle/wire/peer_test.py
+++ b/chervilspindle/wire/peer_test.py
@@ -1,5 +1,7 @@
 """Tests of peer links: authentication, calls, silent and idle links."""
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 from twisted.internet import task
 from twisted.internet import testing
@@ -174,3 +176,71 @@
     assert not pair.dialler.transport.disconnecting
     pair.advance_time(2.0, deliver=False)
     assert pair.dialler.transport.disconnecting
+
+
+REPORT = messages.ForwardReport(
+    7, "answered", 200, ((b"stamp", b"s"),), b"hello" * 9
+)
+
+
+def test_a_frame_cut_after_any_byte_is_not_delivered():
+    pair = Pair()
+    pair.listener.link.send(REPORT)
+    whole = pair.listener.transport.value()
+    for length in range(len(whole)):
+        pair = Pair()
+        pair.listener.link.send(REPORT)
+        cut = pair.listener.transport.value()[:length]
+        pair.dialler.link.dataReceived(cut)
+        pair.dialler.link.connectionLost()
+        assert pair.dialler.received == []
+        assert pair.dialler.lost == [ADDRESS]
+
+
+def test_a_reply_cut_after_any_byte_fails_its_call_and_may_have_run():
+    length = 0
+    while True:
+        pair = Pair()
+        results = []
+        call = pair.dialler.link.call(messages.StatusCall(), 1.0)
+        call.addBoth(results.append)
+        data = pair.dialler.transport.value()
+        pair.listener.link.dataReceived(data)
+        reply = pair.listener.transport.value()
+        pair.dialler.link.dataReceived(reply[:length])
+        if length == len(reply):
+            assert results == [messages.StatusReply(b"{}")]
+            return
+        pair.dialler.link.connectionLost()
+        problem = results[0].value.problem
+        assert problem.kind is errors.ErrorKind.CONNECTION_LOST
+        assert not problem.not_run
+        length += 1
+
+
+def nest(depth):
+    """Return nested arrays."""
+    return b"\x91" * depth + b"\xc0"
+
+
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.given(
+    body=strategies.one_of(
+        strategies.binary(max_size=40),
+        strategies.sampled_from((0, 10, 5000)).map(nest),
+        strategies.tuples(
+            strategies.sampled_from(
+                [b"\xa4Nope", b"\xadForwardReport", b"\xaaRelayReport"]
+            ),
+            strategies.binary(max_size=30)
+            | strategies.sampled_from((0, 10, 5000)).map(nest),
+        ).map(lambda parts: b"\x94" + parts[0] + b"\x00\xc2" + parts[1]),
+    )
+)
+def test_any_content_of_a_frame_is_a_message_or_closes_the_link(body):
+    """A peer of another build may send what this one can't read."""
+    pair = Pair()
+    pair.dialler.link._send_body(body)
+    pair.deliver()
+    closed = pair.listener.transport.disconnecting
+    assert closed or pair.listener.received or not body
