Peers: a report with an unknown ending ends its request

What callers would see: 504 at the deadline, where an entry that is cut off gets a report from an entry of another build that names an ending it doesn't know. Cause: the conversion raised after the call had been forgotten. The request counts as one that may have run.

--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -5,10 +5,13 @@
 request itself. The other entry sends it directly or not at all.
 """
 
+from chervilspindle.core import logs
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import messages
 
+ENDING_BY_VALUE = {ending.value: ending for ending in endpoint_http.Ending}
+
 
 class ForwardedCall:
     """One request that another entry was asked to send.
@@ -44,12 +47,20 @@
     def handle_report(self, report: messages.ForwardReport):
         """End with the answer that the endpoint sent to the other entry."""
         self.client.discard(self)
+        if report.ending not in ENDING_BY_VALUE:
+            logs.log_decision(
+                "forward-report-unreadable",
+                address=self.address,
+                ending=report.ending,
+            )
+            self.fail("unknown ending")
+            return
         value_by_name = {}
         for name, value in report.headers:
             value_by_name.setdefault(name, value)
         self._end(
             endpoint_http.Answer(
-                endpoint_http.Ending(report.ending),
+                ENDING_BY_VALUE[report.ending],
                 report.status,
                 report.headers,
                 value_by_name,
