--- a/chervilspindle/routing/cut_answers_test.py
+++ b/chervilspindle/routing/cut_answers_test.py
@@ -37,6 +37,8 @@
     cut_by_target : dict of str to int
         Bytes that are sent of the answer, by the target of the request; the
         whole answer is sent to other requests.
+    surplus : bytes
+        Sent after a whole answer.
     """
 
     def __init__(self, framing="length", status=200, is_reset=False):
@@ -44,6 +46,7 @@
         self.status = status
         self.is_reset = is_reset
         self.cut_by_target = {}
+        self.surplus = b""
 
 
 class CuttingBackend(backends.Backend):
@@ -78,7 +81,9 @@
             return
         cut = self.plan.cut_by_target.get(exchange.request.target.decode())
         answer = self.build_answer(request_id)
-        transport.write(answer if cut is None else answer[:cut])
+        transport.write(
+            answer + self.plan.surplus if cut is None else answer[:cut]
+        )
         if cut is None and self.plan.framing != "none":
             exchange.answered = True
             exchange.connection.exchange = None
@@ -306,3 +311,37 @@
         return rate_limit_test.Fleet(loop, 5, cut_off_test.SERVICES)
 
     run_plan(test, plan, build)
+
+
+SURPLUS = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 2",
+    b"HTTP/1.1 503 No\r\n",
+    b"surplus",
+)
+
+
+@pytest.mark.parametrize("framing", ("length", "chunks"))
+@pytest.mark.parametrize("status", (200, 404, 500))
+@pytest.mark.parametrize("surplus", SURPLUS)
+def test_a_caller_gets_the_status_of_the_answer_and_not_of_what_follows(
+    run_plan, framing, status, surplus
+):
+    plan = Plan(framing, status)
+    plan.surplus = surplus
+
+    async def test(world):
+        for path, method in (("/one/x", "GET"), ("/once/x", "POST")):
+            answer = await world.ask(path, "id-1", method)
+            assert answer[0] == status
+            assert answer[2] == world.backend_by_id["desk-a"].build_body(
+                b"id-1"
+            )
+        answer = await world.ask("/all/x")
+        if status == 200:
+            assert answer[0] == 200
+            assert data_path_test.read_missing(answer[1]) == 0
+        else:
+            check_failure(answer)
+
+    run_plan(test, plan)
