--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -44,7 +44,8 @@
 # without one: the answer is to arrive in time.
 MAX_PERMIT_WAIT_SHARE = 0.5
 STAMP_PATTERN = re.compile(rb"[!-+\--~]+")  # visible ASCII but the comma
-MAX_LOAD_DIGITS = 6  # of each number in a stated load
+# Three numbers, bounded so that one endpoint can't state an absurd load.
+LOAD_PATTERN = re.compile(rb"\s*(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})\s*")
 MAX_LOGGED_CHARACTERS = 40  # of a malformed header
 PERMIT_LIFETIME_S = 0.5  # of a permit that waits for a connection
 # Reasons of outcomes.
@@ -484,11 +485,8 @@
 
 def parse_load(value: bytes) -> tuple[int, int, int] | None:
     """Parse running, waiting and slots; None if malformed."""
-    items = [item.strip() for item in value.split(b",")]
-    if len(items) != 3:
+    match = LOAD_PATTERN.fullmatch(value)
+    if match is None:
         return None
-    for item in items:
-        if not item.isdigit() or len(item) > MAX_LOAD_DIGITS:
-            return None
-    running, waiting, slots = map(int, items)
+    running, waiting, slots = map(int, match.groups())
     return running, waiting, slots
