--- a/chervilspindle/routing/endpoint_headers_test.py
+++ b/chervilspindle/routing/endpoint_headers_test.py
@@ -13,6 +13,7 @@
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import overload
 from chervilspindle.routing import permission
+from chervilspindle.routing import rate_permits
 from chervilspindle.wire import endpoint_http
 
 HUGE = "9" * 400
@@ -220,3 +221,25 @@
     assert chosen.endpoint.endpoint_id == "desk-b"
     assert context.table.choose("desk", (), 100.0, False) is not None
     loop.close()
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(
+    value=HEADER_VALUES
+    | strategies.floats(0.0, allow_infinity=False).map(
+        lambda limit: repr(limit).encode()
+    ),
+    elapsed_s=strategies.lists(strategies.floats(0.0, 1e6), max_size=5),
+)
+def test_any_limit_that_is_read_can_be_paced(value, elapsed_s):
+    limit = permission.parse_limit(value)
+    if limit is None:
+        return
+    rate = max(limit, rate_permits.MIN_LIMIT_PER_S)
+    pacer = rate_permits.Pacer(rate, 1.0, rate_permits.BURST_S)
+    now = 1.0
+    for seconds in elapsed_s:
+        reservation = pacer.reserve(now, 0.1)
+        assert reservation.granted == (reservation.wait_s <= 0.1)
+        assert 0.0 <= reservation.wait_s <= 1.0 / rate + 0.1
+        now += seconds
