--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -4,8 +4,10 @@
 """
 
 import logging
+import re
 import typing
 
+from chervilspindle.core import logs
 from chervilspindle.routing import documents
 from chervilspindle.routing import endpoints
 from chervilspindle.routing import permission
@@ -41,6 +43,10 @@
 # Longest wait for a permit, as a share of the objective, or of the time left
 # without one: the answer is to arrive in time.
 MAX_PERMIT_WAIT_SHARE = 0.5
+STAMP_PATTERN = re.compile(rb"[!-+\--~]+")  # visible ASCII but the comma
+# Three numbers, bounded so that one endpoint can't state an absurd load.
+LOAD_PATTERN = re.compile(rb"\s*(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})\s*")
+MAX_LOGGED_CHARACTERS = 40  # of a malformed header
 PERMIT_LIFETIME_S = 0.5  # of a permit that waits for a connection
 # Reasons of outcomes.
 HELD_BACK = endpoint_http.Ending.HELD_BACK.value
@@ -287,12 +293,17 @@
     if answer.get_header(b"content-encoding") not in (None, b"identity"):
         return SendOutcome(False, True, "encoded")
     if 200 <= answer.status < 300:
-        if answer.get_header(lower.stamp) is None:
+        if not is_stamp(answer.get_header(lower.stamp)):
             return SendOutcome(False, True, "unsigned")
         return SendOutcome(True, True, "ok")
     return SendOutcome(False, True, f"status_{answer.status}")
 
 
+def is_stamp(value: bytes | None) -> bool:
+    """Tell whether a header can be a signature in a list of signatures."""
+    return value is not None and STAMP_PATTERN.fullmatch(value) is not None
+
+
 def build_call(
     template: RequestTemplate,
     request_id: bytes,
@@ -418,6 +429,13 @@
         parsed = parse_load(load)
         if parsed is not None:
             selection.record_load(health, *parsed, now)
+        else:
+            context.metrics.count_event("malformed-load")
+            logs.log_decision(
+                "endpoint-load-malformed",
+                endpoint=target.endpoint.endpoint_id,
+                value=load.decode("latin-1")[:MAX_LOGGED_CHARACTERS],
+            )
     if answer.ending is endpoint_http.Ending.ANSWERED:
         if outcome.reason != "other_endpoint":
             permission.record_limit(
@@ -447,15 +465,18 @@
     """Record whether the endpoint is leaving or asks for a pause."""
     restrictions = target.restrictions
     now = context.loop.time()
+    limit = answer.get_header(context.names.lower.limit)
+    if limit is not None and permission.parse_limit(limit) is None:
+        context.metrics.count_event("malformed-limit")
     leaving = answer.get_header(context.names.lower.leaving)
     permission.record_leaving(restrictions, leaving)
     if answer.status == 503:
-        permission.record_pause(
-            restrictions,
-            answer.get_header(b"retry-after"),
-            now,
-            context.random,
+        pause = answer.get_header(b"retry-after")
+        is_read = permission.record_pause(
+            restrictions, pause, now, context.random
         )
+        if not is_read:
+            context.metrics.count_event("ignored-retry-after")
     verdict = permission.evaluate(restrictions, now)
     if not verdict.allowed and not verdict.needs_permit:
         for _ in range(target.pool.hold_back_waiting()):
@@ -464,8 +485,8 @@
 
 def parse_load(value: bytes) -> tuple[int, int, int] | None:
     """Parse running, waiting and slots; None if malformed."""
-    try:
-        running, waiting, slots = map(int, value.split(b","))
-    except ValueError:
+    match = LOAD_PATTERN.fullmatch(value)
+    if match is None:
         return None
+    running, waiting, slots = map(int, match.groups())
     return running, waiting, slots
--- a/chervilspindle/tools/backends.py
+++ b/chervilspindle/tools/backends.py
@@ -6,6 +6,7 @@
 
 import random
 import typing
+from urllib import parse
 
 from chervilspindle.core import rows
 from chervilspindle.core import timers as timers_module
@@ -80,6 +81,12 @@
         Runs all requests and answers 500.
     limit_per_s : float or None
         Named in all answers; not enforced.
+    load : bytes
+        Stated in answers to requests that ran.
+    stamp : bytes or None
+        Signature of all answers; None for a sound one.
+    extra_headers : tuple of (name, value)
+        Sent in all answers.
     leaving : bool
         Says in all answers that it is leaving; serves on.
     retry_after : str
@@ -112,6 +119,9 @@
         self.refusing = False
         self.failing = False
         self.limit_per_s = None
+        self.load = b"1,0,2"
+        self.stamp = None
+        self.extra_headers = ()
         self.leaving = False
         self.retry_after = ""
         self.arrivals_s = []
@@ -199,7 +209,7 @@
 
     def _build_notices(self):
         """Return the headers by which it restricts what it is sent."""
-        headers = []
+        headers = list(self.extra_headers)
         if self.limit_per_s is not None:
             value = f"{self.limit_per_s:.1f}".encode()
             headers.append((names.HEADERS.limit.encode(), value))
@@ -214,9 +224,9 @@
         )
         self.runs.append(
             Run(
-                (request_id or b"").decode(),
+                (request_id or b"").decode("latin-1"),
                 request.method.decode(),
-                request.target.decode(),
+                request.target.decode("latin-1"),
                 request.body,
             )
         )
@@ -238,11 +248,14 @@
             transport.write(head)
             self._send_endless(transport, filler)
             return
-        stamp = f"{self.endpoint_id}.{request_id.decode()}"
+        stamp = self.stamp
+        if stamp is None:
+            attempt = parse.quote(request_id)
+            stamp = f"{self.endpoint_id}.{attempt}".encode()
         headers = (
-            (names.HEADERS.stamp.encode(), stamp.encode()),
+            (names.HEADERS.stamp.encode(), stamp),
             (names.HEADERS.request_id.encode(), request_id),
-            (names.HEADERS.load.encode(), b"1,0,2"),
+            (names.HEADERS.load.encode(), self.load),
             *self._build_notices(),
         )
         if self.failing:
--- a/chervilspindle/wire/endpoint_client.py
+++ b/chervilspindle/wire/endpoint_client.py
@@ -34,6 +34,7 @@
 # An endpoint ends a request at its deadline; later its slot is free, even if
 # it is still sending.
 DEADLINE_OVERRUN_S = 2.0
+MAX_RETRY_AFTER_MS = 600_000
 
 _NOT_CONNECTED = (
     internet_error.ConnectError,
@@ -399,8 +400,8 @@
     A response that names another request counts as a lost connection.
     """
     try:
-        body = _BODY.decode(data)
-    except msgspec.MsgspecError:
+        body = _decode(_BODY, data)
+    except (ValueError, RecursionError):
         return _build_failure(errors.ErrorKind.CONNECTION_LOST, True)
     if body.request_id != run_id:
         return _build_failure(errors.ErrorKind.CONNECTION_LOST, True)
@@ -409,7 +410,7 @@
     return RunResult(
         read_kind(body.kind),
         not body.not_run,
-        body.retry_after_ms,
+        min(max(0, body.retry_after_ms), MAX_RETRY_AFTER_MS),
         body.snapshot,
         bytes(body.value),
     )
@@ -420,14 +421,20 @@
 
     Raises
     ------
-    msgspec.MsgspecError
+    ValueError or RecursionError
     """
-    state = _STATE.decode(data)
+    state = _decode(_STATE, data)
     if state.result is not None and state.result.kind:
         state.result.kind = read_kind(state.result.kind)
     return state
 
 
+def _decode(decoder, data):
+    # The decoder does not look into strings of values that it leaves raw.
+    data.decode()
+    return decoder.decode(data)
+
+
 def read_kind(endpoint_kind: str) -> str:
     """Return the `ErrorKind` value for an error kind of an endpoint."""
     kind = _KIND_BY_ENDPOINT_KIND.get(
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -20,6 +20,7 @@
 
 CONNECT_TIMEOUT_S = 0.5  # several round trips within a region
 DEFAULT_IDLE_LIMIT_S = 4.0  # for endpoints that state no keep-alive timeout
+MAX_IDLE_LIMIT_S = 3600.0
 IDLE_MARGIN_S = 0.5  # stops reuse before the endpoint closes the connection
 # Longest idle time of a connection that a request which must run at most once
 # may reuse; after longer, the endpoint may be closing it.
@@ -441,6 +442,7 @@
         self.parser = None
         self.call = None
         self.must_close = False
+        self.status = 0
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.headers = []
@@ -451,6 +453,7 @@
         self.complete = False
         self.in_body = False
         self.until_close = False
+        self.is_decodable = True
 
     def connection_made(self, transport):
         """Add the open connection to the pool."""
@@ -466,6 +469,7 @@
         self.received_bytes = 0
         self.complete = False
         self.in_body = False
+        self.is_decodable = True
         self.parser = httptools.HttpResponseParser(self)
         self.transport.write(call.data)
         self.pool.link_observer.record_sent()
@@ -515,6 +519,9 @@
             if not self.complete:
                 self._fail(Ending.INVALID)
                 return
+        if not self.is_decodable:
+            self._fail(Ending.INVALID)
+            return
         self.received_bytes += len(data)
         if self.body_bytes > call.max_body_bytes:
             self.drop_answer("body_limit")
@@ -554,8 +561,8 @@
         self.body_bytes = 0
 
     def on_header(self, name: bytes, value: bytes):
-        """Append one header."""
-        if not self.complete:
+        """Append one header; trailers are ignored."""
+        if not self.complete and not self.in_body:
             name = name.lower()
             self.headers.append((name, value))
             self.value_by_name.setdefault(name, value)
@@ -565,16 +572,21 @@
         if self.complete:
             return
         self.in_body = True
+        # The parser's status is that of the last head, even a surplus one.
+        self.status = self.parser.get_status_code()
         values = self.value_by_name
-        encoding = values.get(b"transfer-encoding", b"")
-        self.until_close = (
-            b"content-length" not in values
-            and b"chunked" not in encoding.lower()
-        )
-        if b"close" in values.get(b"connection", b"").lower():
-            self.must_close = True
+        codings = ()
+        if b"transfer-encoding" in values:
+            codings = list_transfer_codings(self.headers)
+            self.is_decodable = codings in ((), (b"chunked",))
+        self.until_close = b"content-length" not in values and not codings
         if b"keep-alive" in values:
             self._read_keep_alive(values[b"keep-alive"])
+        if self.call.data.startswith(b"HEAD ") and self.status >= 200:
+            # The parser does not know the request and expects a body.
+            self.complete = True
+            self.is_decodable = True
+            self.must_close = True
 
     def on_body(self, body: bytes):
         """Append a piece of the body."""
@@ -587,27 +599,31 @@
         """Mark the answer as complete, unless it is an interim one."""
         if self.complete:
             return
-        if self.parser.get_status_code() < 200:
+        if self.status < 200:
             self.in_body = False
             return
         self.complete = True
-        if self.until_close and not self.must_close:
-            # With neither a length nor chunks, only an answer that has no
-            # body (204, 304) leaves the connection usable.
-            self.must_close = self.parser.get_status_code() not in (204, 304)
+        if not self.parser.should_keep_alive():
+            self.must_close = True
 
     def _read_keep_alive(self, value: bytes):
         for item in value.split(b","):
             name, _, text = item.strip().partition(b"=")
-            if name.lower() == b"timeout" and text.isdigit():
-                self.idle_limit_s = max(0.0, int(text) - IDLE_MARGIN_S)
+            if name.lower() != b"timeout":
+                continue
+            if text.isdigit():
+                # Unlike int, float takes any number of digits.
+                seconds = min(float(text), MAX_IDLE_LIMIT_S)
+                self.idle_limit_s = max(0.0, seconds - IDLE_MARGIN_S)
+            else:
+                self.pool.on_event("malformed-keep-alive")
 
     def _finish(self):
         call, self.call = self.call, None
         self.pool.receive_budget.release(self)
         answer = Answer(
             Ending.ANSWERED,
-            self.parser.get_status_code(),
+            self.status,
             self.headers,
             self.value_by_name,
             b"".join(self.body),
@@ -633,3 +649,13 @@
         call = self.call
         self.abort()
         self.pool.end(call, Answer(ending))
+
+
+def list_transfer_codings(headers) -> tuple[bytes, ...]:
+    """Return the transfer codings of a message in lower case, in order.
+
+    All header lines count; `identity` is left out.
+    """
+    lines = [v for name, v in headers if name == b"transfer-encoding"]
+    codings = (c.strip().lower() for c in b",".join(lines).split(b","))
+    return tuple(c for c in codings if c not in (b"", b"identity"))
--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -20,6 +20,8 @@
 SWEEP_S = 0.5
 MAX_PIPELINED = 16
 MAX_HEADERS = 200
+CHUNK_OVERHEAD_RATIO = 16  # framing of chunks with one byte each
+NO_BODY_STATUSES = (204, 304)
 # In Linux's `struct tcp_info`, the smoothed round trip time in us.
 TCP_INFO_BYTES = 104
 TCP_INFO_RTT_OFFSET = 68
@@ -203,6 +205,7 @@
         self.body = []
         self.header_bytes = 0
         self.body_bytes = 0
+        self.received_bytes = 0  # since the end of the head
         self.in_header = True
         self.request_started_s = None
         self.idle_since_s = server.loop.time()
@@ -247,9 +250,13 @@
         try:
             if self.in_header:
                 self.header_bytes += len(data)
+            self.received_bytes += len(data)
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._refuse(400, "protocol upgrades are not supported")
+            # The request is served without the upgrade, as RFC 9110 allows;
+            # what follows it may be of another protocol.
+            self.refused = True
+            return
         except httptools.HttpParserError as error:
             if not self.refused:
                 self._refuse(400, str(error))
@@ -257,6 +264,11 @@
         limit = self.server.read_limits().header_bytes
         if self.in_header and self.header_bytes > limit:
             self._refuse(431, "header is too large")
+        elif not self.in_header and (
+            self.received_bytes - self.body_bytes
+            > limit + CHUNK_OVERHEAD_RATIO * self.body_bytes
+        ):
+            self._refuse(413, "framing of the body is too large")
 
     def on_message_begin(self):
         """Reset the state for a new request."""
@@ -273,21 +285,28 @@
         self.target += url
 
     def on_header(self, name: bytes, value: bytes):
-        """Append one header."""
-        self.headers.append((name.lower(), value))
+        """Append one header; trailers are ignored."""
+        if self.in_header:
+            self.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
         """Check the header section before the body is read."""
         self.in_header = False
+        self.received_bytes = 0
         size = len(self.target)
         expects = False
+        codings = []
         for name, value in self.headers:
             size += len(name) + len(value) + 4
             if name == b"expect" and value.lower() == b"100-continue":
                 expects = True
+            elif name == b"transfer-encoding":
+                codings.append(value.strip().lower())
         limits = self.server.read_limits()
         if size > limits.header_bytes or len(self.headers) > MAX_HEADERS:
             self._refuse(431, "header is too large")
+        elif codings not in ([], [b"chunked"]):
+            self._refuse(501, "transfer coding is not supported")
         elif expects and self.exchange is None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -316,7 +335,11 @@
         self.in_header = True
         self.header_bytes = 0
         self.request_started_s = None
-        self.waiting.append((request, self.parser.should_keep_alive()))
+        keep = (
+            self.parser.should_keep_alive()
+            and not self.parser.should_upgrade()
+        )
+        self.waiting.append((request, keep))
         if len(self.waiting) > MAX_PIPELINED:
             self.transport.pause_reading()
         self._serve_next()
@@ -390,7 +413,11 @@
                 "why": reason,
             },
         )
-        if self.exchange is None:
+        if self.exchange is None and self.waiting:
+            # This answer would be taken for that of the queued request.
+            self.waiting.clear()
+            self.transport.close()
+        elif self.exchange is None:
             self._write(status, (), reason.encode(), b"GET", False)
             self.transport.close()
         else:
@@ -405,10 +432,12 @@
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
         for name, value in headers:
             parts.append(b"%s: %s\r\n" % (name, value))
-        parts.append(b"Content-Length: %d\r\n" % len(body))
+        has_body = method != b"HEAD" and status not in NO_BODY_STATUSES
+        if has_body:
+            parts.append(b"Content-Length: %d\r\n" % len(body))
         if not keep:
             parts.append(b"Connection: close\r\n")
         parts.append(b"\r\n")
-        if method != b"HEAD":
+        if has_body:
             parts.append(body)
         self.transport.write(b"".join(parts))
