--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -56,7 +56,13 @@
 
 
 class Node:
-    """A control member or an entry, run as a process that can restart."""
+    """A control member or an entry, run as a process that can restart.
+
+    Attributes
+    ----------
+    checkout : str
+        Folder of the build to run; empty for the one of this process.
+    """
 
     def __init__(self, folder, name, ip, ports, serves_control):
         self.name = name
@@ -72,6 +78,7 @@
         self.disturbed_s = 0.0
         self.busy = False
         self.starts = 0
+        self.checkout = ""
 
     def write_settings(self, seeds, first_start):
         """Write the settings file as the platform would."""
@@ -104,11 +111,14 @@
         self.log = open(self.get_log_path(), "ab")
         self.log_offset = os.path.getsize(self.get_log_path())
         environment = {**os.environ, names.SETTINGS_VARIABLE: self.settings}
+        if self.checkout:
+            environment["PYTHONPATH"] = self.checkout
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "chervilspindle.platform",
             env=environment,
+            cwd=self.checkout or None,
             stdout=self.log,
             stderr=self.log,
         )
@@ -227,7 +237,7 @@
                 self._watch_memory,
             ):
                 tasks.append(self.loop.create_task(activity()))
-            await asyncio.sleep(self.seconds)
+            await self._wait_for_end()
             self.stopping = True
             await asyncio.wait(tasks[1:], timeout=30)
             await self._check_recovery()
@@ -242,6 +252,9 @@
                 self.proxy_by_id[backend.endpoint_id].stop()
         return self.findings
 
+    async def _wait_for_end(self):
+        await asyncio.sleep(self.seconds)
+
     # Endpoints and operators.
 
     async def _announce_all(self):
