Peers state what they read, and are written to so that they can read it

Seen by callers: while old entries asked upgraded control members, each entry that could read no member had no configuration after its restart and refused all requests (503), the others kept to the version they had; it lasted for as long as both builds ran.

Cause: rows are MessagePack arrays, and a build refuses one that is longer than its own. The old end closes the link ("peer frame cannot be decoded") and asks the next member, which answers the same.

Old builds take any 16 bytes as a nonce, so the version travels there: 9 random bytes, the version, and 6 bytes of a mark under the shared key. A nonce of an old build has that mark by chance once in 2^48 links.

What is written is cut to the fields that the version of the link has; what is read is tried strictly first, and only if that fails without surplus fields, nested rows included. A kind that can't be read is answered as not run, or logged, and the link stays open. A ProblemReply of an unknown kind is an internal error of the peer.

A peer that states no version is one of four layouts. Counting all as the oldest would keep from those of the records of crashes, permits and probes that they know. So the end that opened the link finds out which it is, on links of their own that the old build closes if it can't read a reply that nobody waits for: three trials at most, bounded by 0.5 s, before the first message; control does the same for an entry that asks it. Without an answer the peer counts as the oldest, and kinds that only newer builds write raise that. A control leader of an old build logs one error line for each trial that it can read.

--- a/chervilspindle/control/changes.py
+++ b/chervilspindle/control/changes.py
@@ -7,7 +7,9 @@
 
 import collections
 
+from chervilspindle.wire import layouts
 from chervilspindle.wire import messages
+from chervilspindle.wire import versions
 
 MAX_RETAINED_VERSIONS = 4096
 CHANGE_KINDS = (
@@ -37,17 +39,17 @@
         self.changes_by_version = collections.OrderedDict()
         self.oldest_version = 0
         self.urgent_version = 0
-        self.delta_by_base_version = {}
+        self.delta_by_key = {}
 
     def reset(self, version: int):
         """Clear all records after a snapshot replaced the tables."""
         self.changes_by_version.clear()
         self.oldest_version = version
-        self.delta_by_base_version.clear()
+        self.delta_by_key.clear()
 
     def record(self, version: int, changes):
         """Record the rows that a version changed."""
-        self.delta_by_base_version.clear()
+        self.delta_by_key.clear()
         if changes:
             self.changes_by_version[version] = tuple(changes)
             if any(change.kind in URGENT_KINDS for change in changes):
@@ -56,19 +58,28 @@
             oldest, _ = self.changes_by_version.popitem(last=False)
             self.oldest_version = oldest
 
-    def get_delta(self, state, known_version: int) -> bytes:
+    def get_delta(
+        self,
+        state,
+        known_version: int,
+        peer_version: int = versions.CURRENT,
+    ) -> bytes:
         """Return the encoded delta of the rows changed since `known_version`.
 
         The delta is a full one if the feed does not reach back that far, or
-        if the tables have not reached `known_version`.
+        if the tables have not reached `known_version`. It is written for
+        builds that read `peer_version` of the protocol.
         """
         if not self.oldest_version <= known_version <= state.version:
             known_version = 0
-        data = self.delta_by_base_version.get(known_version)
+        layout = layouts.get_field_count(
+            messages.Delta, messages.FIELD_COUNTS, peer_version
+        )
+        data = self.delta_by_key.get((known_version, layout))
         if data is None:
             delta = self._build_delta(state, known_version)
-            data = messages.encode_delta(delta)
-            self.delta_by_base_version[known_version] = data
+            data = messages.encode_delta(delta, peer_version)
+            self.delta_by_key[known_version, layout] = data
         return data
 
     def _build_delta(self, state, known_version: int) -> messages.Delta:
--- a/chervilspindle/control/watch.py
+++ b/chervilspindle/control/watch.py
@@ -14,6 +14,7 @@
 
 from chervilspindle.control import raft
 from chervilspindle.wire import messages
+from chervilspindle.wire import versions
 
 IDLE_REPLY_S = 0.7  # idle calls are answered to show that the member is alive
 BATCH_DELAY_S = 0.02  # changes within this time are sent together
@@ -22,11 +23,15 @@
 
 
 class PendingCall(typing.NamedTuple):
-    """A watch call that waits for a change until `due_ms`."""
+    """A watch call that waits for a change until `due_ms`.
+
+    `peer_version` is the version of the protocol that the entry reads.
+    """
 
     call: messages.WatchCall
     due_ms: float
     deferred: defer.Deferred
+    peer_version: int
 
 
 class WatchServer:
@@ -52,9 +57,19 @@
         node.applied_listeners.append(self._on_applied)
         timers.subscribe("watch-check", CHECK_PERIOD_S, self._answer_due)
 
-    def watch(self, call: messages.WatchCall):
+    def watch(
+        self,
+        call: messages.WatchCall,
+        peer_version: int = versions.CURRENT,
+    ):
         """Answer a watch call.
 
+        Parameters
+        ----------
+        call : messages.WatchCall
+        peer_version : int
+            Version of the protocol that the entry reads.
+
         Returns
         -------
         WatchReply or Deferred
@@ -64,9 +79,9 @@
         self.frontend.record_watcher(call)
         now = self.read_clock()
         if self._has_changes(call, now) or self._is_useless(call):
-            return self._build_reply(call)
+            return self._build_reply(call, peer_version)
         due = now + IDLE_REPLY_S * 1000.0
-        pending_call = PendingCall(call, due, defer.Deferred())
+        pending_call = PendingCall(call, due, defer.Deferred(), peer_version)
         self.pending.append(pending_call)
         return pending_call.deferred
 
@@ -84,7 +99,8 @@
         pending, self.pending = self.pending, []
         for one in pending:
             if now >= one.due_ms or self._has_changes(one.call, now):
-                one.deferred.callback(self._build_reply(one.call))
+                reply = self._build_reply(one.call, one.peer_version)
+                one.deferred.callback(reply)
             else:
                 self.pending.append(one)
 
@@ -111,7 +127,7 @@
         """
         return not call.known_version and self._read_age_ms() == math.inf
 
-    def _build_reply(self, call):
+    def _build_reply(self, call, peer_version=versions.CURRENT):
         node = self.node
         self.last_reply_ms_by_vm[call.vm_id] = self.read_clock()
         relay_list = self.frontend.relay_list
@@ -123,7 +139,7 @@
             self.frontend.totals.watchers,
             self.frontend.totals.requests,
             tuple(sorted(m.address for m in node.raft.members)),
-            node.feed.get_delta(node.tables, call.known_version),
+            node.feed.get_delta(node.tables, call.known_version, peer_version),
             relay_list if relays_changed else None,
             self.frontend.list_nearby(call.zone),
         )
--- a/chervilspindle/routing/metrics.py
+++ b/chervilspindle/routing/metrics.py
@@ -33,6 +33,12 @@
             registry=self.registry,
         )
         self.cut_off.set({}, 0)
+        self.peer_links = aioprometheus.Gauge(
+            "chervilspindle_peer_links",
+            "Links to other processes, by the protocol version they read.",
+            registry=self.registry,
+        )
+        self.peer_versions = set()
         self.latency = aioprometheus.Histogram(
             "chervilspindle_routed_seconds",
             "Time to the answer, by route.",
@@ -70,6 +76,13 @@
         """Set whether this VM reaches no endpoint."""
         self.cut_off.set({}, int(is_cut_off))
 
+    def set_peer_links(self, links_by_version):
+        """Set the number of links by the version that peers read."""
+        self.peer_versions.update(links_by_version)
+        for version in self.peer_versions:
+            labels = {"version": str(version)}
+            self.peer_links.set(labels, links_by_version.get(version, 0))
+
     def render(self, accept):
         """Render all metrics in a format that `accept` allows.
 
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -33,6 +33,7 @@
 from chervilspindle.wire import messages
 from chervilspindle.wire import peer
 from chervilspindle.wire import streams
+from chervilspindle.wire import versions
 
 LOGGER = logging.getLogger(__name__)
 
@@ -180,6 +181,7 @@
         )
 
     def _answer_metrics(self, exchange):
+        self.metrics.set_peer_links(self.network.count_links_by_version())
         body, headers = self.metrics.render([])
         packed = tuple(
             (k.encode(), v.encode())
@@ -274,7 +276,10 @@
         )
         await self.listen_metrics()
         self.watch_client.start()
-        LOGGER.info("serving", extra={"role": "entry"})
+        LOGGER.info(
+            "serving",
+            extra={"role": "entry", "peer_version": versions.CURRENT},
+        )
 
     def reload(self, settings):
         """Apply changed settings."""
@@ -413,7 +418,10 @@
             lambda: CONTROL_LIMITS,
         )
         await self.listen_metrics()
-        LOGGER.info("serving", extra={"role": "control"})
+        LOGGER.info(
+            "serving",
+            extra={"role": "control", "peer_version": versions.CURRENT},
+        )
 
     def reload(self, settings):
         """Apply changed settings."""
@@ -436,11 +444,18 @@
             self.node.receive(message.data, message.address)
             return None
         if isinstance(message, messages.WatchCall):
-            return self.watch.watch(message)
+            return self._watch(link, message)
         if isinstance(message, messages.CrashReport):
             return self.frontend.report_crash(message)
         return self.frontend.answer(message)
 
+    def _watch(self, link, call):
+        """Answer once it is known which version the entry reads."""
+        learning = self.network.learn_version(link, call.relay_address)
+        return learning.addCallback(
+            lambda _: self.watch.watch(call, link.version)
+        )
+
     def _send_raft_message(self, address, data):
         message = messages.Replicate(data, self.settings.peer_address)
         self.network.send(address, message)
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -8,6 +8,8 @@
 
 from chervilspindle.core import errors
 from chervilspindle.core import rows
+from chervilspindle.wire import layouts
+from chervilspindle.wire import versions
 
 
 class ListsDelta(typing.NamedTuple):
@@ -726,12 +728,15 @@
     """Sums over all members, 0 if the leader does not know them yet.
 
     `relays` and `places` are also None if the member has the current ones.
+    `versions` has (peer address, version that is read there) of the members
+    that the leader knows.
     """
 
     watchers: int
     requests: int
     relays: RelayList | None = None
     places: tuple[MemberPlace, ...] | None = None
+    versions: tuple[tuple[str, int], ...] = ()
 
 
 class DocumentCall(typing.NamedTuple):
@@ -828,6 +833,37 @@
     )
 }
 
+# Number of fields by the version that had so many first.
+FIELD_COUNTS = {
+    RelayedRequest: {1: 4, 2: 5},
+    WatchReply: {1: 6, 2: 7},
+    MemberReport: {1: 6, 2: 8},
+    MemberReportReply: {1: 3, 2: 4, 5: 5},
+    ReadDocumentCall: {1: 0, 2: 1},
+    Delta: {1: 9, 3: 11},
+}
+
+# Version that had a kind first; all other kinds are in each version.
+FIRST_VERSION_BY_KIND = {
+    PermitCall: 3,
+    PermitReply: 3,
+    CrashReport: 3,
+    CrashCall: 3,
+    ForwardCall: 4,
+    ForwardReport: 4,
+    RelayRefusal: 4,
+    ProbeCall: 4,
+    ProbeReply: 4,
+}
+
+# Replies that nobody waits for, newest version first. A build that knows the
+# kind rejects it with a reply, one that does not closes the link.
+TRIAL_BY_VERSION = (
+    (4, ProbeReply(EndpointState.UNKNOWN)),
+    (3, PermitReply(False, False, 0.0)),
+    (2, WatchReply(0.0, 0, 0, (), b"")),
+)
+
 EMPTY_VALUE = b"null"
 
 # Documents and tables of endpoints go to every entry and compress to a fifth
@@ -836,6 +872,7 @@
 COMPRESSION_LEVEL = 1  # entries wait while the shared delta is compressed
 PLAIN = b"p"
 COMPRESSED = b"z"
+ARRAY_SIZE_MASK = 0x0F  # of the first byte of a MessagePack array
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DELTA = msgspec.msgpack.Decoder(Delta)
@@ -843,11 +880,16 @@
 _DECODER_BY_NAME = {
     name: msgspec.msgpack.Decoder(cls) for name, cls in MESSAGE_BY_NAME.items()
 }
+_CHANGED_KINDS = frozenset(
+    cls
+    for cls in MESSAGE_BY_NAME.values()
+    if layouts.contains_any(cls, FIELD_COUNTS)
+)
 
 
-def encode_delta(delta: Delta) -> bytes:
-    """Encode a delta, compressed if it is large."""
-    data = _ENCODER.encode(delta)
+def encode_delta(delta: Delta, version: int = versions.CURRENT) -> bytes:
+    """Encode a delta for a version, compressed if it is large."""
+    data = _ENCODER.encode(layouts.fit(delta, FIELD_COUNTS, version))
     if len(data) < COMPRESSION_MIN_BYTES:
         return PLAIN + data
     return COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
@@ -858,18 +900,52 @@
 
     Raises
     ------
-    msgspec.DecodeError, zlib.error
+    msgspec.MsgspecError, zlib.error
     """
     if data[:1] == COMPRESSED:
-        return _DELTA.decode(zlib.decompress(data[1:]))
-    return _DELTA.decode(data[1:])
+        return layouts.decode(_DELTA, zlib.decompress(data[1:]))
+    return layouts.decode(_DELTA, data[1:])
+
+
+def encode_frame(
+    message,
+    call_id: int,
+    is_reply: bool,
+    version: int = versions.CURRENT,
+) -> bytes:
+    """Encode one message for a peer that reads a version."""
+    kind = type(message)
+    if version < versions.CURRENT and kind in _CHANGED_KINDS:
+        message = layouts.fit(message, FIELD_COUNTS, version)
+    body = msgspec.Raw(_ENCODER.encode(message))
+    return _ENCODER.encode(Frame(kind.__name__, call_id, is_reply, body))
 
 
-def encode_frame(message, call_id: int, is_reply: bool) -> bytes:
-    """Encode one message."""
-    body = msgspec.Raw(_ENCODER.encode(message))
-    name = type(message).__name__
-    return _ENCODER.encode(Frame(name, call_id, is_reply, body))
+def is_known(kind, version: int) -> bool:
+    """Tell whether builds of a version know a kind of message."""
+    return FIRST_VERSION_BY_KIND.get(kind, versions.OLDEST) <= version
+
+
+def split_frame(data: bytes) -> Frame:
+    """Decode a frame without its message.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+    """
+    return layouts.decode(_FRAME, data)
+
+
+def decode_message(frame: Frame):
+    """Decode the message of a frame.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+    KeyError
+        If the kind is unknown.
+    """
+    return layouts.decode(_DECODER_BY_NAME[frame.kind], frame.body)
 
 
 def decode_frame(data: bytes):
@@ -881,11 +957,23 @@
 
     Raises
     ------
-    msgspec.DecodeError, KeyError
+    msgspec.MsgspecError, KeyError
     """
-    frame = _FRAME.decode(data)
-    message = _DECODER_BY_NAME[frame.kind].decode(frame.body)
-    return message, frame.call_id, frame.is_reply
+    frame = split_frame(data)
+    return decode_message(frame), frame.call_id, frame.is_reply
+
+
+def infer_version(frame: Frame) -> int:
+    """Return the first version whose builds write such a frame."""
+    kind = MESSAGE_BY_NAME.get(frame.kind)
+    first_by_count = {
+        count: version for version, count in FIELD_COUNTS.get(kind, {}).items()
+    }
+    size_byte = bytes(frame.body)[0] if first_by_count else 0
+    return max(
+        FIRST_VERSION_BY_KIND.get(kind, versions.OLDEST),
+        first_by_count.get(size_byte & ARRAY_SIZE_MASK, versions.OLDEST),
+    )
 
 
 def build_problem_reply(problem: errors.Problem) -> ProblemReply:
@@ -899,9 +987,16 @@
 
 
 def read_problem(reply: ProblemReply) -> errors.Problem:
-    """Return the problem that a reply reports."""
+    """Return the problem that a reply reports.
+
+    A kind of a newer build counts as an internal error of the peer.
+    """
+    try:
+        kind = errors.ErrorKind(reply.kind)
+    except ValueError:
+        kind = errors.ErrorKind.INTERNAL
     return errors.Problem(
-        errors.ErrorKind(reply.kind),
+        kind,
         reply.detail,
         reply.not_run,
         reply.retry_after_ms,
--- a/chervilspindle/wire/messages_test.py
+++ b/chervilspindle/wire/messages_test.py
@@ -38,3 +38,10 @@
     reply = messages.build_problem_reply(problem)
     assert messages.read_problem(reply).kind is kind
     assert bool(problem.retry_after_ms) == errors.ANSWER_BY_KIND[kind].retry
+
+
+def test_a_problem_of_an_unknown_kind_is_an_internal_error():
+    reply = messages.ProblemReply("of a newer build", "detail", True, 5)
+    problem = messages.read_problem(reply)
+    assert problem.kind is errors.ErrorKind.INTERNAL
+    assert problem.not_run and problem.detail == "detail"
--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -7,13 +7,17 @@
 detect that a device on the path has dropped the connection's state. Idle links
 send no pings, so that thousands of them cost nothing; the next message starts
 the pings of both ends again.
+
+The nonces also state which version of the protocol each end reads. Of a peer
+that states none, the end that opened the link finds it out on links of their
+own, since such a peer closes a link on a message that it can't read.
 """
 
+import collections
 import hashlib
 import hmac
 import itertools
 import logging
-import os
 import typing
 
 import msgspec
@@ -23,17 +27,20 @@
 from twisted.protocols import basic
 
 from chervilspindle.core import errors
+from chervilspindle.core import logs
 from chervilspindle.wire import messages
+from chervilspindle.wire import versions
 
 LOGGER = logging.getLogger(__name__)
 
-NONCE_BYTES = 16
+NONCE_BYTES = versions.NONCE_BYTES
 TAG_BYTES = 16
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 PING_PERIOD_S = 0.5
 SILENCE_LIMIT_S = 2.0
 IDLE_AFTER_S = 10.0
 MAX_QUEUED = 10000
+TRIALS_TIMEOUT_S = 0.5  # for all trials of a peer's version
 
 
 class PendingCall(typing.NamedTuple):
@@ -44,14 +51,25 @@
 
 
 class PeerLink(basic.Int32StringReceiver):
-    """One connection; the same class serves both ends."""
+    """One connection; the same class serves both ends.
+
+    Attributes
+    ----------
+    version : int
+        Version of the protocol that the peer reads, as far as known.
+    is_version_known : bool
+        Whether the peer has stated it, or trials have shown it.
+    """
 
     MAX_LENGTH = NONCE_BYTES  # until the handshake
 
     def __init__(self, network, dialled_address: str = ""):
         self.network = network
         self.dialled_address = dialled_address
-        self.own_nonce = os.urandom(NONCE_BYTES)
+        self.is_dialled = bool(dialled_address)
+        self.own_nonce = versions.build_nonce(network.shared_key)
+        self.version = versions.OLDEST
+        self.is_version_known = False
         self.send_key = None
         self.receive_key = None
         self.sent_count = 0
@@ -92,16 +110,41 @@
         if not body:
             return
         try:
-            message, call_id, is_reply = messages.decode_frame(body)
-        except (msgspec.MsgspecError, KeyError):
+            frame = messages.split_frame(body)
+        except msgspec.MsgspecError:
             LOGGER.warning("peer frame cannot be decoded; closing link")
             self.transport.abortConnection()
             return
         self.last_used = self.last_received
-        if is_reply:
-            self._resolve(call_id, message)
+        if not self.is_version_known:
+            inferred = messages.infer_version(frame)
+            self.version = max(self.version, inferred)
+        try:
+            message = messages.decode_message(frame)
+        except (msgspec.MsgspecError, KeyError):
+            self._handle_unreadable(frame)
+            return
+        if frame.is_reply:
+            self._resolve(frame.call_id, message)
         else:
-            self.network.dispatch(self, call_id, message)
+            self.network.dispatch(self, frame.call_id, message)
+
+    def _handle_unreadable(self, frame: messages.Frame):
+        """Reject a message of another build; the link stays open."""
+        LOGGER.warning(
+            "peer message cannot be read",
+            extra={"kind": frame.kind, "peer_version": self.version},
+        )
+        problem = errors.build_problem(
+            errors.ErrorKind.INTERNAL,
+            f"the build cannot read this {frame.kind}",
+            not_run=not frame.is_reply,
+        )
+        reply = messages.build_problem_reply(problem)
+        if frame.is_reply:
+            self._resolve(frame.call_id, reply)
+        elif frame.call_id:
+            self.send(reply, frame.call_id, is_reply=True)
 
     def lengthLimitExceeded(self, length: int):
         """Close a link whose frame exceeds the size limit."""
@@ -119,18 +162,29 @@
         """Return whether no message was carried for `IDLE_AFTER_S`."""
         return now - self.last_used > IDLE_AFTER_S
 
+    def knows(self, kind) -> bool:
+        """Tell whether the peer's build knows a type of message."""
+        return messages.is_known(kind, self.version)
+
     def send(self, message, call_id: int = 0, is_reply: bool = False):
-        """Send a message."""
+        """Send a message, in the layout that the peer reads."""
         now = self.network.clock.seconds()
         if self.is_idle(now):
             # The other end sent no pings on the idle link, so the silence
             # limit starts now.
             self.last_received = now
         self.last_used = now
-        self._send_body(messages.encode_frame(message, call_id, is_reply))
+        self._send_body(
+            messages.encode_frame(message, call_id, is_reply, self.version)
+        )
 
     def call(self, message, timeout_s: float) -> defer.Deferred:
-        """Send a message and wait for its reply."""
+        """Send a message and wait for its reply.
+
+        Fails at once, as not run, if the peer's build does not know it.
+        """
+        if not self.knows(type(message)):
+            return defer.fail(_build_unknown_kind(message))
         call_id = next(self.call_ids)
         deferred = defer.Deferred()
         timeout = self.network.clock.callLater(
@@ -148,7 +202,7 @@
         if len(nonce) != NONCE_BYTES or nonce == self.own_nonce:
             self.transport.abortConnection()
             return
-        dialled = bool(self.dialled_address)
+        dialled = self.is_dialled
         first, second = self.own_nonce, nonce
         if not dialled:
             first, second = second, first
@@ -161,7 +215,18 @@
         self.MAX_LENGTH = MAX_FRAME_BYTES
         self.send_key = dialler_key if dialled else listener_key
         self.receive_key = listener_key if dialled else dialler_key
-        self.network.link_ready(self)
+        stated = versions.read_version(self.network.shared_key, nonce)
+        if stated is not None:
+            self.version = stated
+            self.is_version_known = True
+        self._handle_open()
+
+    def _handle_open(self):
+        if self.is_version_known or not self.dialled_address:
+            self.network.link_ready(self)
+            return
+        learning = self.network.learn_version(self, self.dialled_address)
+        learning.addCallback(lambda _: self.network.link_ready(self))
 
     def _send_body(self, body: bytes):
         tag = _compute_tag(self.send_key, self.sent_count, body)
@@ -195,6 +260,42 @@
             )
 
 
+class TrialLink(PeerLink):
+    """Finds out whether a build that states no version reads a message.
+
+    Parameters
+    ----------
+    network : PeerNetwork
+    message : typing.NamedTuple
+    on_result : callable
+        ``on_result(reads)``, called once.
+    """
+
+    def __init__(self, network, message, on_result):
+        super().__init__(network)
+        self.is_dialled = True
+        self.message = message
+        self.on_result = on_result
+        self.has_result = False
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        """Take a closed link as the answer that the message is not read."""
+        super().connectionLost(reason)
+        self._finish(False)
+
+    def _handle_open(self):
+        self._send_body(messages.encode_frame(self.message, 1, False))
+
+    def _resolve(self, call_id: int, message):
+        self._finish(True)
+        self.transport.loseConnection()
+
+    def _finish(self, reads):
+        if not self.has_result:
+            self.has_result = True
+            self.on_result(reads)
+
+
 class PeerNetwork(protocol.Factory):
     """All links of one process.
 
@@ -207,6 +308,11 @@
         ``handler(link, message)`` returns a reply, a Deferred, or None.
     byte_streams : ReactorStreams or LoopStreams
         Opens connections.
+
+    Attributes
+    ----------
+    version_by_address : dict of str to int
+        Version of the latest link to each address.
     """
 
     noisy = False
@@ -221,6 +327,7 @@
         self.links = set()
         self.link_by_address = {}
         self.queue_by_address = {}
+        self.version_by_address = {}
         self.lost_listeners = []
         timers.subscribe("peer-pings", PING_PERIOD_S, self._check_links)
 
@@ -237,20 +344,24 @@
 
         If the link is lost, each of `lost_listeners` is called as
         ``listener(address)``. If there was no link to send it on,
-        `on_unsent` is called before that, without arguments.
+        `on_unsent` is called before that, without arguments; also, later,
+        if the peer's build does not know the message.
         """
-        link = self.link_by_address.get(address)
-        if link is not None and link.is_ready():
-            link.send(message)
-            return
 
         def start(ready):
-            if ready is not None:
+            if ready is None:
+                if on_unsent is not None:
+                    on_unsent()
+            elif ready.knows(type(message)):
                 ready.send(message)
             elif on_unsent is not None:
-                on_unsent()
+                self.clock.callLater(0, on_unsent)
 
-        self._enqueue(address, start)
+        link = self.link_by_address.get(address)
+        if link is not None and link.is_ready():
+            start(link)
+        else:
+            self._enqueue(address, start)
 
     def call(self, address: str, message, timeout_s: float):
         """Send a message and wait for its reply.
@@ -276,6 +387,79 @@
         self._enqueue(address, start)
         return outer
 
+    def knows(self, address: str, kind) -> bool:
+        """Tell whether the build at an address knows a type of message.
+
+        As it was at the latest link; true if there was none.
+        """
+        version = self.version_by_address.get(address, versions.CURRENT)
+        return messages.is_known(kind, version)
+
+    def record_versions(self, versions_by_address):
+        """Record versions as another process knows them.
+
+        Those of addresses to which this process has a link are known better.
+        """
+        for address, version in versions_by_address:
+            if address not in self.link_by_address:
+                self.version_by_address[address] = version
+
+    def count_links_by_version(self) -> dict:
+        """Return the number of open links by the version that peers read."""
+        return collections.Counter(
+            link.version for link in self.links if link.is_ready()
+        )
+
+    def learn_version(self, link: PeerLink, address: str) -> defer.Deferred:
+        """Find out which version the peer of a link reads.
+
+        Does nothing if it is known.
+
+        Parameters
+        ----------
+        link : PeerLink
+        address : str
+            Where the peer accepts links; may be empty.
+
+        Returns
+        -------
+        Deferred
+            Fires with None, also if the peer does not answer in time.
+        """
+        if link.is_version_known or not address:
+            return defer.succeed(None)
+        learned = defer.Deferred()
+        timeout = self.clock.callLater(
+            TRIALS_TIMEOUT_S, learned.callback, None
+        )
+
+        def finish(version):
+            if timeout.active():
+                timeout.cancel()
+                link.version = max(link.version, version)
+                link.is_version_known = True
+                learned.callback(None)
+
+        def try_next(trials):
+            if not trials or link not in self.links:
+                finish(versions.OLDEST)
+                return
+            version, message = trials[0]
+
+            def handle_result(reads):
+                if reads:
+                    finish(version)
+                else:
+                    try_next(trials[1:])
+
+            connecting = self.byte_streams.connect(
+                address, lambda: TrialLink(self, message, handle_result)
+            )
+            connecting.addErrback(_ignore_connect_error)
+
+        try_next(messages.TRIAL_BY_VERSION)
+        return learned
+
     def dispatch(self, link: PeerLink, call_id: int, message):
         """Run the handler and send back its reply."""
         deferred = defer.maybeDeferred(self.handler, link, message)
@@ -292,9 +476,18 @@
     def link_ready(self, link: PeerLink):
         """Send the messages queued until the handshake completed."""
         address = link.dialled_address
-        if not address:
+        if not address or link not in self.links:
             return
         self.link_by_address[address] = link
+        before = self.version_by_address.get(address, versions.CURRENT)
+        self.version_by_address[address] = link.version
+        if link.version != before:
+            logs.log_decision(
+                "peer-version",
+                address=address,
+                version=link.version,
+                own_version=versions.CURRENT,
+            )
         for start in self.queue_by_address.pop(address, ()):
             start(link)
 
@@ -373,6 +566,18 @@
     )
 
 
+def _build_unknown_kind(message):
+    return errors.build_error(
+        errors.ErrorKind.INTERNAL,
+        f"the peer's build does not know {type(message).__name__}",
+        not_run=True,
+    )
+
+
+def _ignore_connect_error(failure):
+    failure.trap(internet_error.ConnectError, OSError)
+
+
 def _convert_failure(failure):
     if failure.check(errors.ProblemError):
         return messages.build_problem_reply(failure.value.problem)
--- a/chervilspindle/wire/peer_test.py
+++ b/chervilspindle/wire/peer_test.py
@@ -1,6 +1,7 @@
 """Tests of peer links: authentication, calls, silent and idle links."""
 
 import pytest
+from twisted.internet import defer
 from twisted.internet import task
 from twisted.internet import testing
 
@@ -9,8 +10,10 @@
 from chervilspindle.wire import messages
 from chervilspindle.wire import peer
 from chervilspindle.wire import reactor_streams
+from chervilspindle.wire import versions
 
 ADDRESS = "127.0.0.1:1"
+OLD_NONCE = bytes(range(peer.NONCE_BYTES))  # states no version
 
 
 class Transport(testing.StringTransport):
@@ -174,3 +177,151 @@
     assert not pair.dialler.transport.disconnecting
     pair.advance_time(2.0, deliver=False)
     assert pair.dialler.transport.disconnecting
+
+
+def build_frame(kind, call_id, is_reply, *fields):
+    body = messages.msgspec.Raw(messages._ENCODER.encode(fields))
+    return (kind, call_id, is_reply, body)
+
+
+def test_both_ends_learn_the_version_that_the_other_reads(pair):
+    for end in (pair.dialler, pair.listener):
+        assert end.link.version == versions.CURRENT
+        assert end.link.is_version_known
+
+
+def test_a_message_of_an_unknown_kind_is_answered_and_the_link_stays(pair):
+    answers = []
+    link = pair.dialler.link
+    link._resolve = lambda call_id, message: answers.append(message)
+    for call_id in (1, 0):
+        frame = build_frame("NewCall", call_id, False, "field")
+        link._send_body(messages._ENCODER.encode(frame))
+        pair.deliver()
+        assert not pair.listener.transport.disconnecting
+    (answer,) = answers
+    assert messages.read_problem(answer).not_run
+    link.send(messages.Leave("session"))
+    pair.deliver()
+    assert pair.listener.received == [messages.Leave("session")]
+
+
+def test_a_reply_that_cannot_be_read_fails_its_call_only(pair):
+    failures = []
+    listener = pair.listener.link
+    listener.call(messages.StatusCall(), 1.0).addErrback(failures.append)
+    data = build_frame("NewReply", 1, True, 5)
+    pair.dialler.link._send_body(messages._ENCODER.encode(data))
+    pair.deliver()
+    problem = failures[0].value.problem
+    assert problem.kind is errors.ErrorKind.INTERNAL and not problem.not_run
+    assert not pair.listener.transport.disconnecting
+
+
+def test_surplus_fields_of_a_newer_build_are_left_out(pair):
+    place = ["a", "10.0.0.1:1", "10.0.0.1:2", "surplus"]
+    relay = ["vm", "a", "10.0.0.2:1", 7]
+    fields = ("m", 1, 2, ["e"], [relay], 3, place, 4, "surplus", {"x": []})
+    frame = (*build_frame("MemberReport", 0, False, *fields), "surplus")
+    pair.dialler.link._send_body(messages._ENCODER.encode(frame))
+    pair.deliver()
+    (report,) = pair.listener.received
+    assert report.relays == (messages.Relay("vm", "a", "10.0.0.2:1"),)
+    assert report.place == messages.MemberPlace(*place[:3])
+    assert report.known_places == 4
+
+
+def test_a_kind_that_the_peer_does_not_know_is_not_sent(pair):
+    link = pair.dialler.link
+    link.version = 3
+    failures = []
+    call = messages.ProbeCall("endpoint")
+    link.call(call, 1.0).addErrback(failures.append)
+    assert failures[0].value.problem.not_run
+    unsent = []
+    pair.dialler.network.send(ADDRESS, call, lambda: unsent.append(call))
+    pair.advance_time(0.1)
+    assert unsent == [call]
+    assert pair.listener.received == []
+
+
+class TrialStreams:
+    """Connects trial links to a build that reads kinds up to a version."""
+
+    def __init__(self, version):
+        self.version = version
+        self.trials = 0
+        self.ends = []
+
+    def connect(self, address, build_link):
+        self.trials += 1
+        link = build_link()
+        transport = Transport()
+        link.makeConnection(transport)
+        listener = End(task.Clock(), b"k" * 16, "")
+        listener.link.own_nonce = OLD_NONCE
+        listener.link.makeConnection(listener.transport)
+        link.dataReceived(listener.transport.value())
+        listener.transport.clear()
+        sent = transport.value()
+        listener.link.dataReceived(sent)
+        kind = type(listener.received[0])
+        if messages.is_known(kind, self.version) and self.has_fields(kind):
+            listener.link.send(messages.Done(), 1, is_reply=True)
+            link.dataReceived(listener.transport.value())
+        else:
+            link.connectionLost()
+        return defer.succeed(None)
+
+    def has_fields(self, kind):
+        counts = messages.FIELD_COUNTS.get(kind, {0: 0})
+        return max(counts) <= self.version
+
+
+@pytest.mark.parametrize("version", (1, 2, 3, 4))
+def test_the_version_of_a_build_that_states_none_is_found_out(version):
+    pair = Pair()
+    network = pair.dialler.network
+    network.byte_streams = TrialStreams(version)
+    link = peer.PeerLink(network, "127.0.0.1:2")
+    queued = []
+    network.queue_by_address["127.0.0.1:2"] = [queued.append]
+    link.makeConnection(Transport())
+    link.dataReceived(
+        len(OLD_NONCE).to_bytes(4, "big") + OLD_NONCE,
+    )
+    assert link.version == version
+    assert network.link_by_address["127.0.0.1:2"] is link
+    assert queued == [link]
+    assert network.byte_streams.trials == min(5 - version, 3)
+
+
+def test_a_peer_that_ends_no_trial_counts_as_the_oldest():
+    pair = Pair()
+    network = pair.dialler.network
+    network.byte_streams = TrialStreams(4)
+    network.byte_streams.connect = lambda address, build: defer.Deferred()
+    link = peer.PeerLink(network, "127.0.0.1:2")
+    link.makeConnection(Transport())
+    link.dataReceived(len(OLD_NONCE).to_bytes(4, "big") + OLD_NONCE)
+    assert "127.0.0.1:2" not in network.link_by_address
+    pair.advance_time(peer.TRIALS_TIMEOUT_S + 0.1)
+    assert network.link_by_address["127.0.0.1:2"].version == versions.OLDEST
+
+
+def test_messages_that_only_newer_builds_write_show_the_version():
+    pair = Pair()
+    end = End(pair.clock, b"k" * 16, "")
+    end.link.makeConnection(end.transport)
+    end.link.receive_key = end.link.send_key = b"x"
+    for message, version in (
+        (messages.StatusCall(), 1),
+        (messages.MemberReport("m", 0, 0, ()), 2),
+        (messages.PermitCall("e", "a", 1.0, 0.0, 0.0), 3),
+        (messages.ProbeCall("e"), 4),
+        (messages.StatusCall(), 4),
+    ):
+        body = messages.encode_frame(message, 0, False, max(version, 2))
+        tag = peer._compute_tag(b"x", end.link.received_count, body)
+        end.link.stringReceived(tag + body)
+        assert end.link.version == version
