Records of crashes get into the log only if all members read them

Quarantine of contents that crash endpoints does not work as long as such a member is in the group; refusing is what both builds can do.

What members read is known from the links to them. After a restart of all members with one down it is not known until that one is back or replaced.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -21,6 +21,7 @@
 from chervilspindle.core import logs
 from chervilspindle.core import rows
 from chervilspindle.wire import messages
+from chervilspindle.wire import versions
 
 LOGGER = logging.getLogger(__name__)
 
@@ -231,6 +232,8 @@
 
     def _on_report_reply(self, reply):
         self.totals = reply
+        if reply.versions:
+            self.network.record_versions(reply.versions)
         self.leader_reply_ms = self.read_clock()
         if reply.places is not None:
             self.place_table = locality.build_table(reply.places)
@@ -271,8 +274,32 @@
                 if place_table.mark == report.known_places
                 else place_table.places
             ),
+            self._list_versions(),
         )
 
+    def _list_versions(self):
+        """Return the version that other members read, by peer address."""
+        version_by_address = {
+            address: self.network.version_by_address.get(address)
+            for address in self._list_other_members()
+        }
+        return tuple((a, v) for a, v in version_by_address.items() if v)
+
+    def can_members_read(self, version: int) -> bool:
+        """Tell whether all members are known to read a version.
+
+        A command that a member can't read must not get into its log.
+        """
+        return all(
+            self.network.version_by_address.get(address, versions.OLDEST)
+            >= version
+            for address in self._list_other_members()
+        )
+
+    def _list_other_members(self):
+        addresses = {m.address for m in self.node.raft.members}
+        return sorted(addresses - {self.node.address})
+
     def _expire_endpoints(self, now):
         """Record endpoints as lost that have not announced themselves."""
         announced_after_ms = now - ENDPOINT_TIMEOUT_MS
@@ -373,6 +400,12 @@
 @handle_leader_call.register
 def _handle_crash(message: messages.CrashCall, frontend: ControlFrontend):
     report = message.report
+    if not frontend.can_members_read(versions.CRASH_RECORDS):
+        raise errors.build_error(
+            errors.ErrorKind.INTERNAL,
+            "a control member runs a build without crash records",
+            not_run=True,
+        )
     if report.endpoints:
         record = rows.CrashRecord(
             report.content, report.endpoints, logs.read_wall_ms()
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -428,3 +428,56 @@
     clock.advance(watch_module.BATCH_DELAY_S)
     assert [r.content for r in replies[-1].crashes] == ["c"]
     assert len(replies) == answered + 1
+
+
+class FakeNetwork:
+    """Links of a member, of which only the versions are known."""
+
+    def __init__(self, **version_by_address):
+        self.version_by_address = version_by_address
+
+
+@pytest.mark.parametrize(
+    "known, proposed",
+    (
+        ({"b": 3, "c": 5}, 1),
+        ({"b": 3, "c": 2}, 0),
+        ({"b": 5}, 0),  # nobody has heard of c
+    ),
+)
+def test_crashes_get_into_the_log_only_if_all_members_read_them(
+    control, known, proposed
+):
+    _, node, frontend, _ = control
+    node.raft = node.raft._replace(
+        members=tuple(
+            raft.Member(f"{address}#1", address, voter)
+            for address, voter in (
+                (node.address, True),
+                ("b", True),
+                ("c", False),
+            )
+        )
+    )
+    frontend.network = FakeNetwork(**known)
+    outcomes = []
+    for endpoints in (("e@1",), ()):
+        report = messages.CrashReport("content", endpoints)
+        frontend.report_crash(report).addBoth(outcomes.append)
+    assert len(node.proposed) == 2 * proposed
+    for outcome in outcomes:
+        if not proposed:
+            assert outcome.value.problem.not_run
+
+
+def test_a_member_learns_from_the_leader_what_others_read(control):
+    clock, node, frontend, _ = control
+    node.raft = node.raft._replace(
+        members=tuple(
+            raft.Member(f"{a}#1", a, True) for a in (node.address, "b", "c")
+        )
+    )
+    frontend.network = FakeNetwork(b=4, elsewhere=5)
+    clock.advance(frontend_module.COUNT_DELAY_MS / 1000.0)
+    reply = frontend.handle_report(messages.MemberReport("b#1", 0, 0, ()))
+    assert reply.versions == (("b", 4),)
