A relay that is cut off answers older builds by losses; forwards skip them

A ForwardCall that the peer does not know is not sent, without counting its relay as failed, since it still serves queries.

What holds in a fleet in which some know no forwarded requests: queries of a VM that is cut off go through the others, as in a fleet of the old build; its single requests go through those that know ForwardCall, else they are refused at once as not run.

LIMIT: an issuer that knows no permits is not asked; each VM keeps to its part of the fallback share. Builds before permits keep to no limit themselves.

--- a/chervilspindle/routing/cut_off_test.py
+++ b/chervilspindle/routing/cut_off_test.py
@@ -11,6 +11,7 @@
 from chervilspindle.routing import rate_limit_test
 from chervilspindle.routing import retry_budget
 from chervilspindle.tools import link_faults
+from chervilspindle.wire import messages
 
 SERVICES = (*data_path_test.SHARDS, "desk")
 CUT_OFF = (0, 1, 2)  # of five entries
@@ -308,3 +309,58 @@
         assert status == 200
 
     run_fleet(test)
+
+
+def play_older_build(entry, version):
+    """Let an entry state a version and record what it would not know."""
+    unknown = []
+    handle = entry.network.handler
+
+    def check(link, message):
+        if not messages.is_known(type(message), version):
+            unknown.append(message)
+        return handle(link, message)
+
+    entry.network.own_version = version
+    entry.network.handler = check
+    return unknown
+
+
+def test_a_vm_cut_off_among_older_builds_sends_them_what_they_know(run_fleet):
+    async def test(fleet):
+        unknown = [play_older_build(e, 3) for e in fleet.entries[1:]]
+        await warm_up(fleet)
+        await cut_off(fleet, link_faults.Cut.HANG, (0,))
+        queries = await ask_all(fleet, (0,), ("/all/x",))
+        assert queries[200] >= 0.9 * ROUNDS, queries
+        for path in ("/one/x", "/once/x"):
+            runs = sum(len(b.runs) for b in fleet.backend_by_id.values())
+            status, headers, _ = await fleet.ask(0, path)
+            assert status == 503 and "retry-after" in headers
+            after = sum(len(b.runs) for b in fleet.backend_by_id.values())
+            assert after == runs
+        relay_table = fleet.entries[0].context.relays.table
+        assert not relay_table.failed_s_by_address
+        assert not any(unknown)
+
+    run_fleet(test)
+
+
+def test_relays_that_are_cut_off_tell_older_builds_by_losses(run_fleet):
+    async def test(fleet):
+        unknown = [play_older_build(fleet.entries[i], 3) for i in (1, 3)]
+        for entry in fleet.entries:
+            for shard in data_path_test.SHARDS:
+                entry.context.table.drop(f"{shard}-b", "test")
+            relay_table = entry.context.relays.table
+            relay_table.add_endpoint_zones(entry.context.table.list_zones())
+            relay_table.update_document(entry.entry.document)
+        await warm_up(fleet)
+        start_cut(fleet, link_faults.Cut.HANG, (2, 4))
+        await ask_all(fleet, (1, 3), ("/all/x",), 1)
+        await asyncio.sleep(SETTLE_S)
+        statuses = await ask_all(fleet, (1, 3), ("/all/x",))
+        assert statuses[200] >= 0.9 * statuses.total(), statuses
+        assert not any(unknown)
+
+    run_fleet(test)
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -109,6 +109,10 @@
         )
         endpoint_calls.submit(send, context)
 
+    def refuse(self):
+        """Tell that the request is not sent, as this VM is cut off."""
+        self.link.send(messages.RelayRefusal(self.message.query_id))
+
     def handle_cut_off(self):
         """Refuse the request if it has not left this VM."""
         if self.call.connection is None:
@@ -120,9 +124,8 @@
         self.call.cancel()
 
     def _refuse(self, call, answer):
-        query_id = self.message.query_id
-        self.server.discard(self.link, query_id)
-        self.link.send(messages.RelayRefusal(query_id))
+        self.server.discard(self.link, self.message.query_id)
+        self.refuse()
 
     def _on_call_ended(self, call, answer):
         context = self.server.context
--- a/chervilspindle/routing/rate_limit_test.py
+++ b/chervilspindle/routing/rate_limit_test.py
@@ -230,6 +230,27 @@
     run_in_fleet(test)
 
 
+def test_vms_keep_to_the_limit_where_the_issuer_knows_no_permits():
+    async def test(fleet):
+        limited = fleet.backend_by_id["desk-a"]
+        limited.limit_per_s = 4.0
+        start_s = fleet.loop.time()
+        rows = [e.row for e in fleet.entries]
+        issuer = rate_permits.choose_issuer(rows, "desk-a", "a")
+        older = [e for e in fleet.entries if e.row == issuer][0]
+        older.network.own_version = 2
+        received = []
+        older.network.handler = lambda link, message: received.append(message)
+        numbers = [i for i, e in enumerate(fleet.entries) if e is not older]
+        answers = await fleet.ask_evenly("/one/x", 40.0, 5.0, numbers)
+        busiest = find_busiest_window(limited.arrivals_s, start_s + SETTLE_S)
+        assert busiest <= 1.5 * WINDOW_S * limited.limit_per_s + 5
+        assert {status for status, *_ in answers} == {200}
+        assert received == []
+
+    run_in_fleet(test)
+
+
 def test_a_shard_whose_endpoints_are_at_their_limit_is_left_out():
     async def test(fleet):
         for zone in "ab":
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -15,9 +15,11 @@
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import forwarding
 from chervilspindle.routing import part_merging
+from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import messages
 
 REPORT_BATCH_S = 0.002  # parts within this time share one report
+NOT_SENT = endpoint_http.Ending.NOT_SENT.value
 
 
 class RelayedDispatch:
@@ -195,16 +197,18 @@
 
     def _send(self, dispatch, call):
         def handle_unsent():
-            self._refuse(dispatch.address, "no link", call.query_id)
+            if self.network.knows(dispatch.address, type(call)):
+                self.table.record_relay_failure(dispatch.address, "no link")
+            self._refuse(call.query_id)
 
         self.network.send(dispatch.address, call, handle_unsent)
 
     def handle_refusal(self, address: str, refusal: messages.RelayRefusal):
         """Avoid a relay that is cut off; it sends nothing."""
-        self._refuse(address, endpoint_calls.CUT_OFF, refusal.query_id)
+        self.table.record_relay_failure(address, endpoint_calls.CUT_OFF)
+        self._refuse(refusal.query_id)
 
-    def _refuse(self, address, reason, query_id):
-        self.table.record_relay_failure(address, reason)
+    def _refuse(self, query_id):
         dispatch = self.dispatch_by_id.pop(query_id, None)
         if dispatch is not None:
             dispatch.refuse()
@@ -264,7 +268,7 @@
         """Start a call, or refuse it if this VM reaches no endpoint."""
         reachability = self.context.reachability
         if reachability.is_cut_off:
-            link.send(messages.RelayRefusal(query_id))
+            served.refuse()
             return
         self.served_by_key[link, query_id] = served
         reachability.listeners.add(served)
@@ -340,6 +344,18 @@
         services, tried = self.call.services, self.call.tried
         self.dispatch.start(services, dict(zip(services, tried)))
 
+    def refuse(self):
+        """Tell that no shard is sent, as this VM is cut off."""
+        query_id = self.call.query_id
+        if self.link.knows(messages.RelayRefusal):
+            self.link.send(messages.RelayRefusal(query_id))
+            return
+        losses = tuple(
+            messages.Loss(service, "", NOT_SENT, False)
+            for service in self.call.services
+        )
+        self.link.send(messages.RelayReport(query_id, (), losses, (), 0.0))
+
     def handle_cut_off(self):
         """Report the shards that this VM can't send, or get answers of."""
         for service in self.dispatch.withdraw_unsent():
--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -67,7 +67,9 @@
         self.network = network
         self.dialled_address = dialled_address
         self.is_dialled = bool(dialled_address)
-        self.own_nonce = versions.build_nonce(network.shared_key)
+        self.own_nonce = versions.build_nonce(
+            network.shared_key, network.own_version
+        )
         self.version = versions.OLDEST
         self.is_version_known = False
         self.send_key = None
@@ -311,6 +313,8 @@
 
     Attributes
     ----------
+    own_version : int
+        Version that this end states; tests play older builds with it.
     version_by_address : dict of str to int
         Version of the latest link to each address.
     """
@@ -327,6 +331,7 @@
         self.links = set()
         self.link_by_address = {}
         self.queue_by_address = {}
+        self.own_version = versions.CURRENT
         self.version_by_address = {}
         self.lost_listeners = []
         timers.subscribe("peer-pings", PING_PERIOD_S, self._check_links)
@@ -486,7 +491,7 @@
                 "peer-version",
                 address=address,
                 version=link.version,
-                own_version=versions.CURRENT,
+                own_version=self.own_version,
             )
         for start in self.queue_by_address.pop(address, ()):
             start(link)
