Stored records may have surplus fields; an unknown record is refused

A log record with any tag but HardRecord was decoded as entries, one of a newer build too, and a surplus field ended the start with a decoder's error. Fields that this build does not know are left out now; a record that it does not know is a StorageError that names it, since leaving it out could lose what was acknowledged. Both new tests failed before.

--- a/chervilspindle/control/storage.py
+++ b/chervilspindle/control/storage.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from chervilspindle.control import raft_messages as messages
+from chervilspindle.wire import layouts
 
 HEADER = struct.Struct(">II")  # length in bytes, CRC-32
 IDENTITY_FILE = "identity.json"
@@ -188,7 +189,8 @@
         parts = tuple(records[1:-1])
         if records[-1] != _ENCODER.encode(SnapshotEnd(len(parts))):
             raise StorageError(f"snapshot in {self.folder} is truncated")
-        return SnapshotFile(_METADATA_DECODER.decode(records[0]), parts)
+        metadata = layouts.decode(_METADATA_DECODER, records[0])
+        return SnapshotFile(metadata, parts)
 
     def _open(self, path: str, size: int):
         flags = os.O_RDWR | os.O_CREAT
@@ -333,15 +335,22 @@
     Returns
     -------
     hard, log : HardState, tuple of Entry
+
+    Raises
+    ------
+    StorageError
+        If entries are missing, or a record is of a newer build.
     """
     hard = messages.HardState(0, "")
     log: list[messages.Entry] = []
     for record in records:
         tag, body = _RECORD_DECODER.decode(record)
         if tag == HardRecord.__name__:
-            hard = messages.HardState(*_HARD_DECODER.decode(body))
+            hard = messages.HardState(*layouts.decode(_HARD_DECODER, body))
             continue
-        entries = _APPEND_DECODER.decode(body).entries
+        if tag != AppendRecord.__name__:
+            raise StorageError(f"log has a {tag}, of a newer build")
+        entries = layouts.decode(_APPEND_DECODER, body).entries
         if entries:
             first = entries[0].index
             while log and log[-1].index >= first:
--- a/chervilspindle/control/storage_test.py
+++ b/chervilspindle/control/storage_test.py
@@ -197,3 +197,31 @@
     path.write_bytes(data[:-last])
     with pytest.raises(storage_module.StorageError):
         open_storage(tmp_path)
+
+
+def write_records(folder, *records):
+    """Write a log of records, each a tag and fields."""
+    encode = storage_module._ENCODER.encode
+    data = b"".join(
+        storage_module._frame(encode((tag, fields))) for tag, fields in records
+    )
+    (folder / storage_module.LOG_FILE).write_bytes(data)
+
+
+def test_surplus_fields_of_stored_records_are_left_out(tmp_path):
+    entry = (1, 3, raft.DATA, b"data", "surplus")
+    write_records(
+        tmp_path,
+        ("HardRecord", (3, "vm#1", "surplus")),
+        ("AppendRecord", ((entry,), "surplus")),
+    )
+    storage, recovered = open_storage(tmp_path)
+    storage.close()
+    assert recovered.hard == messages.HardState(3, "vm#1")
+    assert recovered.log == (messages.Entry(*entry[:4]),)
+
+
+def test_a_record_of_a_newer_build_is_not_taken_for_entries(tmp_path):
+    write_records(tmp_path, ("NewerRecord", ((),)))
+    with pytest.raises(storage_module.StorageError, match="NewerRecord"):
+        open_storage(tmp_path)
