A member that can't read a command stops, instead of skipping it

Weighed: skipping and marking the tables as stale, but such a member could be elected.

Replication messages are read without surplus fields, and are written for what the receiver reads, by the same rules as other messages; none has changed so far.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -291,8 +291,7 @@
         A command that a member can't read must not get into its log.
         """
         return all(
-            self.network.version_by_address.get(address, versions.OLDEST)
-            >= version
+            self.network.read_version(address) >= version
             for address in self._list_other_members()
         )
 
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -436,6 +436,9 @@
     def __init__(self, **version_by_address):
         self.version_by_address = version_by_address
 
+    def read_version(self, address):
+        return self.version_by_address.get(address, 1)
+
 
 @pytest.mark.parametrize(
     "known, proposed",
--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -21,6 +21,7 @@
 from chervilspindle.control import storage as storage_module
 from chervilspindle.core import errors
 from chervilspindle.core import logs
+from chervilspindle.wire import versions
 
 LOGGER = logging.getLogger(__name__)
 
@@ -90,6 +91,12 @@
         not listed in the settings.
     voters : int or None
         Target number of voters; the number of control VMs by default.
+
+    Attributes
+    ----------
+    read_version : callable
+        ``read_version(address)`` returns the version of the peer protocol
+        that is read at an address.
     """
 
     def __init__(
@@ -135,6 +142,7 @@
         self.leader_listeners = []
         self.applied_listeners = []
         self.address_by_member = {}
+        self.read_version = lambda address: versions.CURRENT
 
     def start(self):
         """Recover from disk and start the timers."""
@@ -339,11 +347,11 @@
         self._apply_committed()
         self._start_snapshot_if_due()
 
-    def _fail(self):
+    def _fail(self, reason="control storage failed"):
         if self.failed:
             return
         self.failed = True
-        LOGGER.exception("control storage failed")
+        LOGGER.exception(reason)
         for pending in self.pending_by_index.values():
             _fail_with_unknown_outcome(pending)
         self.pending_by_index.clear()
@@ -358,8 +366,11 @@
                 mark=self.snapshot.mark,
                 data=state_module.join_snapshot_parts(self.snapshot.parts),
             )
+        version = self.read_version(address)
+        if not raft_messages.is_known(type(message), version):
+            return
         data = raft_messages.encode_envelope(
-            self.identity.group, self.identity.member_id, message
+            self.identity.group, self.identity.member_id, message, version
         )
         self.send(address, data)
 
@@ -410,8 +421,13 @@
         while self.applied_index < self.raft.commit_index:
             index = self.applied_index + 1
             entry = raft.get_entries(self.raft, index, index)[0]
+            try:
+                results = self._apply_entry(entry)
+            except state_module.UnreadableCommand:
+                # Later entries on other tables would differ from the group's.
+                self._fail("control log has a command of a newer build")
+                return
             self.applied_index = index
-            results = self._apply_entry(entry)
             self._resolve_pending(entry, results)
         if self.applied_index > before:
             for listener in self.applied_listeners:
@@ -420,10 +436,11 @@
     def _apply_entry(self, entry):
         if entry.kind != raft.DATA:
             return ()
+        commands = state_module.decode_batch(entry.data)
         self.tables = self.tables._replace(version=entry.index)
         results = []
         row_changes = []
-        for command in state_module.decode_batch(entry.data):
+        for command in commands:
             outcome = state_module.apply_command(command, self.tables)
             self.tables = outcome.state
             results.append(outcome.result)
--- a/chervilspindle/control/node_test.py
+++ b/chervilspindle/control/node_test.py
@@ -7,6 +7,7 @@
 
 from chervilspindle.control import node as node_module
 from chervilspindle.control import raft
+from chervilspindle.control import state as state_module
 from chervilspindle.control import storage as storage_module
 from chervilspindle.core import timers
 
@@ -156,3 +157,24 @@
     group.run(1.0)
     members = group.node_by_vm["core-1"].raft.members
     assert stale not in {m.member_id for m in members}
+
+
+def test_a_member_that_cannot_read_a_command_stops_and_applies_no_later_one(
+    tmp_path,
+):
+    group = Group(tmp_path)
+    group.run(20.0)
+    leader = group.node_by_vm[group.find_leader()]
+    applied = {v: n.applied_index for v, n in group.node_by_vm.items()}
+    newer = type("Newer", (state_module.ClearCrashes,), {})
+    state_module.apply_command.register(newer)(
+        lambda command, tables: state_module.Outcome(tables)
+    )
+    leader.propose(newer("content"))
+    group.run(0.2)
+    leader.propose(state_module.ClearCrashes("content"))
+    group.run(1.0)
+    for vm_id, node in group.node_by_vm.items():
+        assert node.failed
+        assert node.applied_index == applied[vm_id]
+        assert node.tables.version <= applied[vm_id]
--- a/chervilspindle/control/raft_messages.py
+++ b/chervilspindle/control/raft_messages.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from chervilspindle.wire import layouts
+from chervilspindle.wire import versions
+
 
 class Entry(typing.NamedTuple):
     """One entry of the log; `kind` is DATA, CONFIG or NOOP of `raft`."""
@@ -138,6 +141,10 @@
     )
 }
 
+# As in `wire.messages`; no row and no kind has been added so far.
+FIELD_COUNTS = {}
+FIRST_VERSION_BY_KIND = {}
+
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
 _DECODER_BY_NAME = {
@@ -146,10 +153,20 @@
 _MEMBERS_DECODER = msgspec.msgpack.Decoder(tuple[tuple[str, str, bool], ...])
 
 
-def encode_envelope(group: str, sender: str, message) -> bytes:
-    """Encode one message in an envelope."""
+def is_known(kind, version: int) -> bool:
+    """Tell whether builds of a version know a kind of message."""
+    return FIRST_VERSION_BY_KIND.get(kind, versions.OLDEST) <= version
+
+
+def encode_envelope(
+    group: str, sender: str, message, version: int = versions.CURRENT
+) -> bytes:
+    """Encode one message in an envelope, for a peer that reads a version."""
+    name = type(message).__name__
+    if version < versions.CURRENT and FIELD_COUNTS:
+        message = layouts.fit(message, FIELD_COUNTS, version)
     body = msgspec.Raw(_ENCODER.encode(message))
-    envelope = Envelope(group, sender, type(message).__name__, body)
+    envelope = Envelope(group, sender, name, body)
     return _ENCODER.encode(envelope)
 
 
@@ -162,13 +179,14 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    msgspec.MsgspecError
         If the bytes are not an envelope.
     KeyError
         If the kind of message is unknown.
     """
-    envelope = _ENVELOPE_DECODER.decode(data)
-    message = _DECODER_BY_NAME[envelope.kind].decode(envelope.body)
+    envelope = layouts.decode(_ENVELOPE_DECODER, data)
+    decoder = _DECODER_BY_NAME[envelope.kind]
+    message = layouts.decode(decoder, envelope.body)
     return envelope.group, envelope.sender, message
 
 
@@ -179,4 +197,4 @@
 
 def decode_members(data: bytes):
     """Decode the (member_id, address, voter) rows of a configuration entry."""
-    return _MEMBERS_DECODER.decode(data)
+    return layouts.decode(_MEMBERS_DECODER, data)
--- a/chervilspindle/control/state.py
+++ b/chervilspindle/control/state.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from chervilspindle.core import rows
+from chervilspindle.wire import layouts
 
 MAX_ROWS_PER_PART = 500
 MAX_CHANGE_RESULTS = 5000
@@ -135,6 +136,10 @@
     content: str
 
 
+class UnreadableCommand(Exception):
+    """A log entry has a command that this build does not know."""
+
+
 class DocumentResult(typing.NamedTuple):
     """Version of the stored document after a document was applied."""
 
@@ -171,7 +176,11 @@
 
 
 class ControlState(typing.NamedTuple):
-    """All replicated tables."""
+    """All replicated tables.
+
+    `unknown_parts` has the snapshot parts of tables that only newer builds
+    know; they stay as they are.
+    """
 
     version: int
     lists: rows.Lists
@@ -184,6 +193,7 @@
     claim_by_id: immutables.Map
     document: rows.StoredDocument = rows.NO_DOCUMENT
     crash_by_content: immutables.Map = immutables.Map()
+    unknown_parts: tuple[bytes, ...] = ()
 
 
 class Outcome(typing.NamedTuple):
@@ -254,11 +264,21 @@
 
 
 def decode_batch(data: bytes) -> tuple:
-    """Decode the commands of one log entry."""
-    batch = _BATCH.decode(data)
-    return tuple(
-        _DECODER_BY_NAME[name].decode(raw) for name, raw in batch.commands
-    )
+    """Decode the commands of one log entry.
+
+    Raises
+    ------
+    UnreadableCommand
+        If one is of a newer build.
+    """
+    try:
+        batch = layouts.decode(_BATCH, data)
+        return tuple(
+            layouts.decode(_DECODER_BY_NAME[name], raw)
+            for name, raw in batch.commands
+        )
+    except (msgspec.MsgspecError, KeyError) as error:
+        raise UnreadableCommand(str(error)) from error
 
 
 def encode_snapshot_parts(state: ControlState):
@@ -289,6 +309,7 @@
         remaining = iter(table_rows)
         while part := tuple(itertools.islice(remaining, MAX_ROWS_PER_PART)):
             yield _encode_part(table, part)
+    yield from state.unknown_parts
 
 
 def join_snapshot_parts(parts) -> bytes:
@@ -317,14 +338,19 @@
         return EMPTY_STATE
     rows_by_table = {name: [] for name in _DECODER_BY_TABLE}
     header = SnapshotHeader(0, 0)
+    unknown_parts = []
     for encoded in parts:
-        part = _PART_DECODER.decode(encoded)
+        part = layouts.decode(_PART_DECODER, encoded)
+        decoder = _DECODER_BY_TABLE.get(part.table)
         if part.table == "head":
-            header = _HEADER_DECODER.decode(part.rows)
+            header = layouts.decode(_HEADER_DECODER, part.rows)
+        elif decoder is None:
+            unknown_parts.append(encoded)
         else:
-            decoder = _DECODER_BY_TABLE[part.table]
-            rows_by_table[part.table].extend(decoder.decode(part.rows))
-    return _build_state(header, rows_by_table)
+            table_rows = layouts.decode(decoder, part.rows)
+            rows_by_table[part.table].extend(table_rows)
+    state = _build_state(header, rows_by_table)
+    return state._replace(unknown_parts=tuple(unknown_parts))
 
 
 def _build_state(header, rows_by_table) -> ControlState:
--- a/chervilspindle/control/state_test.py
+++ b/chervilspindle/control/state_test.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from chervilspindle.control import changes
 from chervilspindle.control import placement
@@ -525,3 +526,38 @@
     )
     assert not outcome.state.crash_by_content
     assert outcome.changes == (state_module.Change("crash", "c1"),)
+
+
+def encode_raw(value):
+    return state_module.msgspec.msgpack.encode(value)
+
+
+def test_tables_of_a_newer_build_survive_in_snapshots():
+    newer = encode_raw(("newer table", ((1, "row"),)))
+    parts = (*state_module.encode_snapshot_parts(build_vm_state()), newer)
+    tables = state_module.decode_snapshot_parts(parts)
+    assert tuple(state_module.encode_snapshot_parts(tables)) == parts
+
+
+def test_surplus_fields_in_snapshots_and_commands_are_left_out():
+    vm = rows.Vm("a@1", "a", "z", "127.0.0.1:1", 1, "ready")
+    part = encode_raw(("vms", ((*vm, "surplus"),), "surplus"))
+    tables = state_module.decode_snapshot_parts((part,))
+    assert tables.vm_by_session["a@1"] == vm
+    batch = encode_raw(([("RegisterVm", ((*vm, "surplus"), 5))],))
+    assert state_module.decode_batch(batch) == (state_module.RegisterVm(vm),)
+
+
+@pytest.mark.parametrize(
+    "command", (("Newer", ()), ("RegisterVm", ()), ("RegisterVm", (5,)))
+)
+def test_a_batch_with_an_unreadable_command_is_refused_as_a_whole(command):
+    known = ("RemoveVms", (("a@1",),))
+    with pytest.raises(state_module.UnreadableCommand):
+        state_module.decode_batch(encode_raw(([known, command],)))
+
+
+def build_vm_state():
+    vm = rows.Vm("a@1", "a", "z", "127.0.0.1:1", 1, "ready")
+    command = state_module.RegisterVm(vm)
+    return state_module.apply_command(command, state_module.EMPTY_STATE).state
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -391,6 +391,7 @@
             seeds=settings.seeds,
             voters=settings.voters,
         )
+        self.node.read_version = self.network.read_version
         if settings.first_start and settings.peer_address == settings.seeds[0]:
             bootstrap_group(self.node, storage)
         self.frontend = frontend_module.ControlFrontend(
--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -392,6 +392,10 @@
         self._enqueue(address, start)
         return outer
 
+    def read_version(self, address: str) -> int:
+        """Return the version that is read at an address, as far as known."""
+        return self.version_by_address.get(address, versions.OLDEST)
+
     def knows(self, address: str, kind) -> bool:
         """Tell whether the build at an address knows a type of message.
 
