Heartbeats of own deployments are answered in the oldest layout

Entries of the product's own deployments send heartbeats to the leader over links of which it knows no address to try versions at, and got deltas with the records of crashes, which an older entry can't read. They use none of the rows that later versions added, so they get the layout that every build reads. The test failed before (11 fields for 9).

--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -8,6 +8,7 @@
 
 from chervilspindle.control import changes
 from chervilspindle.control import frontend as frontend_module
+from chervilspindle.control import leader as leader_module
 from chervilspindle.control import membership
 from chervilspindle.control import raft
 from chervilspindle.control import raft_messages
@@ -484,3 +485,36 @@
     clock.advance(frontend_module.COUNT_DELAY_MS / 1000.0)
     reply = frontend.handle_report(messages.MemberReport("b#1", 0, 0, ()))
     assert reply.versions == (("b", 4),)
+
+
+def read_field_count(delta):
+    """Return the fields of an encoded delta that is not compressed."""
+    assert delta[:1] == messages.PLAIN
+    return len(messages.msgspec.msgpack.decode(delta[1:]))
+
+
+@pytest.mark.parametrize("version, fields", ((1, 9), (2, 9), (3, 11), (5, 11)))
+def test_entries_get_deltas_in_the_layout_that_they_read(
+    control, version, fields
+):
+    clock, node, frontend, watch = control
+    call = messages.WatchCall("entry-1", 1, 0)
+    waiting = watch.watch(call, version)
+    current = watch.watch(call._replace(vm_id="entry-2"))
+    frontend.announce(build_endpoint(1))
+    frontend.announce(build_endpoint(2, state="draining"))
+    clock.advance(watch_module.BATCH_DELAY_S)
+    deltas = []
+    for deferred in (waiting, current):
+        deferred.addCallback(lambda reply: deltas.append(reply.delta))
+    assert [read_field_count(delta) for delta in deltas] == [fields, 11]
+    assert messages.decode_delta(deltas[0]).endpoints
+
+
+def test_heartbeats_are_answered_so_that_the_oldest_build_reads_them(control):
+    clock, node, frontend, _ = control
+    timers = timers_module.TimerService(clock)
+    leader = leader_module.Leader(node, timers, clock.seconds)
+    vm = rows.Vm("a@1", "a", "z", "127.0.0.1:1", 1, "ready")
+    reply = leader.renew_session(messages.Heartbeat(vm, 0, 0, ()))
+    assert read_field_count(reply.delta) == 9
--- a/chervilspindle/control/leader.py
+++ b/chervilspindle/control/leader.py
@@ -16,6 +16,7 @@
 from chervilspindle.control import state as state_module
 from chervilspindle.core import logs
 from chervilspindle.wire import messages
+from chervilspindle.wire import versions
 
 LEASE_MS = 3000
 LEASE_MARGIN_MS = 300
@@ -146,7 +147,10 @@
             lease_ms = LEASE_MS
             self.last_renewal_ms_by_session[session] = self.read_clock()
         self.revision_by_session[session] = heartbeat.known_revision
-        delta = self.node.feed.get_delta(tables, heartbeat.known_version)
+        # These entries use no rows that later versions added.
+        delta = self.node.feed.get_delta(
+            tables, heartbeat.known_version, versions.OLDEST
+        )
         return messages.HeartbeatReply(lease_ms, delta)
 
     def _has_newer_incarnation(self, vm):
