Members keep what the others read across restarts

Each member now stores the versions of the others beside its log when they change, and starts with them. The file is not synced, and one that can't be read counts as none: the member that is down then counts as the oldest build.

The test fails without it: the restarted front end refuses crash records.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -16,6 +16,7 @@
 from twisted.internet import defer
 
 from chervilspindle.control import locality
+from chervilspindle.control import member_versions
 from chervilspindle.control import state as state_module
 from chervilspindle.core import errors
 from chervilspindle.core import logs
@@ -59,10 +60,19 @@
         Monotonic milliseconds.
     place : messages.MemberPlace or None
         Where this member serves; None if callers are not to be told.
+    folder : str
+        Where versions of members are kept; empty to keep none.
     """
 
-    def __init__(self, node, network, timers, read_clock, place=None):
+    def __init__(
+        self, node, network, timers, read_clock, place=None, folder=""
+    ):
         self.place = place
+        self.folder = folder
+        self.stored_versions = {}
+        if folder:
+            self.stored_versions = member_versions.load(folder)
+            network.record_versions(self.stored_versions.items())
         self.place_table = locality.EMPTY_TABLE
         self.leader_reply_ms = -math.inf
         self.node = node
@@ -229,6 +239,14 @@
         )
         if self.node.is_leader():
             self._expire_endpoints(now)
+        if self.folder:
+            self._store_versions()
+
+    def _store_versions(self):
+        known = dict(self._list_versions())
+        if known != self.stored_versions:
+            self.stored_versions = known
+            member_versions.save(self.folder, known)
 
     def _on_report_reply(self, reply):
         self.totals = reply
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -440,6 +440,9 @@
     def read_version(self, address):
         return self.version_by_address.get(address, 1)
 
+    def record_versions(self, versions_by_address):
+        self.version_by_address.update(versions_by_address)
+
 
 @pytest.mark.parametrize(
     "known, proposed",
@@ -518,3 +521,29 @@
     vm = rows.Vm("a@1", "a", "z", "127.0.0.1:1", 1, "ready")
     reply = leader.renew_session(messages.Heartbeat(vm, 0, 0, ()))
     assert read_field_count(reply.delta) == 9
+
+
+@pytest.mark.parametrize("content", (None, b"", b"[]", b'{"b": "x"}'))
+def test_what_a_member_that_is_down_reads_is_known_after_a_restart(
+    control, tmp_path, content
+):
+    clock, node, frontend, _ = control
+    node.raft = node.raft._replace(
+        members=tuple(
+            raft.Member(f"{a}#1", a, True) for a in (node.address, "b")
+        )
+    )
+    folder = str(tmp_path)
+
+    def build(network):
+        timers = timers_module.TimerService(clock)
+        return frontend_module.ControlFrontend(
+            node, network, timers, clock.seconds, None, folder
+        )
+
+    build(FakeNetwork(b=5, elsewhere=5))._send_report()
+    if content is not None:
+        (tmp_path / "versions.json").write_bytes(content)
+    restarted = build(FakeNetwork())
+    assert restarted.can_members_read(3) == (content is None)
+    assert "elsewhere" not in restarted.network.version_by_address
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -402,6 +402,7 @@
             messages.MemberPlace(
                 settings.zone, settings.peer_address, settings.control_address
             ),
+            settings.data_folder,
         )
         self.watch = watch_module.WatchServer(
             self.node, self.frontend, self.timers, read_clock
