--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -8,6 +8,7 @@
 
 from chervilspindle.control import changes
 from chervilspindle.control import frontend as frontend_module
+from chervilspindle.control import leader as leader_module
 from chervilspindle.control import membership
 from chervilspindle.control import raft
 from chervilspindle.control import raft_messages
@@ -457,3 +458,121 @@
     clock.advance(watch_module.BATCH_DELAY_S)
     assert [r.content for r in replies[-1].crashes] == ["c"]
     assert len(replies) == answered + 1
+
+
+class FakeNetwork:
+    """Links of a member, of which only the versions are known."""
+
+    def __init__(self, **version_by_address):
+        self.version_by_address = version_by_address
+
+    def read_version(self, address):
+        return self.version_by_address.get(address, 1)
+
+    def record_versions(self, versions_by_address):
+        self.version_by_address.update(versions_by_address)
+
+
+@pytest.mark.parametrize(
+    "known, proposed",
+    (
+        ({"b": 3, "c": 5}, 1),
+        ({"b": 3, "c": 2}, 0),
+        ({"b": 5}, 0),  # nobody has heard of c
+    ),
+)
+def test_crashes_get_into_the_log_only_if_all_members_read_them(
+    control, known, proposed
+):
+    _, node, frontend, _ = control
+    node.raft = node.raft._replace(
+        members=tuple(
+            raft.Member(f"{address}#1", address, voter)
+            for address, voter in (
+                (node.address, True),
+                ("b", True),
+                ("c", False),
+            )
+        )
+    )
+    frontend.network = FakeNetwork(**known)
+    outcomes = []
+    for endpoints in (("e@1",), ()):
+        report = messages.CrashReport("content", endpoints)
+        frontend.report_crash(report).addBoth(outcomes.append)
+    assert len(node.proposed) == 2 * proposed
+    for outcome in outcomes:
+        if not proposed:
+            assert outcome.value.problem.not_run
+
+
+def test_a_member_learns_from_the_leader_what_others_read(control):
+    clock, node, frontend, _ = control
+    node.raft = node.raft._replace(
+        members=tuple(
+            raft.Member(f"{a}#1", a, True) for a in (node.address, "b", "c")
+        )
+    )
+    frontend.network = FakeNetwork(b=4, elsewhere=5)
+    clock.advance(frontend_module.COUNT_DELAY_MS / 1000.0)
+    reply = frontend.handle_report(messages.MemberReport("b#1", 0, 0, ()))
+    assert reply.versions == (("b", 4),)
+
+
+def read_field_count(delta):
+    """Return the fields of an encoded delta that is not compressed."""
+    assert delta[:1] == messages.PLAIN
+    return len(messages.msgspec.msgpack.decode(delta[1:]))
+
+
+@pytest.mark.parametrize("version, fields", ((1, 9), (2, 9), (3, 11), (5, 11)))
+def test_entries_get_deltas_in_the_layout_that_they_read(
+    control, version, fields
+):
+    clock, node, frontend, watch = control
+    call = messages.WatchCall("entry-1", 1, 0)
+    waiting = watch.watch(call, version)
+    current = watch.watch(call._replace(vm_id="entry-2"))
+    frontend.announce(build_endpoint(1))
+    frontend.announce(build_endpoint(2, state="draining"))
+    clock.advance(watch_module.BATCH_DELAY_S)
+    deltas = []
+    for deferred in (waiting, current):
+        deferred.addCallback(lambda reply: deltas.append(reply.delta))
+    assert [read_field_count(delta) for delta in deltas] == [fields, 11]
+    assert messages.decode_delta(deltas[0]).endpoints
+
+
+def test_heartbeats_are_answered_so_that_the_oldest_build_reads_them(control):
+    clock, node, frontend, _ = control
+    timers = timers_module.TimerService(clock)
+    leader = leader_module.Leader(node, timers, clock.seconds)
+    vm = rows.Vm("a@1", "a", "z", "127.0.0.1:1", 1, "ready")
+    reply = leader.renew_session(messages.Heartbeat(vm, 0, 0, ()))
+    assert read_field_count(reply.delta) == 9
+
+
+@pytest.mark.parametrize("content", (None, b"", b"[]", b'{"b": "x"}'))
+def test_what_a_member_that_is_down_reads_is_known_after_a_restart(
+    control, tmp_path, content
+):
+    clock, node, frontend, _ = control
+    node.raft = node.raft._replace(
+        members=tuple(
+            raft.Member(f"{a}#1", a, True) for a in (node.address, "b")
+        )
+    )
+    folder = str(tmp_path)
+
+    def build(network):
+        timers = timers_module.TimerService(clock)
+        return frontend_module.ControlFrontend(
+            node, network, timers, clock.seconds, None, folder
+        )
+
+    build(FakeNetwork(b=5, elsewhere=5))._send_report()
+    if content is not None:
+        (tmp_path / "versions.json").write_bytes(content)
+    restarted = build(FakeNetwork())
+    assert restarted.can_members_read(3) == (content is None)
+    assert "elsewhere" not in restarted.network.version_by_address
--- a/chervilspindle/control/node_test.py
+++ b/chervilspindle/control/node_test.py
@@ -177,3 +177,24 @@
     assert ends["sound"].current_version == 7
     assert ends["unusable"].value.problem.not_run
     assert leader.tables.document == document
+
+
+def test_a_member_that_cannot_read_a_command_stops_and_applies_no_later_one(
+    tmp_path,
+):
+    group = Group(tmp_path)
+    group.run(20.0)
+    leader = group.node_by_vm[group.find_leader()]
+    applied = {v: n.applied_index for v, n in group.node_by_vm.items()}
+    newer = type("Newer", (state_module.ClearCrashes,), {})
+    state_module.apply_command.register(newer)(
+        lambda command, tables: state_module.Outcome(tables)
+    )
+    leader.propose(newer("content"))
+    group.run(0.2)
+    leader.propose(state_module.ClearCrashes("content"))
+    group.run(1.0)
+    for vm_id, node in group.node_by_vm.items():
+        assert node.failed
+        assert node.applied_index == applied[vm_id]
+        assert node.tables.version <= applied[vm_id]
