--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -1,5 +1,6 @@
 """Tests of the control front end, watch calls and voter replacement."""
 
+import json
 import math
 
 import pytest
@@ -205,6 +206,91 @@
     assert node.proposed == []
 
 
+def name_service(node, frontend):
+    """Store a document that names the service "s" only."""
+    document = rows.StoredDocument(1, b'["s"]')
+    node.propose(state_module.ApplyDocument(document))
+    frontend.read_service_names = json.loads
+
+
+def test_many_rows_of_another_writer_do_not_hold_up_lost_endpoints(control):
+    clock, node, frontend, _ = control
+    name_service(node, frontend)
+    for number in range(4):
+        frontend.announce(build_endpoint(endpoint_id=f"i-{number}"))
+    for number in range(20):
+        row = build_endpoint(endpoint_id=f"odd-{number}", service="unknown")
+        frontend.announce(row)
+    for sequence in range(2, 32):
+        clock.advance(0.5)
+        for number in range(1, 4):
+            row = build_endpoint(sequence, endpoint_id=f"i-{number}")
+            frontend.announce(row)
+    states = {i: e.state for i, e in node.tables.endpoint_by_id.items()}
+    assert states.pop("i-0") == "lost" and states["i-1"] == "ready"
+    assert states["odd-0"] == "lost"
+
+
+def test_no_endpoint_is_lost_if_only_rows_of_another_writer_are_announced(
+    control,
+):
+    clock, node, frontend, _ = control
+    name_service(node, frontend)
+    for number in range(4):
+        frontend.announce(build_endpoint(endpoint_id=f"i-{number}"))
+    for sequence in range(60):
+        clock.advance(0.5)
+        for number in range(20):
+            odd_id = f"odd-{number}"
+            frontend.announce(
+                build_endpoint(sequence, endpoint_id=odd_id, service="unknown")
+            )
+    states = {i: e.state for i, e in node.tables.endpoint_by_id.items()}
+    assert states["i-0"] == states["i-3"] == "ready"
+
+
+def test_an_unknown_service_does_not_replace_an_endpoint_of_a_known_one(
+    control,
+):
+    _, node, frontend, _ = control
+    name_service(node, frontend)
+    frontend.announce(build_endpoint(1))
+    failures = []
+    odd = build_endpoint(99, service="unknown")
+    deferred = defer.maybeDeferred(frontend.announce, odd)
+    deferred.addErrback(failures.append)
+    assert failures[0].value.problem.kind is errors.ErrorKind.MALFORMED
+    frontend.announce(build_endpoint(2, state="draining"))
+    stored = node.tables.endpoint_by_id["i-1"]
+    assert (stored.service, stored.state) == ("s", "draining")
+
+
+def test_an_endpoint_that_is_lost_may_return_with_a_service_to_come(control):
+    _, node, frontend, _ = control
+    name_service(node, frontend)
+    frontend.announce(build_endpoint(1))
+    lost = build_endpoint(2, state="lost")
+    node.propose(state_module.ReportEndpoints((lost,), 1))
+    frontend.announce(build_endpoint(1, incarnation=9, service="to-come"))
+    assert node.tables.endpoint_by_id["i-1"].service == "to-come"
+
+
+def test_lost_endpoints_are_forgotten(control, monkeypatch):
+    clock, node, frontend, _ = control
+    monkeypatch.setattr(
+        frontend_module.logs, "read_wall_ms", lambda: clock.seconds() * 1000
+    )
+    for number in range(4):
+        frontend.announce(build_endpoint(endpoint_id=f"i-{number}"))
+    row = build_endpoint(2, endpoint_id="i-0", state="lost")
+    node.propose(state_module.ReportEndpoints((row,), 0))
+    for number in range(7300):
+        clock.advance(0.5)
+        frontend.announced_ids.update(("i-1", "i-2", "i-3"))
+    assert set(node.tables.endpoint_by_id) == {"i-1", "i-2", "i-3"}
+    assert len(node.proposed) < 10
+
+
 def test_no_endpoint_is_lost_if_none_announces_itself(control):
     clock, node, frontend, _ = control
     for number in range(4):
--- a/chervilspindle/platform/platform_test.py
+++ b/chervilspindle/platform/platform_test.py
@@ -314,6 +314,50 @@
     assert exchange.response[0] == 400
 
 
+UNREADABLE_CONFIGURATIONS = {
+    "text_not_utf8": b', "comment": "\xff"}',
+    "name_not_utf8": b', "\xff": 1}',
+}
+
+
+@pytest.mark.parametrize("name", UNREADABLE_CONFIGURATIONS)
+def test_a_configuration_that_cannot_be_read_in_full_is_refused(name):
+    frontend = FakeFrontend()
+    data = encode(CONFIGURATION)[:-1] + UNREADABLE_CONFIGURATIONS[name]
+    exchange = FakeExchange(b"PUT", b"/api/config", data)
+    control_api.build_handler(frontend)(exchange)
+    assert frontend.calls == []
+    assert exchange.response[0] == 400
+
+
+def decode_in_frames(data, frames):
+    """Decode a document with more frames on the stack."""
+    if frames:
+        return decode_in_frames(data, frames - 1)
+    return documents.decode_document(data)
+
+
+def test_entries_can_read_each_nested_configuration_that_control_takes():
+    for depth in range(50, 1000, 25):
+        frontend = FakeFrontend()
+        nested = b"[" * depth + b"]" * depth
+        data = encode(CONFIGURATION)[:-1] + b', "extra": ' + nested + b"}"
+        exchange = FakeExchange(b"PUT", b"/api/config", data)
+        control_api.build_handler(frontend)(exchange)
+        if frontend.calls:
+            assert decode_in_frames(data, 100).version == 7
+
+
+def test_weights_that_add_up_to_0_are_refused_beside_a_service():
+    split = [{"service": "b", "weight": 0}]
+    route = {**ROUTE, "service": "a", "traffic-split": split}
+    del route["fanout-services"]
+    frontend = FakeFrontend()
+    configuration = {**CONFIGURATION, "routes": [route]}
+    assert call(frontend, b"PUT", b"/api/config", configuration)[0] == 400
+    assert frontend.calls == []
+
+
 def test_unknown_paths_and_methods_are_refused():
     frontend = FakeFrontend()
     assert call(frontend, b"GET", b"/other")[0] == 404
--- a/chervilspindle/routing/process_test.py
+++ b/chervilspindle/routing/process_test.py
@@ -15,6 +15,7 @@
 from chervilspindle.platform import samples
 from chervilspindle.platform import settings as platform_settings
 from chervilspindle.routing import documents
+from chervilspindle.routing import endpoints
 from chervilspindle.routing import process
 from chervilspindle.wire import messages
 
@@ -162,3 +163,15 @@
     entry._apply_delta(build_delta(5, (build_endpoint("a"),), stored))
     assert entry.entry.document == document
     assert entry.context.table.target_by_id
+
+
+def test_too_many_connections_in_a_stored_document_do_not_hold_up_endpoints(
+    entry,
+):
+    configuration = json.loads(build_stored_document(7).data)
+    for service in configuration["services"]:
+        service["max-connections"] = 10**400
+    stored = rows.StoredDocument(7, json.dumps(configuration).encode())
+    entry._apply_delta(build_delta(5, (build_endpoint("a"),), stored))
+    pool = entry.context.table.target_by_id["a"].pool
+    assert pool.max_connections == endpoints.MAX_CONNECTIONS
--- a/chervilspindle/wire/peer_test.py
+++ b/chervilspindle/wire/peer_test.py
@@ -1,16 +1,19 @@
 """Tests of peer links: authentication, calls, silent and idle links."""
 
 import pytest
+from twisted.internet import defer
 from twisted.internet import task
 from twisted.internet import testing
 
 from chervilspindle.core import errors
+from chervilspindle.core import rows
 from chervilspindle.core import timers
 from chervilspindle.wire import messages
 from chervilspindle.wire import peer
 from chervilspindle.wire import reactor_streams
 
 ADDRESS = "127.0.0.1:1"
+UNENCODABLE = messages.DocumentCall(rows.StoredDocument(1 << 70, b""))
 
 
 class Transport(testing.StringTransport):
@@ -174,3 +177,83 @@
     assert not pair.dialler.transport.disconnecting
     pair.advance_time(2.0, deliver=False)
     assert pair.dialler.transport.disconnecting
+
+
+class BrokenStreams:
+    """Fails to open each connection."""
+
+    def __init__(self, error, is_raised):
+        self.error = error
+        self.is_raised = is_raised
+
+    def connect(self, address, build_protocol):
+        if self.is_raised:
+            raise self.error
+        return defer.fail(self.error)
+
+
+@pytest.mark.parametrize("is_raised", (True, False))
+@pytest.mark.parametrize(
+    "error", (ValueError("no port"), UnicodeError("label too long"))
+)
+def test_each_call_to_an_address_that_cannot_be_used_fails(error, is_raised):
+    clock = task.Clock()
+    network = End(clock, b"k" * 16, "").network
+    network.byte_streams = BrokenStreams(error, is_raised)
+    failures = []
+    for _ in range(2):
+        calling = network.call("x", messages.StatusCall(), 1.0)
+        calling.addErrback(failures.append)
+    network.send("x", messages.StatusCall())
+    clock.advance(1.0)
+    problems = [failure.value.problem for failure in failures]
+    assert [p.kind for p in problems] == [errors.ErrorKind.CONNECTION_LOST] * 2
+    assert all(p.not_run for p in problems)
+    assert network.queue_by_address == {}
+
+
+def test_a_call_that_cannot_be_encoded_fails_alone(pair):
+    link = pair.dialler.link
+    failures = []
+    link.call(UNENCODABLE, 1.0).addErrback(failures.append)
+    assert failures[0].value.problem.kind is errors.ErrorKind.MALFORMED
+    assert failures[0].value.problem.not_run
+    assert link.pending_by_id == {}
+    test_call_gets_its_reply(pair)
+
+
+def test_a_message_that_cannot_be_encoded_does_not_drop_those_behind_it():
+    pair = Pair()
+    network = pair.dialler.network
+    network.link_by_address.clear()
+    network.queue_by_address[ADDRESS] = []
+    replies = []
+    network.send(ADDRESS, UNENCODABLE)
+    network.call(ADDRESS, UNENCODABLE, 1.0).addErrback(lambda _: None)
+    network.call(ADDRESS, messages.StatusCall(), 1.0).addCallback(
+        replies.append
+    )
+    network.link_ready(pair.dialler.link)
+    pair.deliver()
+    assert replies == [messages.StatusReply(b"{}")]
+
+
+def test_a_reply_that_cannot_be_encoded_is_an_error_at_the_caller(pair):
+    pair.listener.network.handler = lambda link, message: UNENCODABLE
+    failures = []
+    call = pair.dialler.link.call(messages.StatusCall(), 1.0)
+    call.addErrback(failures.append)
+    pair.deliver()
+    assert failures[0].value.problem.kind is errors.ErrorKind.INTERNAL
+
+
+def test_a_problem_of_an_unknown_kind_fails_its_call(pair):
+    pair.listener.network.handler = lambda link, message: (
+        messages.ProblemReply("kind_of_a_later_build", "text", True, 0)
+    )
+    failures = []
+    call = pair.dialler.link.call(messages.StatusCall(), 1.0)
+    call.addErrback(failures.append)
+    pair.deliver()
+    assert failures[0].value.problem.kind is errors.ErrorKind.INTERNAL
+    assert not failures[0].value.problem.not_run
--- a/features/http_api_test.py
+++ b/features/http_api_test.py
@@ -180,6 +180,18 @@
         ("address", "nowhere"),
         ("holdings", [[1, 5, 5]]),
         ("endpoint", ""),
+        ("address", "127.0.0.1:" + "9" * 5000),
+        ("address", "127.0.0.1:65536"),
+        ("address", "127.0.0.1:\u00b2"),
+        ("address", "backend.example:80"),
+        ("slots", 1 << 70),
+        ("connections", 1 << 70),
+        ("holdings", [[1 << 70, 0, 10]]),
+        ("incarnation", 1 << 70),
+        ("incarnation", -1),
+        ("sequence", 1 << 70),
+        ("sequence", -1),
+        ("in_use", 1 << 70),
     ),
 )
 def test_bad_announcement(world, field, value):
@@ -217,3 +229,22 @@
     assert problem["source"] == "header"
     assert problem["not_run"] is True
     assert transport.disconnecting
+
+
+def test_an_announcement_that_cannot_be_sent_on_does_not_end_the_lease(world):
+    entry = world.vm_by_name["entry-1"].entry
+    row = next(iter(entry.directory.endpoint_by_id.values()))
+    # The HTTP API refuses such a row; a heartbeat must outlive it anyway.
+    odd = row._replace(endpoint_id="odd", sequence=1 << 70)
+    entry.handle_announcement(odd, 0)
+    world.advance(6.0)
+    assert entry.session.is_valid()
+    assert send(world, "POST", "/v1/query", QUERY)[0].code == 200
+
+
+def test_a_nested_body_is_malformed(world):
+    nested = b"[" * 20000 + b"]" * 20000
+    body = b'{"services": ["portal-1"], "query": {"x": ' + nested + b"}}"
+    response, problem = send(world, "POST", "/v1/query", body)
+    assert response.code == 400
+    assert problem["source"] == "$"
