A call to an address that cannot be used fails instead of waiting for ever

What callers would see: an entry that follows control no more. A seed such as "10.1..0.12:8106", one with a label of 70 characters, or an address without a port in a list of relays, raises ValueError or UnicodeError when the connection is opened. Only ConnectError and OSError ended the queue of the address, so its calls were never answered, without a timeout, and later calls to it joined the queue. A watch client that picks such a seed once stays there, also after the settings file is right again.

Every failure to open a connection now fails the queue, logged with address and reason when it is no ordinary one.

Ruled out: "x:7380", ports out of range and NUL bytes end in OSError and were answered before.

--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -324,15 +324,21 @@
             self.clock.callLater(0, start, None)
 
     def _connect(self, address: str):
-        connecting = self.byte_streams.connect(
-            address, lambda: PeerLink(self, dialled_address=address)
+        connecting = defer.maybeDeferred(
+            self.byte_streams.connect,
+            address,
+            lambda: PeerLink(self, dialled_address=address),
         )
         connecting.addErrback(
             lambda failure: self._connect_failed(address, failure)
         )
 
     def _connect_failed(self, address: str, failure):
-        failure.trap(internet_error.ConnectError, OSError)
+        if not failure.check(internet_error.ConnectError, OSError):
+            LOGGER.error(
+                "peer address cannot be used",
+                extra={"address": address, "why": str(failure.value)},
+            )
         self._fail_queue(address)
 
     def _fail_queue(self, address: str):
