A peer message that cannot be encoded fails alone

PeerLink.call left an entry in pending_by_id whose time-out nobody handled; PeerNetwork.link_ready dropped every message queued behind it, so that their calls were never answered and had no time-out; a reply without an encoding left its caller waiting for the time-out.

A call is encoded before it is recorded and fails with MALFORMED, not run; queued messages are sent one by one; the caller of a reply that has no encoding gets INTERNAL.

--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -120,24 +120,37 @@
         return now - self.last_used > IDLE_AFTER_S
 
     def send(self, message, call_id: int = 0, is_reply: bool = False):
-        """Send a message."""
+        """Send a message.
+
+        Raises
+        ------
+        ProblemError
+            MALFORMED and not_run if it cannot be encoded.
+        """
+        self._send_encoded(_encode(message, call_id, is_reply))
+
+    def _send_encoded(self, body: bytes):
         now = self.network.clock.seconds()
         if self.is_idle(now):
             # The other end sent no pings on the idle link, so the silence
             # limit starts now.
             self.last_received = now
         self.last_used = now
-        self._send_body(messages.encode_frame(message, call_id, is_reply))
+        self._send_body(body)
 
     def call(self, message, timeout_s: float) -> defer.Deferred:
         """Send a message and wait for its reply."""
         call_id = next(self.call_ids)
+        try:
+            body = _encode(message, call_id, False)
+        except errors.ProblemError as error:
+            return defer.fail(error)
         deferred = defer.Deferred()
         timeout = self.network.clock.callLater(
             timeout_s, self._time_out, call_id
         )
         self.pending_by_id[call_id] = PendingCall(deferred, timeout)
-        self.send(message, call_id)
+        self._send_encoded(body)
         return deferred
 
     def send_ping(self):
@@ -282,6 +295,9 @@
         if call_id:
             deferred.addErrback(_convert_failure)
             deferred.addCallback(self._reply, link, call_id)
+            # A reply that cannot be encoded.
+            deferred.addErrback(_convert_reply_failure)
+            deferred.addCallback(self._reply, link, call_id)
         else:
             deferred.addErrback(_log_failure)
 
@@ -296,7 +312,13 @@
             return
         self.link_by_address[address] = link
         for start in self.queue_by_address.pop(address, ()):
-            start(link)
+            try:
+                start(link)
+            except errors.ProblemError as error:
+                LOGGER.error(
+                    "queued peer message was not sent",
+                    extra={"address": address, "why": str(error)},
+                )
 
     def remove_link(self, link: PeerLink):
         """Remove a closed link and notify those who sent on it."""
@@ -373,6 +395,17 @@
     return digest.digest()
 
 
+def _encode(message, call_id, is_reply):
+    try:
+        return messages.encode_frame(message, call_id, is_reply)
+    except (OverflowError, RecursionError, TypeError, ValueError) as error:
+        raise errors.build_error(
+            errors.ErrorKind.MALFORMED,
+            f"{type(message).__name__} cannot be sent: {error}",
+            not_run=True,
+        ) from error
+
+
 def _build_connection_lost(detail: str, not_run: bool = False):
     return errors.build_error(
         errors.ErrorKind.CONNECTION_LOST, detail, not_run=not_run
@@ -383,11 +416,20 @@
     if failure.check(errors.ProblemError):
         return messages.build_problem_reply(failure.value.problem)
     LOGGER.error("handler of peer call failed: %s", failure.getTraceback())
+    return _build_internal_reply()
+
+
+def _build_internal_reply():
     problem = errors.build_problem(
         errors.ErrorKind.INTERNAL, "internal error at the peer"
     )
     return messages.build_problem_reply(problem)
 
 
+def _convert_reply_failure(failure):
+    LOGGER.error("reply to peer was not sent: %s", failure.getTraceback())
+    return _build_internal_reply()
+
+
 def _log_failure(failure):
     LOGGER.error("handler of peer message failed: %s", failure.getTraceback())
