A problem of a kind that this build does not know fails its call

messages.read_problem raised ValueError in PeerLink._resolve, after the call had been taken out of pending_by_id and its time-out cancelled: the call was never answered, and the exception closed the link. A watch call that a member of a later build answers like this would have been an entry's last.

Such a kind is now INTERNAL, with the detail and the promise of the reply.

--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -899,9 +899,16 @@
 
 
 def read_problem(reply: ProblemReply) -> errors.Problem:
-    """Return the problem that a reply reports."""
+    """Return the problem that a reply reports.
+
+    A kind that this build does not know becomes INTERNAL.
+    """
+    try:
+        kind = errors.ErrorKind(reply.kind)
+    except ValueError:
+        kind = errors.ErrorKind.INTERNAL
     return errors.Problem(
-        errors.ErrorKind(reply.kind),
+        kind,
         reply.detail,
         reply.not_run,
         reply.retry_after_ms,
