A report that cannot be sent on does not end the lease of its entry

What callers of the product's own deployment saw: refusals for want of a lease at the entry that took one announcement with a sequence beyond 64 bits. The heartbeat raised when it was encoded, its reports were kept for the next one, which raised again, until the lease had ended; all endpoints of the entry went to others and the entry never came back by itself.

A heartbeat that fails for another reason than its way to the leader drops its reports. Endpoints announce themselves each second, so sound reports beside it are sent again.

--- a/chervilspindle/query/session.py
+++ b/chervilspindle/query/session.py
@@ -231,7 +231,11 @@
         return True
 
     def _handle_heartbeat_failure(self, failure):
+        """Return whether the reports of the heartbeat are done with."""
         failure.trap(errors.ProblemError)
+        if failure.value.problem.kind is errors.ErrorKind.MALFORMED:
+            # The same reports would fail again, and the lease would end.
+            failure.raiseException()
         self.expedite_heartbeat()
         return False
 
@@ -253,4 +257,4 @@
 
 def _log_failure(failure):
     LOGGER.error("could not process a heartbeat: %s", failure.getTraceback())
-    return False
+    return True
