Announcements of the product's own deployment are checked for use

The address is checked by core/endpoint_checks.py and numbers have its bounds; the answer is 400 with the place of the field, as for other mistakes.

Evidence: twelve cases of features/http_api_test.py, red before.

--- a/chervilspindle/wire/http_api.py
+++ b/chervilspindle/wire/http_api.py
@@ -16,6 +16,7 @@
 from chervilspindle.config import jsonc
 from chervilspindle.config import lists as lists_module
 from chervilspindle.config import tokens
+from chervilspindle.core import endpoint_checks
 from chervilspindle.core import errors
 from chervilspindle.core import rows
 from chervilspindle.query import coverage
@@ -28,6 +29,14 @@
 IDLE_TIMEOUT_S = 120
 MAX_HOLDINGS = 1000
 MAX_NAME_CHARACTERS = 200
+MAX_NUMBER = 1 << 53  # JSON numbers are exact up to here
+RANGE_BY_FIELD = {
+    "slots": (1, endpoint_checks.MAX_SLOTS),
+    "connections": (1, MAX_NUMBER),
+    "incarnation": (0, endpoint_checks.MAX_INCARNATION_MS),
+    "sequence": (0, rows.FINAL_SEQUENCE - 1),
+    "in_use": (0, MAX_NUMBER),
+}
 
 
 class Announcement(msgspec.Struct, forbid_unknown_fields=True):
@@ -339,12 +348,13 @@
     for name in ("endpoint", "service", "zone"):
         if not 0 < len(getattr(body, name)) <= MAX_NAME_CHARACTERS:
             yield name, f"must have 1 to {MAX_NAME_CHARACTERS} characters"
-    if not body.address.rpartition(":")[2].isdigit():
-        yield "address", "must be IP:PORT"
-    if body.slots < 1:
-        yield "slots", "must be at least 1"
-    if body.connections < 1:
-        yield "connections", "must be at least 1"
+    try:
+        endpoint_checks.parse_address(body.address)
+    except ValueError as error:
+        yield "address", f"must be IP:PORT: {error}"[:MAX_NAME_CHARACTERS]
+    for name, (low, high) in RANGE_BY_FIELD.items():
+        if not low <= getattr(body, name) <= high:
+            yield name, f"must be {low} to {high}"
     if body.state not in ("warming", "ready", "draining"):
         yield "state", "must be warming, ready or draining"
     if len(body.holdings) > MAX_HOLDINGS:
@@ -355,6 +365,8 @@
                 f"holdings[{index}]",
                 f"must have 0 <= low < high <= {rows.KEY_SPACE}",
             )
+        if not 0 <= row.snapshot <= MAX_NUMBER:
+            yield f"holdings[{index}]", f"snapshot must be 0 to {MAX_NUMBER}"
 
 
 def read_revision(header: str | None) -> int:
