A body that is nested too deeply is malformed, not an internal error

The product's own HTTP API answered 500 and logged a traceback for a query whose value is nested beyond the decoder's recursion; RecursionError is no ValueError.

Evidence: features/http_api_test.py, red before.

--- a/chervilspindle/query/requests.py
+++ b/chervilspindle/query/requests.py
@@ -82,6 +82,8 @@
     except msgspec.ValidationError as error:
         detail, _, location = str(error).partition(" - at ")
         raise _build_malformed(detail, location.strip("`") or "$") from error
+    except RecursionError as error:
+        raise _build_malformed("body is nested too deeply", "$") from error
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise _build_malformed(
             f"body is not valid JSON: {error}", "$"
