A configuration that is not valid UTF-8 throughout is refused

CONFIG: an invalid one was taken. The decoder skips fields that it does not know without checking their text, so that bytes which are no UTF-8 were acknowledged, replicated and read back, and no JSON reader could read them.

Entries decode as before: what an earlier build has acknowledged stays in force.

Evidence: two cases of platform_test.py, red before.

--- a/chervilspindle/platform/documents.py
+++ b/chervilspindle/platform/documents.py
@@ -96,8 +96,8 @@
 def decode_new_document(data: bytes, spare_frames: int = SPARE_FRAMES):
     """Decode a configuration that an operator has sent.
 
-    Unlike for those stored before, some frames are kept in reserve, so that
-    each entry can decode it as well.
+    Unlike those stored before, it must be readable in full: unknown fields
+    are valid UTF-8 as well, and each entry can decode it.
 
     Raises
     ------
@@ -106,6 +106,7 @@
     """
     if spare_frames:
         return decode_new_document(data, spare_frames - 1)
+    data.decode()
     return decode_document(data)
 
 
