Weights that add up to 0 are refused beside a service, too

CONFIG: an invalid configuration was taken. A route with a service and a traffic-split of weights 0 got the service as one more alternative of weight 1, so that the check of the weights passed.

Control checks the weights as they were sent. Entries decode as before.

Evidence: platform_test.py, red before.

--- a/chervilspindle/platform/documents.py
+++ b/chervilspindle/platform/documents.py
@@ -72,10 +72,17 @@
     ValueError
         If a field cannot be decoded; the message names it.
     """
+    return _convert(_decode(data))
+
+
+def _decode(data):
     try:
-        configuration = _DECODER.decode(data)
+        return _DECODER.decode(data)
     except RecursionError as error:
         raise ValueError("nested too deeply") from error
+
+
+def _convert(configuration):
     limits = configuration.limits
     return documents.Document(
         configuration.version,
@@ -107,7 +114,12 @@
     if spare_frames:
         return decode_new_document(data, spare_frames - 1)
     data.decode()
-    return decode_document(data)
+    configuration = _decode(data)
+    for route in configuration.routes:
+        # A service beside the weights would add its own.
+        if route.split and sum(part.weight for part in route.split) <= 0:
+            raise ValueError(f"{route.name}: weights add up to 0")
+    return _convert(configuration)
 
 
 def _convert_route(route: Route) -> documents.Route:
