--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -17,6 +17,7 @@
 
 MIN_CONNECTIONS = 2  # one stalled connection must not block an endpoint
 MAX_CONNECTIONS = 12
+MAX_TOTAL_CONNECTIONS = 1 << 20  # of an endpoint, from all VMs
 CONNECTION_SHARE = 0.8  # the rest is for VMs that control has not counted
 MAX_LEAVING_PROCESSES = 1024  # that are remembered after they were dropped
 USABLE_STATES = ("ready", "warming")
@@ -283,6 +284,8 @@
 
     def _get_limit(self, service):
         total = self.connections_by_service.get(service, 0)
+        # A stored document may have a number beyond the range of a float.
+        total = max(0, min(total, MAX_TOTAL_CONNECTIONS))
         share = int(total * CONNECTION_SHARE / self.vms)
         return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS, share))
 
