An endpoint that cannot be used does not hold up others at its owner

The product's own deployment, rows that an earlier build has stored: for an address with a port of thousands of digits, building the client raised in Owner.update_owned while a heartbeat's reply was applied. The directory had taken the reply's version before, so that the changed endpoints behind the row were not served until their rows changed again, and that reply renewed no lease.

The owner treats such an endpoint as absent, and ends its service if the address of a row that it serves becomes unusable.

Evidence: owner_test.py, with this commit; before, it raised ValueError at the first row ("expected integer for port").

--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -10,6 +10,7 @@
 import logging
 import math
 
+from chervilspindle.core import endpoint_checks
 from chervilspindle.core import errors
 from chervilspindle.core import logs
 from chervilspindle.policy import admission
@@ -94,6 +95,8 @@
         for endpoint_id in endpoint_ids:
             row = self.directory.ownership_by_id.get(endpoint_id)
             endpoint = self.directory.endpoint_by_id.get(endpoint_id)
+            if endpoint is not None and not _has_usable_address(endpoint):
+                endpoint = None
             owned = self.owned_by_id.get(endpoint_id)
             if owned and not (
                 endpoint and handover.may_serve(row, own_session, owned.epoch)
@@ -631,3 +634,19 @@
     LOGGER.error(
         "could not process an endpoint's result: %s", failure.getTraceback()
     )
+
+
+def _has_usable_address(endpoint) -> bool:
+    """Tell whether an endpoint that control may have stored can be used."""
+    try:
+        endpoint_checks.parse_address(endpoint.address)
+    except ValueError as error:
+        LOGGER.warning(
+            "endpoint cannot be used",
+            extra={
+                "endpoint": endpoint.endpoint_id,
+                "why": str(error)[: endpoint_checks.MAX_NAME_CHARACTERS],
+            },
+        )
+        return False
+    return True
--- a/chervilspindle/query/owner_test.py
+++ b/chervilspindle/query/owner_test.py
@@ -414,3 +414,29 @@
     assert harness.owner.handover_manager.hand_over(call, Link()).granted
     move_ownership(harness, "entry-2@1", SESSION, 4)
     assert not harness.owner.owned_by_id
+
+
+def test_an_endpoint_that_cannot_be_used_does_not_hold_up_those_beside_it():
+    harness = OwnerHarness()
+
+    def build_client(address, connections):
+        if "9" * 5000 in address:
+            raise ValueError("expected integer for port")
+        return FakeClient()
+
+    harness.owner.build_client = build_client
+    directory = harness.directory
+    for endpoint_id in ("odd", "sound"):
+        row = harness.row._replace(endpoint_id=endpoint_id)
+        directory.endpoint_by_id[endpoint_id] = row
+        directory.ownership_by_id[endpoint_id] = rows.Ownership(
+            endpoint_id, SESSION, 1
+        )
+    address = "127.0.0.1:" + "9" * 5000
+    odd = directory.endpoint_by_id["odd"]._replace(address=address)
+    directory.endpoint_by_id["odd"] = odd
+    directory.endpoint_by_id["e"] = harness.row._replace(
+        address=address, sequence=2
+    )
+    harness.owner.update_owned(["odd", "e", "sound"])
+    assert set(harness.owner.owned_by_id) == {"sound"}
