Rows of another writer do not hold up the loss of endpoints, nor cause it

The leader records no endpoint as lost when more than half of them are silent, since it may be cut off itself. Announcements that can be read but name a service that is not in use count as endpoints there: twenty of them, announced once, kept every real endpoint that was gone in the list for as long as they stood, which was for ever, as they could not be recorded as lost either. Twenty that go on announcing did the opposite: four real endpoints whose announcements did not reach the leader were all recorded as lost.

The share is now that of the endpoints whose service the document names; the others are recorded as lost without regard to it.

Ruled out: the share of each service alone, since one with a single endpoint would never lose it.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -11,6 +11,7 @@
 import functools
 import logging
 import math
+import typing
 import zlib
 
 from twisted.internet import defer
@@ -47,6 +48,13 @@
 EMPTY_RELAY_LIST = messages.RelayList(0, ())
 
 
+class ServiceNames(typing.NamedTuple):
+    """Services that the document of a version names, None if not known."""
+
+    version: int
+    names: frozenset[str] | None
+
+
 class ControlFrontend:
     """Handles calls of endpoints, operators and watching entries.
 
@@ -59,10 +67,22 @@
         Monotonic milliseconds.
     place : messages.MemberPlace or None
         Where this member serves; None if callers are not to be told.
+    read_service_names : callable or None
+        ``read_service_names(data)`` returns the services that a stored
+        document names, or raises ValueError.
     """
 
-    def __init__(self, node, network, timers, read_clock, place=None):
+    def __init__(
+        self,
+        node,
+        network,
+        timers,
+        read_clock,
+        place=None,
+        read_service_names=None,
+    ):
         self.place = place
+        self.read_service_names = read_service_names
         self.place_table = locality.EMPTY_TABLE
         self.leader_reply_ms = -math.inf
         self.node = node
@@ -79,6 +99,7 @@
         self.last_report_by_member = {}
         self.last_announced_ms_by_id = {}
         self.elected_ms = math.inf
+        self.service_names = ServiceNames(-1, None)
         node.leader_listeners.append(self._on_elected)
         timers.subscribe("member-report", REPORT_PERIOD_S, self._send_report)
 
@@ -274,6 +295,26 @@
             ),
         )
 
+    def is_named(self, service: str) -> bool:
+        """Tell whether the document names a service; all without one."""
+        document = self.node.tables.document
+        if self.service_names.version != document.version:
+            names = None
+            if self.read_service_names is not None and document.version >= 0:
+                try:
+                    names = frozenset(self.read_service_names(document.data))
+                except ValueError as error:
+                    LOGGER.error(
+                        "document cannot be decoded",
+                        extra={
+                            "version": document.version,
+                            "why": str(error),
+                        },
+                    )
+            self.service_names = ServiceNames(document.version, names)
+        names = self.service_names.names
+        return names is None or service in names
+
     def _expire_endpoints(self, now):
         """Record endpoints as lost that have not announced themselves."""
         announced_after_ms = now - ENDPOINT_TIMEOUT_MS
@@ -292,10 +333,18 @@
             is_replaceable = endpoint.sequence < rows.FINAL_SEQUENCE
             if announced_ms < announced_after_ms and is_replaceable:
                 timed_out.append(endpoint)
-        if len(timed_out) > len(usable) * (1.0 - MIN_ANNOUNCED_SHARE):
-            return
         if not timed_out:
             return
+        # Another writer may announce any number of endpoints of services
+        # that the document does not name. They tell nothing about the rest.
+        named = [e for e in usable if self.is_named(e.service)]
+        silent = [e for e in timed_out if self.is_named(e.service)]
+        if len(silent) > len(named) * (1.0 - MIN_ANNOUNCED_SHARE):
+            timed_out = [e for e in timed_out if not self.is_named(e.service)]
+        if timed_out:
+            self._record_lost(timed_out, now)
+
+    def _record_lost(self, timed_out, now):
         for endpoint in timed_out:
             logs.log_decision(
                 "endpoint-silent",
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -420,6 +420,7 @@
             messages.MemberPlace(
                 settings.zone, settings.peer_address, settings.control_address
             ),
+            self._read_service_names,
         )
         self.watch = watch_module.WatchServer(
             self.node, self.frontend, self.timers, read_clock
@@ -469,6 +470,9 @@
         message = messages.Replicate(data, self.settings.peer_address)
         self.network.send(address, message)
 
+    def _read_service_names(self, data):
+        return self.adapter.decode_document(data).service_by_name
+
     def _finish_stop(self):
         self.node.stop()
         self.close()
