An unknown service does not take an endpoint in use out of its own

An announcement of another writer under the id of a real endpoint, with a service that the document does not name and a higher sequence, replaced the endpoint's row: entries dropped it, and its own announcements, whose sequence was lower, were acknowledged and ignored until it started again.

The leader refuses to move an endpoint that is neither lost nor gone from a service that the document names to one that it does not name.

Not covered: another writer that names the right service under a real id. Nothing in such an announcement tells it from the endpoint's own.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -405,6 +405,8 @@
     message: messages.AnnounceCall, frontend: ControlFrontend
 ):
     mistake = endpoint_checks.find_mistake(message.endpoint)
+    if not mistake:
+        mistake = _find_conflict(message.endpoint, frontend)
     if mistake:
         # The member that forwards it may be of a build without this check.
         raise errors.build_error(errors.ErrorKind.MALFORMED, mistake)
@@ -427,6 +429,24 @@
     return deferred.addCallback(lambda _: messages.Done())
 
 
+def _find_conflict(endpoint, frontend) -> str:
+    """Return why an announcement is not of the endpoint with its id.
+
+    Empty if it may be. Another writer may use the id of an endpoint in use;
+    the endpoint does not change to a service that nothing is sent to.
+    """
+    stored = frontend.node.tables.endpoint_by_id.get(endpoint.endpoint_id)
+    if stored is None or stored.state in ("lost", "gone"):
+        return ""
+    if stored.service == endpoint.service:
+        return ""
+    if not frontend.is_named(stored.service):
+        return ""
+    if frontend.is_named(endpoint.service):
+        return ""
+    return f"id is in use by an endpoint of service {stored.service}"
+
+
 @handle_leader_call.register
 def _handle_crash(message: messages.CrashCall, frontend: ControlFrontend):
     report = message.report
