Endpoints that have been lost for an hour are forgotten

The leader's times of announcements grew with them.

The leader proposes Expire, a command that all builds know, once a minute if there is a row to remove, and drops the times of endpoints that are no more.

What remains: rows of endpoints that were withdrawn have no time and stay. A time for them would change how a command is applied, which members of two builds have to do alike.

Evidence: frontend_test.py, red before. The check of the times, added with this commit, needs a second pass of the timer, hence 3,750 s instead of 3,650.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -35,6 +35,7 @@
 # If a smaller share of the endpoints announces itself, the leader itself may
 # be cut off, so it records none as lost.
 MIN_ANNOUNCED_SHARE = 0.5
+FORGET_PERIOD_MS = 60000.0
 WATCHER_TIMEOUT_MS = 2500.0
 MEMBER_REPORT_TIMEOUT_MS = 5000.0
 COUNT_DELAY_MS = 3000.0  # all members have reported to a new leader by then
@@ -99,6 +100,7 @@
         self.last_report_by_member = {}
         self.last_announced_ms_by_id = {}
         self.elected_ms = math.inf
+        self.next_forget_ms = -math.inf
         self.service_names = ServiceNames(-1, None)
         node.leader_listeners.append(self._on_elected)
         timers.subscribe("member-report", REPORT_PERIOD_S, self._send_report)
@@ -250,6 +252,7 @@
         )
         if self.node.is_leader():
             self._expire_endpoints(now)
+            self._forget_endpoints(now)
 
     def _on_report_reply(self, reply):
         self.totals = reply
@@ -344,6 +347,26 @@
         if timed_out:
             self._record_lost(timed_out, now)
 
+    def _forget_endpoints(self, now):
+        """Remove endpoints that have been lost for long."""
+        if now < self.next_forget_ms:
+            return
+        self.next_forget_ms = now + FORGET_PERIOD_MS
+        known = self.node.tables.endpoint_by_id
+        self.last_announced_ms_by_id = {
+            endpoint_id: announced_ms
+            for endpoint_id, announced_ms in (
+                self.last_announced_ms_by_id.items()
+            )
+            if endpoint_id in known
+        }
+        wall_ms = logs.read_wall_ms()
+        forgotten_ms = wall_ms - state_module.LOST_ENDPOINT_RETENTION_MS
+        lost_times_ms = self.node.tables.lost_at_by_id.values()
+        if any(lost_ms < forgotten_ms for lost_ms in lost_times_ms):
+            command = state_module.Expire(wall_ms)
+            self.node.propose(command).addErrback(_log_problem)
+
     def _record_lost(self, timed_out, now):
         for endpoint in timed_out:
             logs.log_decision(
@@ -496,6 +519,6 @@
 def _log_problem(failure):
     failure.trap(errors.ProblemError)
     LOGGER.warning(
-        "lost endpoints could not be committed",
+        "lost endpoints could not be recorded or removed",
         extra={"why": str(failure.value)},
     )
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -284,10 +284,11 @@
         frontend.announce(build_endpoint(endpoint_id=f"i-{number}"))
     row = build_endpoint(2, endpoint_id="i-0", state="lost")
     node.propose(state_module.ReportEndpoints((row,), 0))
-    for number in range(7300):
+    for _ in range(7500):
         clock.advance(0.5)
         frontend.announced_ids.update(("i-1", "i-2", "i-3"))
     assert set(node.tables.endpoint_by_id) == {"i-1", "i-2", "i-3"}
+    assert set(frontend.last_announced_ms_by_id) == {"i-1", "i-2", "i-3"}
     assert len(node.proposed) < 10
 
 
