A service whose endpoints are gone takes no room at an entry

EndpointTable kept an empty table for each service that was ever announced, and each reply of control lists the zones of all of them: 13 us for a reply of one row, 13.6 ms after 10,000 services of another writer that are long lost, in the loop that serves callers.

Evidence: process_test.py, with this commit, failed before; the times are those of a script that applies 50 replies before and after the 10,000.

What remains: RelayTable.zones_by_service keeps their names, which nothing iterates over.

--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -110,7 +110,10 @@
         if target is None:
             return
         self.revision += 1
-        del self.targets_by_service[target.endpoint.service][endpoint_id]
+        service = target.endpoint.service
+        del self.targets_by_service[service][endpoint_id]
+        if not self.targets_by_service[service]:
+            del self.targets_by_service[service]
         if target.restrictions.leaving:
             self._remember_leaving(target.endpoint)
         target.pool.close()
--- a/chervilspindle/routing/process_test.py
+++ b/chervilspindle/routing/process_test.py
@@ -175,3 +175,14 @@
     entry._apply_delta(build_delta(5, (build_endpoint("a"),), stored))
     pool = entry.context.table.target_by_id["a"].pool
     assert pool.max_connections == endpoints.MAX_CONNECTIONS
+
+
+def test_services_whose_endpoints_are_gone_take_no_room(entry):
+    table = entry.context.table
+    for number in range(100):
+        odd = build_endpoint("odd", service=f"service-{number}")
+        table.put(odd)
+        table.put(odd._replace(state="lost"))
+    table.put(build_endpoint("sound"))
+    assert set(table.targets_by_service) == {"desk"}
+    assert set(table.list_zones()) == {"desk"}
