Settings that are nested too deeply are reported as unreadable

RecursionError is no ValueError: a process ended with a traceback at its start instead of the line that tells why, and a reload was logged as a failed timer. The old settings stayed in force and were read again in both cases.

Evidence: platform_test.py, with this commit; before, RecursionError.

--- a/chervilspindle/platform/platform_test.py
+++ b/chervilspindle/platform/platform_test.py
@@ -92,6 +92,13 @@
     assert decoded.budget == (0.2, 116.0, 10.0)
 
 
+def test_settings_that_are_nested_too_deeply_cannot_be_read():
+    nested = b"[" * samples.NESTING + b"]" * samples.NESTING
+    data = encode(SETTINGS)[:-1] + b', "extra": ' + nested + b"}"
+    with pytest.raises(ValueError, match="nested"):
+        settings.decode_settings(data)
+
+
 @pytest.mark.parametrize("missing", ["node-name", "zone", "seed-nodes"])
 def test_error_names_the_missing_settings_field(missing):
     partial = {k: v for k, v in SETTINGS.items() if k != missing}
--- a/chervilspindle/platform/settings.py
+++ b/chervilspindle/platform/settings.py
@@ -76,7 +76,10 @@
     ValueError
         If a field is missing or of another type; the message names it.
     """
-    file = msgspec.json.decode(data, type=SettingsFile)
+    try:
+        file = msgspec.json.decode(data, type=SettingsFile)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
     port, metrics_port = file.ports[0], file.ports[0] + 1
     seeds = tuple(f"{s.rsplit(':', 1)[0]}:{port}" for s in file.seeds)
     policy = file.policy
