--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -11,6 +11,7 @@
 import functools
 import logging
 import math
+import typing
 import zlib
 
 from twisted.internet import defer
@@ -36,6 +37,7 @@
 # If a smaller share of the endpoints announces itself, the leader itself may
 # be cut off, so it records none as lost.
 MIN_ANNOUNCED_SHARE = 0.5
+FORGET_PERIOD_MS = 60000.0
 WATCHER_TIMEOUT_MS = 2500.0
 MEMBER_REPORT_TIMEOUT_MS = 5000.0
 COUNT_DELAY_MS = 3000.0  # all members have reported to a new leader by then
@@ -49,6 +51,13 @@
 EMPTY_RELAY_LIST = messages.RelayList(0, ())
 
 
+class ServiceNames(typing.NamedTuple):
+    """Services that the document of a version names, None if not known."""
+
+    version: int
+    names: frozenset[str] | None
+
+
 class ControlFrontend:
     """Handles calls of endpoints, operators and watching entries.
 
@@ -63,13 +72,24 @@
         Where this member serves; None if callers are not to be told.
     folder : str
         Where versions of members are kept; empty to keep none.
+    read_service_names : callable or None
+        ``read_service_names(data)`` returns the services that a stored
+        document names, or raises ValueError.
     """
 
     def __init__(
-        self, node, network, timers, read_clock, place=None, folder=""
+        self,
+        node,
+        network,
+        timers,
+        read_clock,
+        place=None,
+        folder="",
+        read_service_names=None,
     ):
         self.place = place
         self.folder = folder
+        self.read_service_names = read_service_names
         self.stored_versions = {}
         if folder:
             self.stored_versions = member_versions.load(folder)
@@ -90,6 +110,8 @@
         self.last_report_by_member = {}
         self.last_announced_ms_by_id = {}
         self.elected_ms = math.inf
+        self.next_forget_ms = -math.inf
+        self.service_names = ServiceNames(-1, None)
         node.leader_listeners.append(self._on_elected)
         timers.subscribe("member-report", REPORT_PERIOD_S, self._send_report)
 
@@ -240,6 +262,7 @@
         )
         if self.node.is_leader():
             self._expire_endpoints(now)
+            self._forget_endpoints(now)
         if self.folder:
             self._store_versions()
 
@@ -318,6 +341,26 @@
         addresses = {m.address for m in self.node.raft.members}
         return sorted(addresses - {self.node.address})
 
+    def is_named(self, service: str) -> bool:
+        """Tell whether the document names a service; all without one."""
+        document = self.node.tables.document
+        if self.service_names.version != document.version:
+            names = None
+            if self.read_service_names is not None and document.version >= 0:
+                try:
+                    names = frozenset(self.read_service_names(document.data))
+                except ValueError as error:
+                    LOGGER.error(
+                        "document cannot be decoded",
+                        extra={
+                            "version": document.version,
+                            "why": str(error),
+                        },
+                    )
+            self.service_names = ServiceNames(document.version, names)
+        names = self.service_names.names
+        return names is None or service in names
+
     def _expire_endpoints(self, now):
         """Record endpoints as lost that have not announced themselves."""
         announced_after_ms = now - ENDPOINT_TIMEOUT_MS
@@ -336,10 +379,38 @@
             is_replaceable = endpoint.sequence < rows.FINAL_SEQUENCE
             if announced_ms < announced_after_ms and is_replaceable:
                 timed_out.append(endpoint)
-        if len(timed_out) > len(usable) * (1.0 - MIN_ANNOUNCED_SHARE):
-            return
         if not timed_out:
             return
+        # Another writer may announce any number of endpoints of services
+        # that the document does not name. They tell nothing about the rest.
+        named = [e for e in usable if self.is_named(e.service)]
+        silent = [e for e in timed_out if self.is_named(e.service)]
+        if len(silent) > len(named) * (1.0 - MIN_ANNOUNCED_SHARE):
+            timed_out = [e for e in timed_out if not self.is_named(e.service)]
+        if timed_out:
+            self._record_lost(timed_out, now)
+
+    def _forget_endpoints(self, now):
+        """Remove endpoints that have been lost for long."""
+        if now < self.next_forget_ms:
+            return
+        self.next_forget_ms = now + FORGET_PERIOD_MS
+        known = self.node.tables.endpoint_by_id
+        self.last_announced_ms_by_id = {
+            endpoint_id: announced_ms
+            for endpoint_id, announced_ms in (
+                self.last_announced_ms_by_id.items()
+            )
+            if endpoint_id in known
+        }
+        wall_ms = logs.read_wall_ms()
+        forgotten_ms = wall_ms - state_module.LOST_ENDPOINT_RETENTION_MS
+        lost_times_ms = self.node.tables.lost_at_by_id.values()
+        if any(lost_ms < forgotten_ms for lost_ms in lost_times_ms):
+            command = state_module.Expire(wall_ms)
+            self.node.propose(command).addErrback(_log_problem)
+
+    def _record_lost(self, timed_out, now):
         for endpoint in timed_out:
             logs.log_decision(
                 "endpoint-silent",
@@ -400,6 +471,8 @@
     message: messages.AnnounceCall, frontend: ControlFrontend
 ):
     mistake = endpoint_checks.find_mistake(message.endpoint)
+    if not mistake:
+        mistake = _find_conflict(message.endpoint, frontend)
     if mistake:
         # The member that forwards it may be of a build without this check.
         raise errors.build_error(errors.ErrorKind.MALFORMED, mistake)
@@ -422,6 +495,24 @@
     return deferred.addCallback(lambda _: messages.Done())
 
 
+def _find_conflict(endpoint, frontend) -> str:
+    """Return why an announcement is not of the endpoint with its id.
+
+    Empty if it may be. Another writer may use the id of an endpoint in use;
+    the endpoint does not change to a service that nothing is sent to.
+    """
+    stored = frontend.node.tables.endpoint_by_id.get(endpoint.endpoint_id)
+    if stored is None or stored.state in ("lost", "gone"):
+        return ""
+    if stored.service == endpoint.service:
+        return ""
+    if not frontend.is_named(stored.service):
+        return ""
+    if frontend.is_named(endpoint.service):
+        return ""
+    return f"id is in use by an endpoint of service {stored.service}"
+
+
 @handle_leader_call.register
 def _handle_crash(message: messages.CrashCall, frontend: ControlFrontend):
     report = message.report
@@ -477,6 +568,6 @@
 def _log_problem(failure):
     failure.trap(errors.ProblemError)
     LOGGER.warning(
-        "lost endpoints could not be committed",
+        "lost endpoints could not be recorded or removed",
         extra={"why": str(failure.value)},
     )
--- a/chervilspindle/platform/documents.py
+++ b/chervilspindle/platform/documents.py
@@ -59,6 +59,9 @@
 
 
 _DECODER = msgspec.json.Decoder(Configuration)
+# An entry decodes with more frames on the stack than control, and the decoder
+# counts them against its limit of nesting.
+SPARE_FRAMES = 300
 
 
 def decode_document(data: bytes) -> documents.Document:
@@ -69,10 +72,17 @@
     ValueError
         If a field cannot be decoded; the message names it.
     """
+    return _convert(_decode(data))
+
+
+def _decode(data):
     try:
-        configuration = _DECODER.decode(data)
+        return _DECODER.decode(data)
     except RecursionError as error:
         raise ValueError("nested too deeply") from error
+
+
+def _convert(configuration):
     limits = configuration.limits
     return documents.Document(
         configuration.version,
@@ -90,6 +100,28 @@
     )
 
 
+def decode_new_document(data: bytes, spare_frames: int = SPARE_FRAMES):
+    """Decode a configuration that an operator has sent.
+
+    Unlike those stored before, it must be readable in full: unknown fields
+    are valid UTF-8 as well, and each entry can decode it.
+
+    Raises
+    ------
+    ValueError
+        If it cannot be read; the message names the field.
+    """
+    if spare_frames:
+        return decode_new_document(data, spare_frames - 1)
+    data.decode()
+    configuration = _decode(data)
+    for route in configuration.routes:
+        # A service beside the weights would add its own.
+        if route.split and sum(part.weight for part in route.split) <= 0:
+            raise ValueError(f"{route.name}: weights add up to 0")
+    return _convert(configuration)
+
+
 def _convert_route(route: Route) -> documents.Route:
     alternatives = tuple(
         documents.WeightedService(s.service, s.weight) for s in route.split
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -427,6 +427,7 @@
                 settings.zone, settings.peer_address, settings.control_address
             ),
             settings.data_folder,
+            self._read_service_names,
         )
         self.watch = watch_module.WatchServer(
             self.node, self.frontend, self.timers, read_clock
@@ -486,6 +487,9 @@
         message = messages.Replicate(data, self.settings.peer_address)
         self.network.send(address, message)
 
+    def _read_service_names(self, data):
+        return self.adapter.decode_document(data).service_by_name
+
     def _finish_stop(self):
         self.node.stop()
         self.close()
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -989,7 +989,7 @@
 def read_problem(reply: ProblemReply) -> errors.Problem:
     """Return the problem that a reply reports.
 
-    A kind of a newer build counts as an internal error of the peer.
+    A kind that this build does not know becomes INTERNAL.
     """
     try:
         kind = errors.ErrorKind(reply.kind)
--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -169,16 +169,23 @@
         return messages.is_known(kind, self.version)
 
     def send(self, message, call_id: int = 0, is_reply: bool = False):
-        """Send a message, in the layout that the peer reads."""
+        """Send a message, in the layout that the peer reads.
+
+        Raises
+        ------
+        ProblemError
+            MALFORMED and not_run if it cannot be encoded.
+        """
+        self._send_encoded(_encode(message, call_id, is_reply, self.version))
+
+    def _send_encoded(self, body: bytes):
         now = self.network.clock.seconds()
         if self.is_idle(now):
             # The other end sent no pings on the idle link, so the silence
             # limit starts now.
             self.last_received = now
         self.last_used = now
-        self._send_body(
-            messages.encode_frame(message, call_id, is_reply, self.version)
-        )
+        self._send_body(body)
 
     def call(self, message, timeout_s: float) -> defer.Deferred:
         """Send a message and wait for its reply.
@@ -188,12 +195,16 @@
         if not self.knows(type(message)):
             return defer.fail(_build_unknown_kind(message))
         call_id = next(self.call_ids)
+        try:
+            body = _encode(message, call_id, False, self.version)
+        except errors.ProblemError as error:
+            return defer.fail(error)
         deferred = defer.Deferred()
         timeout = self.network.clock.callLater(
             timeout_s, self._time_out, call_id
         )
         self.pending_by_id[call_id] = PendingCall(deferred, timeout)
-        self.send(message, call_id)
+        self._send_encoded(body)
         return deferred
 
     def send_ping(self):
@@ -475,6 +486,9 @@
         if call_id:
             deferred.addErrback(_convert_failure)
             deferred.addCallback(self._reply, link, call_id)
+            # A reply that cannot be encoded.
+            deferred.addErrback(_convert_reply_failure)
+            deferred.addCallback(self._reply, link, call_id)
         else:
             deferred.addErrback(_log_failure)
 
@@ -498,7 +512,13 @@
                 own_version=self.own_version,
             )
         for start in self.queue_by_address.pop(address, ()):
-            start(link)
+            try:
+                start(link)
+            except errors.ProblemError as error:
+                LOGGER.error(
+                    "queued peer message was not sent",
+                    extra={"address": address, "why": str(error)},
+                )
 
     def remove_link(self, link: PeerLink):
         """Remove a closed link and notify those who sent on it."""
@@ -526,15 +546,21 @@
             self.clock.callLater(0, start, None)
 
     def _connect(self, address: str):
-        connecting = self.byte_streams.connect(
-            address, lambda: PeerLink(self, dialled_address=address)
+        connecting = defer.maybeDeferred(
+            self.byte_streams.connect,
+            address,
+            lambda: PeerLink(self, dialled_address=address),
         )
         connecting.addErrback(
             lambda failure: self._connect_failed(address, failure)
         )
 
     def _connect_failed(self, address: str, failure):
-        failure.trap(internet_error.ConnectError, OSError)
+        if not failure.check(internet_error.ConnectError, OSError):
+            LOGGER.error(
+                "peer address cannot be used",
+                extra={"address": address, "why": str(failure.value)},
+            )
         self._fail_queue(address)
 
     def _fail_queue(self, address: str):
@@ -569,6 +595,17 @@
     return digest.digest()
 
 
+def _encode(message, call_id, is_reply, version):
+    try:
+        return messages.encode_frame(message, call_id, is_reply, version)
+    except (OverflowError, RecursionError, TypeError, ValueError) as error:
+        raise errors.build_error(
+            errors.ErrorKind.MALFORMED,
+            f"{type(message).__name__} cannot be sent: {error}",
+            not_run=True,
+        ) from error
+
+
 def _build_connection_lost(detail: str, not_run: bool = False):
     return errors.build_error(
         errors.ErrorKind.CONNECTION_LOST, detail, not_run=not_run
@@ -591,11 +628,20 @@
     if failure.check(errors.ProblemError):
         return messages.build_problem_reply(failure.value.problem)
     LOGGER.error("handler of peer call failed: %s", failure.getTraceback())
+    return _build_internal_reply()
+
+
+def _build_internal_reply():
     problem = errors.build_problem(
         errors.ErrorKind.INTERNAL, "internal error at the peer"
     )
     return messages.build_problem_reply(problem)
 
 
+def _convert_reply_failure(failure):
+    LOGGER.error("reply to peer was not sent: %s", failure.getTraceback())
+    return _build_internal_reply()
+
+
 def _log_failure(failure):
     LOGGER.error("handler of peer message failed: %s", failure.getTraceback())
