Tests: late requests of a planned stop are cut (red)

An entry in a planned stop takes requests until 0.6 s before the end of the grace and then closes all connections. Eight tests on an entry process in the test's own loop, with 4.2 s of grace, 8 callers and 200 ms of work, show what callers get: requests that ran without an answer, requests without an answer that no endpoint had, relayed requests that can't end, and a grace below 2.6 s that is overrun. One more, green before, holds that requests which can end are still served, so that the fix doesn't refuse too early.

--- /dev/null
+++ b/chervilspindle/routing/drain_test.py
@@ -0,0 +1,336 @@
+"""Tests of planned stops: what an entry still takes, and how it ends."""
+
+import asyncio
+import typing
+
+import pytest
+
+from chervilspindle.core import loops
+from chervilspindle.platform import names as platform_names
+from chervilspindle.routing import data_path_test
+from chervilspindle.routing import documents
+from chervilspindle.routing import process as process_module
+from chervilspindle.routing import retry_budget
+from chervilspindle.tools import backends
+from chervilspindle.wire import messages
+
+GRACE_S = 4.2
+CALLERS = 8
+WORK_S = 0.2
+CONNECTIONS = 40
+TIMEOUT_MS = 8000.0
+LIMIT_S = 15.0
+
+
+def build_route(name, idempotent):
+    return documents.Route(
+        name,
+        "h.example",
+        f"/{name}/",
+        idempotent,
+        TIMEOUT_MS,
+        300.0,
+        1,
+        2,
+        (documents.WeightedService("desk", 1.0),),
+    )
+
+
+ROUTES = (build_route("once", False), build_route("one", True))
+
+
+class Sent(typing.NamedTuple):
+    """One request of a caller; status None if it got no answer."""
+
+    request_id: str
+    after_s: float  # since the stop began
+    took_s: float
+    status: int | None
+    headers: dict
+
+
+class World:
+    """An entry process that has not read its settings from a file."""
+
+    def __init__(self, loop, grace_s=GRACE_S):
+        self.loop = loop
+        self.clock = loops.LoopClock(loop)
+        self.codes = []
+        self.ended_s = None
+        self.sent = []
+        self.started_s = 0.0
+        find = data_path_test.find_address
+        settings = process_module.RoutingSettings(
+            "vm-1",
+            "a",
+            find(),
+            find(),
+            (find(),),
+            "key",
+            find(),
+            find(),
+            "",
+            "",
+            False,
+            1,
+            retry_budget.Rule(0.2, 100.0, 10.0),
+            grace_s,
+            1.0,
+            1000.0,
+            256.0,
+        )
+        adapter = process_module.Adapter(
+            platform_names.HEADERS, b"/ready", None, None, None
+        )
+        self.address = settings.entry_address
+        self.process = process_module.EntryProcess(
+            self.clock, loop, self.clock, settings, adapter, self.end
+        )
+        self.table = self.process.context.table
+        self.backend_by_id = {
+            f"desk-{zone}": backends.Backend(
+                loop, self.clock, f"desk-{zone}", "desk", zone, find()
+            )
+            for zone in "ab"
+        }
+
+    def end(self, code):
+        self.codes.append(code)
+        self.ended_s = self.loop.time()
+
+    async def start(self):
+        await self.process.start()
+        services = {"desk": documents.Service("desk", "/health", CONNECTIONS)}
+        self.process.entry.update_document(
+            documents.Document(3, ROUTES, services, documents.Limits())
+        )
+        for backend in self.backend_by_id.values():
+            backend.work_s = WORK_S
+            await backend.start()
+            self.table.put(backend.build_row())
+        self.table.set_connections({"desk": CONNECTIONS}, 1)
+
+    def begin_stop(self):
+        self.started_s = self.loop.time()
+        self.process.stop()
+
+    def stop(self):
+        if not self.codes:
+            self.process.close()
+        for backend in self.backend_by_id.values():
+            backend.stop()
+
+    def list_runs(self):
+        runs = [b.runs for b in self.backend_by_id.values()]
+        return [run.request_id for rows in runs for run in rows]
+
+    async def ask(self, path, request_id, deadline_ms=TIMEOUT_MS):
+        """Send one request on a new connection and record what came."""
+        begun_s = self.loop.time()
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: h.example\r\n"
+            f"{platform_names.HEADERS.request_id}: {request_id}\r\n"
+            f"{platform_names.HEADERS.deadline_ms}: {deadline_ms:.0f}\r\n"
+            "Content-Length: 0\r\n\r\n"
+        )
+        try:
+            writer.write(head.encode())
+            answer = await data_path_test.read_answer(reader)
+            status, headers, _ = answer
+        except (OSError, asyncio.IncompleteReadError):
+            status, headers = None, {}
+        finally:
+            writer.close()
+        row = Sent(
+            request_id,
+            begun_s - self.started_s,
+            self.loop.time() - begun_s,
+            status,
+            headers,
+        )
+        self.sent.append(row)
+        return row
+
+    async def keep_asking(self, path, number):
+        """Send requests one after the other until none is accepted."""
+        count = 0
+        while not self.codes:
+            count += 1
+            try:
+                row = await self.ask(path, f"{path}{number}-{count}")
+            except ConnectionRefusedError:
+                return
+            if row.status == 503:
+                await asyncio.sleep(0.02)
+
+    async def wait_for_end(self):
+        while not self.codes:
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+def run_test():
+    def run(test, **options):
+        data_path_test.run_in_world(
+            lambda loop: World(loop, **options), test, LIMIT_S
+        )
+
+    return run
+
+
+async def stop_under_load(world, path):
+    """Stop the entry while callers send without a break."""
+    callers = [
+        asyncio.create_task(world.keep_asking(path, number))
+        for number in range(CALLERS)
+    ]
+    await asyncio.sleep(0.6)
+    world.begin_stop()
+    await world.wait_for_end()
+    await asyncio.gather(*callers)
+
+
+@pytest.mark.parametrize("path", ["/once/", "/one/"])
+def test_no_request_that_ran_is_cut_at_the_end_of_the_grace(run_test, path):
+    async def test(world):
+        await stop_under_load(world, path)
+        ran = set(world.list_runs())
+        cut = [s for s in world.sent if s.status is None]
+        assert [s for s in cut if s.request_id in ran] == []
+
+    run_test(test)
+
+
+def test_requests_that_come_too_late_are_refused_as_not_run(run_test):
+    async def test(world):
+        await stop_under_load(world, "/once/")
+        ran = set(world.list_runs())
+        refused = [s for s in world.sent if s.status == 503]
+        assert refused
+        for row in refused:
+            assert row.request_id not in ran
+            assert float(row.headers["retry-after"]) > 0.0
+            assert row.headers["connection"] == "close"
+            assert row.took_s < 0.1
+
+    run_test(test)
+
+
+def test_requests_that_can_end_in_time_are_still_served(run_test):
+    async def test(world):
+        await stop_under_load(world, "/once/")
+        early = [s for s in world.sent if 0.0 <= s.after_s < 2.9]
+        assert len(early) > 50
+        assert {s.status for s in early} == {200}
+
+    run_test(test)
+
+
+def test_requests_that_outlast_the_grace_are_answered_before_its_end(run_test):
+    async def test(world):
+        for backend in world.backend_by_id.values():
+            backend.paused = True
+        asks = [
+            asyncio.create_task(world.ask(path, path))
+            for path in ("/once/", "/one/")
+        ]
+        await asyncio.sleep(0.1)
+        world.begin_stop()
+        await world.wait_for_end()
+        assert world.ended_s - world.started_s < GRACE_S - 0.3
+        assert [(await ask).status for ask in asks] == [504, 504]
+
+    run_test(test)
+
+
+def test_an_unsafe_request_not_sent_by_the_end_is_refused_as_not_run(run_test):
+    async def test(world):
+        for target in world.table.target_by_id.values():
+            target.pool.max_connections = 1
+        for backend in world.backend_by_id.values():
+            backend.paused = True
+        asks = [
+            asyncio.create_task(world.ask("/once/", f"id-{number}"))
+            for number in range(4)
+        ]
+        await asyncio.sleep(0.1)
+        world.begin_stop()
+        await world.wait_for_end()
+        rows = [await ask for ask in asks]
+        assert sorted(str(r.status) for r in rows) == ["503"] * 2 + ["504"] * 2
+        for backend in world.backend_by_id.values():
+            backend.resume()
+        ran = set(world.list_runs())
+        assert not [r for r in rows if r.status == 503 and r.request_id in ran]
+
+    run_test(test)
+
+
+def test_a_short_grace_ends_before_the_process_is_killed(run_test):
+    async def test(world):
+        world.begin_stop()
+        await world.wait_for_end()
+        assert world.ended_s - world.started_s < 2.0
+
+    run_test(test, grace_s=2.0)
+
+
+class Link:
+    """Records what is sent to another entry."""
+
+    dialled_address = "127.0.0.1:1"
+
+    def __init__(self):
+        self.messages = []
+
+    def send(self, message):
+        self.messages.append(message)
+
+
+def build_forward(query_id, left_ms):
+    head = b"POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+    names = platform_names.HEADERS
+    request_id = b"id-%d" % query_id
+    head += b"%s: %s\r\n" % (names.request_id.encode(), request_id)
+    return messages.ForwardCall(
+        query_id,
+        "desk-a",
+        head,
+        b"\r\n\r\n",
+        request_id,
+        left_ms,
+        0.0,
+        False,
+    )
+
+
+def build_relay_call(query_id, left_ms):
+    forward = build_forward(query_id, left_ms)
+    return messages.RelayCall(
+        query_id,
+        forward.head,
+        forward.tail,
+        ("desk",),
+        (),
+        messages.RelayedRequest(forward.request_id, left_ms, 500.0, 5, 0.0),
+    )
+
+
+@pytest.mark.parametrize("build", [build_forward, build_relay_call])
+def test_relayed_requests_that_come_too_late_are_refused(run_test, build):
+    async def test(world):
+        world.begin_stop()
+        early, late = Link(), Link()
+        world.process.handle(early, build(1, 1500.0))
+        await asyncio.sleep(2.4)
+        world.process.handle(late, build(2, 1500.0))
+        await asyncio.sleep(0.1)
+        assert late.messages == [messages.RelayRefusal(2)]
+        assert not any(
+            isinstance(m, messages.RelayRefusal) for m in early.messages
+        )
+        assert len(world.list_runs()) == 1
+
+    run_test(test)
