Drain: take a request only if it can end before the process does

Cause: EntryProcess.stop made readiness fail and nothing else. Requests were taken as before, and at the end of the grace all connections were closed whatever was in progress. The balancer sends to draining entries when fewer than half of a zone's are in rotation, so such requests do come.

Ruled out: refusing everything from SIGTERM on (or from the balancer's notice on). With most of a zone draining, callers would find no entry at all for seconds, though nearly all requests end in a fraction of the time left.

Now: routing/drain.py decides, as a pure function of the time left, the request's deadline, how long a slow request of its route took lately (95th percentile of 64 answers; twice that if unsafe), whether it can end. If not, it gets 503, Retry-After and Connection: close, is logged with why=draining, the time needed and left, and counted (chervilspindle_drain_refusals_total). The same holds for each resend, and for requests that wait for a permit or a connection. What is taken gets a deadline no later than the process's end, so that endpoints don't start what can't be answered. Once no route in use has time left, the entry stops listening: a caller whose connection is refused goes elsewhere at once. What is still in progress at the end is answered: 503 if no endpoint has it, else 504; none is closed without an answer.

--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -3,6 +3,7 @@
 import random
 import typing
 
+from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import endpoints
 from chervilspindle.routing import overload
@@ -101,4 +102,5 @@
         rate_permits.PermitClient(loop, network, issuer, budget, generator),
         quarantined,
         reachability,
+        drain.Drain(loop),
     )
--- a/chervilspindle/routing/drain_test.py
+++ b/chervilspindle/routing/drain_test.py
@@ -1,6 +1,8 @@
 """Tests of planned stops: what an entry still takes, and how it ends."""
 
 import asyncio
+import logging
+import math
 import typing
 
 import pytest
@@ -9,6 +11,7 @@
 from chervilspindle.platform import names as platform_names
 from chervilspindle.routing import data_path_test
 from chervilspindle.routing import documents
+from chervilspindle.routing import drain
 from chervilspindle.routing import process as process_module
 from chervilspindle.routing import retry_budget
 from chervilspindle.tools import backends
@@ -39,6 +42,36 @@
 ROUTES = (build_route("once", False), build_route("one", True))
 
 
+@pytest.mark.parametrize(
+    "deadline_s, slow_s, idempotent, left_s, taken",
+    [
+        (8.0, None, True, 5.4, False),
+        (5.0, None, False, 5.4, True),
+        (8.0, 0.3, True, 0.35, True),
+        (8.0, 0.3, False, 0.35, False),
+        (8.0, 0.3, False, 0.65, True),
+        (0.3, 0.3, False, 0.35, True),
+        (0.3, 4.0, True, 0.35, True),
+        (8.0, 4.0, True, 0.0, False),
+        (8.0, None, False, math.inf, True),
+    ],
+)
+def test_what_can_end_in_time_is_taken(
+    deadline_s, slow_s, idempotent, left_s, taken
+):
+    work = drain.Work(deadline_s, slow_s, idempotent)
+    verdict = drain.decide(work, left_s)
+    assert verdict.taken is taken
+    assert verdict.needed_s <= deadline_s
+
+
+def test_one_straggler_does_not_turn_away_all_requests():
+    times = [0.2] * 40 + [7.0]
+    assert drain.find_slow_s(times) == 0.2
+    assert drain.find_slow_s(times + [6.0] * 5) == 6.0
+    assert drain.find_slow_s([]) is None
+
+
 class Sent(typing.NamedTuple):
     """One request of a caller; status None if it got no answer."""
 
@@ -205,11 +238,18 @@
 
 def test_requests_that_come_too_late_are_refused_as_not_run(run_test):
     async def test(world):
-        await stop_under_load(world, "/once/")
+        # How long these take is not known, and they may take too long.
+        stop = asyncio.create_task(stop_under_load(world, "/once/"))
+        await asyncio.sleep(0.7)
+        late = []
+        for number in range(8):
+            late.append(await world.ask("/one/", f"late-{number}"))
+            await asyncio.sleep(0.2)
+        await stop
         ran = set(world.list_runs())
-        refused = [s for s in world.sent if s.status == 503]
-        assert refused
-        for row in refused:
+        assert {row.status for row in late} == {503}
+        assert any(s.status == 200 and s.after_s > 2.6 for s in world.sent)
+        for row in (s for s in world.sent if s.status == 503):
             assert row.request_id not in ran
             assert float(row.headers["retry-after"]) > 0.0
             assert row.headers["connection"] == "close"
@@ -268,6 +308,45 @@
     run_test(test)
 
 
+def test_a_waiting_request_is_refused_once_it_cannot_end(run_test):
+    async def test(world):
+        for target in world.table.target_by_id.values():
+            target.pool.max_connections = 1
+        for number in range(20):
+            await world.ask("/once/", f"warm-{number}")
+        for backend in world.backend_by_id.values():
+            backend.paused = True
+        asks = [
+            asyncio.create_task(world.ask("/once/", f"id-{number}"))
+            for number in range(4)
+        ]
+        await asyncio.sleep(0.1)
+        begun_s = world.loop.time()
+        world.begin_stop()
+        done, sent = await asyncio.wait(asks, timeout=3.4)
+        assert [ask.result().status for ask in done] == [503, 503]
+        await world.wait_for_end()
+        assert [(await ask).status for ask in sent] == [504, 504]
+        assert 3.6 <= world.ended_s - begun_s < GRACE_S
+
+    run_test(test)
+
+
+def test_refusals_of_a_stop_are_logged_and_counted(run_test, caplog):
+    async def test(world):
+        world.begin_stop()
+        with caplog.at_level(logging.INFO):
+            await world.ask("/once/", "id-77")
+        body, _ = world.process.metrics.render([])
+        assert b'chervilspindle_drain_refusals_total{how="new"} 1' in body
+
+    run_test(test)
+    lines = [r for r in caplog.records if r.getMessage() == "request"]
+    assert [(r.request_id, r.status) for r in lines] == [("id-77", 503)]
+    assert (lines[0].why, lines[0].route) == ("draining", "once")
+    assert lines[0].needed_ms > lines[0].left_ms
+
+
 def test_a_short_grace_ends_before_the_process_is_killed(run_test):
     async def test(world):
         world.begin_stop()
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -160,6 +160,7 @@
     permits : rate_permits.PermitClient
     quarantine : quarantine.Quarantine
     reachability : reachability.Reachability
+    drain : drain.Drain
     """
 
     loop: object
@@ -174,6 +175,7 @@
     permits: object
     quarantine: object
     reachability: object
+    drain: object
 
 
 class IncomingRequest(typing.NamedTuple):
@@ -196,6 +198,12 @@
     request_id: bytes
     caller_ms: float | None
 
+    def get_longest_ms(self) -> float:
+        """Return the longest time until the answer."""
+        if self.caller_ms is None:
+            return self.route.timeout_ms
+        return min(self.route.timeout_ms, self.caller_ms)
+
 
 class RequestTemplate:
     """A request to endpoints without the headers that differ by send.
--- a/chervilspindle/routing/entry.py
+++ b/chervilspindle/routing/entry.py
@@ -10,6 +10,7 @@
 
 from chervilspindle.core import logs
 from chervilspindle.routing import documents
+from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import fanout
 from chervilspindle.routing import request_content
@@ -36,6 +37,7 @@
         self.document = None
         self.routes = None
         self.draining = False
+        self.request_by_exchange = {}  # those in progress
         self.started_s = context.loop.time()
 
     def update_document(self, document: documents.Document) -> bool:
@@ -106,22 +108,75 @@
         incoming = endpoint_calls.IncomingRequest(
             exchange, route, self.document.version, request_id, caller_ms
         )
+        if self.draining and self._refuse_late(incoming):
+            return
         self._start(incoming)
 
+    def start_draining(self, grace_s: float):
+        """Take from now on only what can end within the grace period."""
+        self.draining = True
+        self.context.drain.start(grace_s)
+
+    def takes_any(self) -> bool:
+        """Tell whether a request of any route in use can still end."""
+        if self.document is None:
+            return False
+        routes = self.document.routes
+        times_by_route = self.context.drain.times_by_route
+        used = [r for r in routes if r.name in times_by_route] or routes
+        return any(
+            self.context.drain.decide(route, route.timeout_ms / 1000.0).taken
+            for route in used
+        )
+
+    def refuse_waiting(self):
+        """Refuse requests that are not sent yet and can't end in time."""
+        for request in list(self.request_by_exchange.values()):
+            request.refuse_late()
+
+    def end_requests(self):
+        """Answer all requests in progress, as this process ends."""
+        for request in list(self.request_by_exchange.values()):
+            request.end_for_stop()
+
+    def _refuse_late(self, incoming) -> bool:
+        deadline_s = incoming.get_longest_ms() / 1000.0
+        verdict = self.context.drain.decide(incoming.route, deadline_s)
+        if verdict.taken:
+            return False
+        self.context.metrics.count_drained("new")
+        headers = ((b"Retry-After", b"%.2f" % drain.RETRY_AFTER_S),)
+        self._reject(
+            incoming.exchange,
+            503,
+            headers,
+            drain.REASON,
+            route=incoming.route.name,
+            **verdict.build_log_fields(),
+        )
+        return True
+
     def _start(self, incoming):
+        request = self._build(incoming)
+        self.request_by_exchange[incoming.exchange] = request
+        request.start()
+
+    def _build(self, incoming):
         route = incoming.route
         if route.shards:
-            fanout.FanOut(incoming, self.context, self._finish).start()
-            return
+            return fanout.FanOut(incoming, self.context, self._finish)
         service = choose_service(route.alternatives, self.context.random)
-        single_endpoint.SingleEndpointRequest(
+        return single_endpoint.SingleEndpointRequest(
             incoming, service, self.context, self._finish
-        ).start()
+        )
 
     def _finish(self, incoming, status, fields):
+        self.request_by_exchange.pop(incoming.exchange, None)
         now = self.context.loop.time()
         request = incoming.exchange.request
         seconds = now - request.received_s
+        if status == 200:
+            self.context.drain.record(incoming.route.name, seconds)
         self.context.metrics.count_request(
             incoming.route.name, status, seconds
         )
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -138,7 +138,7 @@
         self.schedule_at_ms(timing.hedge_ms, self._hedge)
         if timing.answer_ms < timing.deadline_ms:
             self.schedule_at_ms(timing.answer_ms, self._on_answer_time)
-        self.schedule_at_ms(timing.deadline_ms, self._on_deadline)
+        self.schedule_at_ms(timing.deadline_ms, self.on_deadline)
         self.watch_caller()
         self.watch_reachability()
 
@@ -439,13 +439,18 @@
         if not self.done and len(self.part_set_by_service) >= self.required:
             self._answer("objective")
 
-    def _on_deadline(self):
-        if self.done:
-            return
+    def is_unsent(self) -> bool:
+        """Tell whether certainly no endpoint has a shard."""
+        return not self.may_have_run and not any(
+            dispatch.may_have_run() for dispatch in self.dispatches
+        )
+
+    def end_with(self, reason: str):
+        """Answer with the parts that are in, if they are enough."""
         if len(self.part_set_by_service) >= self.required:
-            self._answer("deadline")
+            self._answer(reason)
         else:
-            self._fail(504, "deadline")
+            self._fail(504, reason)
 
     def _hedge(self):
         if self.done:
@@ -577,9 +582,7 @@
             self.resends.append([shard.service, tried, cause, elapsed])
 
     def _fail(self, status, reason):
-        if not self.may_have_run and not any(
-            s.may_have_run() for s in self.dispatches
-        ):
+        if self.is_unsent():
             self.refuse(reason)
         else:
             self.finish(status, (), b"", reason)
--- a/chervilspindle/routing/metrics.py
+++ b/chervilspindle/routing/metrics.py
@@ -27,6 +27,10 @@
             "held_back_sends_total",
             "Sends withheld from endpoints that take none now, by reason.",
         )
+        self.drained = self._counter(
+            "drain_refusals_total",
+            "Requests that a planned stop refused or ended, by how.",
+        )
         self.cut_off = aioprometheus.Gauge(
             "chervilspindle_cut_off",
             "1 while this VM reaches no endpoint, else 0.",
@@ -62,6 +66,10 @@
         """Count a send withheld from an endpoint, by reason."""
         self.held_back.inc({"reason": reason})
 
+    def count_drained(self, how):
+        """Count a request that a planned stop refused or ended."""
+        self.drained.inc({"how": how})
+
     def count_event(self, event):
         """Count a connection event."""
         self.events.inc({"event": event})
--- a/chervilspindle/routing/peer_messages.py
+++ b/chervilspindle/routing/peer_messages.py
@@ -25,6 +25,10 @@
         """Handle a message of another entry and return the answer, if any."""
         return _handle_message(message, self, link)
 
+    def end_requests(self):
+        """Report what is in progress on behalf of others as lost."""
+        self.relay.end_requests()
+
     def count_busy(self) -> int:
         """Return the number of calls in progress on behalf of others."""
         return self.relay.count_busy()
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -23,6 +23,7 @@
 from chervilspindle.core import timers as timers_module
 from chervilspindle.routing import connection_prewarmer
 from chervilspindle.routing import contexts
+from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import entry as entry_module
 from chervilspindle.routing import metrics as metrics_module
@@ -38,9 +39,8 @@
 
 GROUP_NAME = "routing"
 BACKLOG = 512
-DRAIN_NOTICE_S = 2.6  # two failed checks of a balancer that polls each second
-STOP_MARGIN_S = 0.6  # between stopping and the platform's SIGKILL
 STOP_CHECK_INTERVAL_S = 0.05
+FLUSH_S = 0.05  # for the last answers to leave
 SETTINGS_CHECK_INTERVAL_S = 2.0
 CRASH_REPORT_TIMEOUT_S = 1.0
 CONTROL_LIMITS = http_server.ServerLimits(16384, 4194304, 5000.0, 30000.0)
@@ -284,15 +284,18 @@
     def stop(self):
         """Drain and stop.
 
-        Readiness checks fail from now on. The process stops once the
-        balancer had time to notice and requests in progress have ended, at
-        the latest `STOP_MARGIN_S` before the end of the grace period.
+        Readiness checks fail from now on, and requests that can't end in
+        time are refused; once none can, neither are new connections
+        accepted. The process stops once the balancer had time to
+        notice and requests in progress have ended. Those that are left
+        `drain.STOP_MARGIN_S` before the end of the grace period are answered
+        without a result.
         """
         if self.stopping:
             return
         self.stopping = True
         self.drain_started_s = self.loop.time()
-        self.entry.draining = True
+        self.entry.start_draining(self.settings.grace_s)
         self.watch_client.stop_relaying()
         self.caller_server.start_closing()
         self.timers.subscribe("stop", STOP_CHECK_INTERVAL_S, self._check_stop)
@@ -302,20 +305,30 @@
 
     def _check_stop(self):
         elapsed = self.loop.time() - self.drain_started_s
-        if elapsed < DRAIN_NOTICE_S:
+        self.entry.refuse_waiting()
+        if not self.entry.takes_any():
+            # A refused connection costs a caller less than a refusal.
+            self.caller_server.stop_listening()
+        if elapsed < drain.NOTICE_S:
             return
         self.caller_server.close_idle()
         busy = self.caller_server.count_busy() + self.entry_peer.count_busy()
-        if busy and elapsed < self.settings.grace_s - STOP_MARGIN_S:
+        has_time = self.context.drain.get_left_s() > 0.0
+        if busy and has_time:
             return
         self.timers.cancel("stop")
         self.watch_client.stop()
+        if has_time:
+            self.close()
+            return
         if busy:
             LOGGER.warning(
-                "stopped with requests in progress",
+                "stopping with requests in progress",
                 extra={"in_progress": busy},
             )
-        self.close()
+        self.entry.end_requests()
+        self.entry_peer.end_requests()
+        self.timers.call_later(FLUSH_S, self.close)
 
     def _answer_ready(self, exchange):
         if exchange.request.target != self.adapter.ready_path:
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -270,6 +270,11 @@
         reachability.listeners.add(served)
         served.start()
 
+    def end_requests(self):
+        """Report what is in progress as lost, as this process ends."""
+        for served in list(self.served_by_key.values()):
+            served.handle_cut_off()
+
     def discard(self, link, query_id):
         """Forget a call that has ended."""
         served = self.served_by_key.pop((link, query_id), None)
--- a/chervilspindle/routing/routed_request.py
+++ b/chervilspindle/routing/routed_request.py
@@ -7,6 +7,7 @@
 import math
 
 from chervilspindle.core import logs
+from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import request_content
 from chervilspindle.routing import request_timing
@@ -36,10 +37,12 @@
         route = incoming.route
         request = incoming.exchange.request
         self.started_s = request.received_s
+        self.longest_ms = incoming.get_longest_ms()
+        left_s = context.drain.end_s - self.started_s
         self.timing = request_timing.plan_timing(
             route.objective_ms,
             route.timeout_ms,
-            incoming.caller_ms,
+            min(self.longest_ms, max(0.0, left_s * 1000.0)),
             request.is_first,
             context.latency_estimates.part_ms_by_route.get(
                 route.name, request_timing.INITIAL_PART_MS
@@ -60,6 +63,41 @@
         """Return the request-specific fields of the log event."""
         raise NotImplementedError
 
+    def is_unsent(self) -> bool:
+        """Tell whether certainly no endpoint has any of the request."""
+        raise NotImplementedError
+
+    def end_with(self, reason: str):
+        """End with what there is: an answer, or that it came too late."""
+        raise NotImplementedError
+
+    def can_end(self) -> bool:
+        """Tell whether a send from now on can end before this VM stops."""
+        if not self.context.drain.is_started():
+            return True
+        deadline_s = (self.longest_ms - self.read_elapsed_ms()) / 1000.0
+        verdict = self.context.drain.decide(self.incoming.route, deadline_s)
+        return verdict.taken
+
+    def refuse_late(self):
+        """Refuse a request that waits to be sent and can't end any more."""
+        if not self.done and self.is_unsent() and not self.can_end():
+            self.context.metrics.count_drained("waiting")
+            self.refuse(drain.REASON)
+
+    def end_for_stop(self):
+        """End a request that is in progress when this VM has to stop."""
+        if not self.done:
+            self.context.metrics.count_drained("ended")
+            self.end_with(drain.REASON)
+
+    def on_deadline(self):
+        """End at the caller's deadline, or when this VM has to stop."""
+        if self.timing.deadline_ms < self.longest_ms:
+            self.end_for_stop()
+        elif not self.done:
+            self.end_with("deadline")
+
     def is_sent_by_others(self) -> bool:
         """Tell whether other entries send, as this VM is cut off."""
         return (
@@ -119,7 +157,10 @@
         """
         if math.isinf(wait_s):
             wait_s = 0.0
-        wait_s = max(request_timing.RETRY_AFTER_S, wait_s)
+        min_wait_s = request_timing.RETRY_AFTER_S
+        if reason == drain.REASON:
+            min_wait_s = drain.RETRY_AFTER_S
+        wait_s = max(min_wait_s, wait_s)
         retry_after = b"%.2f" % wait_s
         self.finish(503, ((b"Retry-After", retry_after),), b"", reason)
 
--- a/chervilspindle/routing/single_endpoint.py
+++ b/chervilspindle/routing/single_endpoint.py
@@ -1,5 +1,6 @@
 """Requests that are forwarded unchanged to one endpoint of a service."""
 
+from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import routed_request
 from chervilspindle.wire import endpoint_http
@@ -34,18 +35,21 @@
         self.context.budget.count_requests((self.service,))
         target = self._choose()
         if target is None:
-            self.refuse("no_endpoint")
+            self.refuse(self.last_reason or "no_endpoint")
             return
         self._send(target, "first")
         if self.done:
             return
         if self.incoming.route.idempotent:
             self.schedule_at_ms(self.timing.hedge_ms, self._hedge)
-        self.schedule_at_ms(self.timing.deadline_ms, self._on_deadline)
+        self.schedule_at_ms(self.timing.deadline_ms, self.on_deadline)
         self.watch_caller()
         self.watch_reachability()
 
     def _choose(self, is_hedge=False):
+        if not self.can_end():
+            self.last_reason = self.last_reason or drain.REASON
+            return None
         return self.context.table.choose(
             self.service,
             (*self.tried, *self.held_back),
@@ -208,13 +212,16 @@
         if not self.done and self.calls and self._may_resend():
             self._resend("hedge")
 
-    def _on_deadline(self):
-        if self.done:
-            return
-        if self.possible_runs > self._count_unsent():
-            self.finish(504, (), b"", "deadline")
+    def is_unsent(self) -> bool:
+        """Tell whether certainly no endpoint has the request."""
+        return self.possible_runs <= self._count_unsent()
+
+    def end_with(self, reason: str):
+        """End without an answer from an endpoint."""
+        if self.is_unsent():
+            self.refuse(reason)
         else:
-            self.refuse("deadline")
+            self.finish(504, (), b"", reason)
 
     def _answer_failure(self):
         if self.possible_runs == 0:
--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -176,6 +176,11 @@
         """Close each connection after its next answer from now on."""
         self.closing = True
 
+    def stop_listening(self):
+        """Accept no further connections; open ones are served on."""
+        if self.server is not None:
+            self.server.close()
+
     def close_idle(self):
         """Close connections without a request in progress or half read."""
         for connection in list(self.connections):
@@ -185,8 +190,7 @@
     def stop(self):
         """Close the listener and all connections."""
         self.timers.cancel(self.name)
-        if self.server is not None:
-            self.server.close()
+        self.stop_listening()
         for connection in list(self.connections):
             connection.transport.close()
 
