Drain: an entry ends before a grace shorter than its wait

With a grace below 3.2 s an entry waited 2.6 s for the balancer to notice even if the platform killed it sooner: with 2 s of grace it ended after 2.6 s, by then killed, with whatever was in progress.

Ruled out: a shorter wait for all. At 6 s the wait is what lets the balancer take the entry out of rotation before its connections are refused.

The wait now ends at the latest STOP_MARGIN_S before the end of the grace.

--- a/chervilspindle/routing/drain.py
+++ b/chervilspindle/routing/drain.py
@@ -58,6 +58,11 @@
     return max(0.0, grace_s - STOP_MARGIN_S)
 
 
+def compute_notice_s(grace_s: float) -> float:
+    """Return how long an idle entry waits for the balancer to notice."""
+    return min(NOTICE_S, compute_end_s(grace_s))
+
+
 def compute_needed_s(work: Work) -> float:
     """Return the time within which a request ends, as far as known."""
     if work.slow_s is None:
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -309,7 +309,7 @@
         if not self.entry.takes_any():
             # A refused connection costs a caller less than a refusal.
             self.caller_server.stop_listening()
-        if elapsed < drain.NOTICE_S:
+        if elapsed < drain.compute_notice_s(self.settings.grace_s):
             return
         self.caller_server.close_idle()
         busy = self.caller_server.count_busy() + self.entry_peer.count_busy()
