Drain: relayed requests that can't end are refused

An entry in a planned stop sent on what other entries asked of it (RelayCall, ForwardCall) until its end: 1.2 s before it, a request that may take 1.5 s. The askers then wait for a link that breaks, and can't tell whether an unsafe request ran, though they could have sent it elsewhere. Entries take a relay that stops off their list only with the next reply of control.

Now a relay refuses with RelayRefusal what can't end before it does: by the time that is left of the request, or the objective, at which the asker answers with the parts that it has. The asker's code for relays that are cut off then sends it another way, without a charge to the budget. The refusal has a log line, relay-refused, with the request's id, and is counted. At the end, shards not sent are reported as such. The message is as before, so entries of an older build understand it; the asker logs the reason cut_off.

Ruled out: refusing all relayed requests from SIGTERM on; each costs the asker a round trip, and almost all end in time.

New: queries through three stopping relays of five are complete, and a cut-off entry's unsafe requests are served once each while three of the four others stop.

--- a/chervilspindle/routing/drain_test.py
+++ b/chervilspindle/routing/drain_test.py
@@ -9,12 +9,15 @@
 
 from chervilspindle.core import loops
 from chervilspindle.platform import names as platform_names
+from chervilspindle.routing import cut_off_test
 from chervilspindle.routing import data_path_test
 from chervilspindle.routing import documents
 from chervilspindle.routing import drain
 from chervilspindle.routing import process as process_module
+from chervilspindle.routing import rate_limit_test
 from chervilspindle.routing import retry_budget
 from chervilspindle.tools import backends
+from chervilspindle.tools import link_faults
 from chervilspindle.wire import messages
 
 GRACE_S = 4.2
@@ -413,3 +416,55 @@
         assert len(world.list_runs()) == 1
 
     run_test(test)
+
+
+def run_in_fleet(test):
+    def build(loop):
+        return rate_limit_test.Fleet(loop, 5, cut_off_test.SERVICES)
+
+    data_path_test.run_in_world(build, test, 20)
+
+
+def count_refusals(entry):
+    body, _ = entry.context.metrics.render([])
+    name = b'chervilspindle_drain_refusals_total{how="relayed"} '
+    return int(body.partition(name)[2].split()[0]) if name in body else 0
+
+
+def test_queries_are_complete_while_their_relays_stop():
+    async def test(fleet):
+        for entry in fleet.entries:
+            for shard in data_path_test.SHARDS:
+                entry.context.table.drop(f"{shard}-b", "test")
+            relay_table = entry.context.relays.table
+            relay_table.add_endpoint_zones(entry.context.table.list_zones())
+            relay_table.update_document(entry.entry.document)
+        await cut_off_test.warm_up(fleet)
+        stopping = [fleet.entries[number] for number in (0, 2, 4)]
+        for entry in stopping:
+            entry.context.drain.start(drain.STOP_MARGIN_S)
+        for number in (1, 3):
+            for _ in range(5):
+                answer = await fleet.ask(number, "/all/x")
+                assert answer[0] == 200
+                assert data_path_test.read_missing(answer[1]) == 0
+        assert any(map(count_refusals, stopping))
+
+    run_in_fleet(test)
+
+
+def test_unsafe_requests_of_a_cut_off_vm_avoid_others_that_stop():
+    async def test(fleet):
+        await cut_off_test.warm_up(fleet)
+        await cut_off_test.cut_off(fleet, link_faults.Cut.HANG, (0,))
+        stopping = fleet.entries[1:4]
+        for entry in stopping:
+            entry.context.drain.start(drain.STOP_MARGIN_S)
+        for backend in fleet.backend_by_id.values():
+            backend.runs.clear()
+        for _ in range(8):
+            assert (await fleet.ask(0, "/once/x"))[0] == 200
+        assert any(map(count_refusals, stopping))
+        assert cut_off_test.count_most_runs(fleet, "/once/x") == 1
+
+    run_in_fleet(test)
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -5,6 +5,7 @@
 request itself. The other entry sends it directly or not at all.
 """
 
+from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import messages
@@ -81,6 +82,15 @@
         self.target = None
         self.call = None
 
+    def get_request_id(self) -> bytes:
+        """Return the id of the caller's request."""
+        return self.message.request_id
+
+    def estimate_work(self) -> drain.Work:
+        """Return the time that the caller gives the request."""
+        message = self.message
+        return drain.Work(message.left_ms / 1000.0, None, message.idempotent)
+
     def start(self):
         """Send the request to its endpoint, if that is known here."""
         message = self.message
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -12,6 +12,7 @@
 
 from chervilspindle.core import logs
 from chervilspindle.routing import direct_dispatch
+from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import forwarding
 from chervilspindle.routing import part_merging
@@ -261,15 +262,33 @@
         _handle_message(message, self, link)
 
     def serve(self, link, query_id, served):
-        """Start a call, or refuse it if this VM reaches no endpoint."""
+        """Start a call, or refuse it.
+
+        Refused if this VM reaches no endpoint, or stops before the end of the
+        call.
+        """
         reachability = self.context.reachability
-        if reachability.is_cut_off:
+        if reachability.is_cut_off or self._is_late(served):
             link.send(messages.RelayRefusal(query_id))
             return
         self.served_by_key[link, query_id] = served
         reachability.listeners.add(served)
         served.start()
 
+    def _is_late(self, served) -> bool:
+        work = served.estimate_work()
+        verdict = drain.decide(work, self.context.drain.get_left_s())
+        if verdict.taken:
+            return False
+        self.context.metrics.count_drained("relayed")
+        logs.log_decision(
+            "relay-refused",
+            request_id=served.get_request_id().decode("latin-1"),
+            why=drain.REASON,
+            **verdict.build_log_fields(),
+        )
+        return True
+
     def end_requests(self):
         """Report what is in progress as lost, as this process ends."""
         for served in list(self.served_by_key.values()):
@@ -321,7 +340,7 @@
                 call.head, call.tail, context.names.sent
             ),
             request.request_id,
-            started_s + request.left_ms / 1000.0,
+            min(started_s + request.left_ms / 1000.0, context.drain.end_s),
             request.top_k,
             request.objective_ms,
             "relayed",
@@ -337,6 +356,19 @@
         self.report_at_s = started_s + request.report_ms / 1000.0
         self.first_report_timer = None
 
+    def get_request_id(self) -> bytes:
+        """Return the id of the caller's request."""
+        return self.call.request.request_id
+
+    def estimate_work(self) -> drain.Work:
+        """Return the time that the entry gives the shards, as far as known.
+
+        With an objective the entry answers then, with the parts that it has.
+        """
+        request = self.call.request
+        objective_s = request.objective_ms / 1000.0 or None
+        return drain.Work(request.left_ms / 1000.0, objective_s, True)
+
     def start(self):
         """Send the shards to endpoints."""
         self.first_report_timer = self.loop.call_at(
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -533,7 +533,7 @@
 class RelayRefusal(typing.NamedTuple):
     """Tells that a `RelayCall` or `ForwardCall` is not sent anywhere.
 
-    The entry that was asked is cut off from endpoints.
+    The entry that was asked is cut off from endpoints, or stops too soon.
     """
 
     query_id: int
