Tests: signals during a start end a process, or are lost (red)

An entry process in the test's own loop shows why for entries: stop raises, as the front server is not there yet, and has set its flag before, so that no later stop does anything.

--- a/chervilspindle/routing/drain_test.py
+++ b/chervilspindle/routing/drain_test.py
@@ -206,6 +206,13 @@
             await asyncio.sleep(0.01)
 
 
+class UnstartedWorld(World):
+    """An entry process whose start is left to the test."""
+
+    async def start(self):
+        pass
+
+
 @pytest.fixture
 def run_test():
     def run(test, **options):
@@ -468,3 +475,17 @@
         assert cut_off_test.count_most_runs(fleet, "/once/x") == 1
 
     run_in_fleet(test)
+
+
+@pytest.mark.parametrize("steps", range(6))
+def test_a_stop_during_the_start_ends_the_process(steps):
+    async def test(world):
+        starting = asyncio.create_task(world.process.start())
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        world.process.stop()
+        await asyncio.wait_for(world.wait_for_end(), 4.0)
+        starting.cancel()
+        assert world.codes == [process_module.EXIT_OK]
+
+    data_path_test.run_in_world(UnstartedWorld, test, LIMIT_S)
