Start: a process told to stop while it starts ends

Causes, told apart by time stamps in a scratch copy: - EntryProcess.stop raised before the front server listened, and had set the flag that makes each later stop return. - The loop's handlers were added before the loop ran. uvloop forgets signals that come between the two: 20 to 35 ms, mostly a collection of the heap, since callWhenRunning calls its hook before the loop runs. This lost it at control processes as well.

Now signals are remembered until the loop runs; the hook that adds the loop's handlers runs in the loop, looks at what has come, and starts the process or closes it.

In the test's own loop, a stop after 0 to 5 turns of a start: six red before, green now.

--- a/chervilspindle/routing/drain_test.py
+++ b/chervilspindle/routing/drain_test.py
@@ -480,12 +480,11 @@
 @pytest.mark.parametrize("steps", range(6))
 def test_a_stop_during_the_start_ends_the_process(steps):
     async def test(world):
-        starting = asyncio.create_task(world.process.start())
+        world.process.launch().addErrback(lambda failure: None)
         for _ in range(steps):
             await asyncio.sleep(0)
         world.process.stop()
         await asyncio.wait_for(world.wait_for_end(), 4.0)
-        starting.cancel()
         assert world.codes == [process_module.EXIT_OK]
 
     data_path_test.run_in_world(UnstartedWorld, test, LIMIT_S)
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -45,6 +45,8 @@
 CRASH_REPORT_TIMEOUT_S = 1.0
 CONTROL_LIMITS = http_server.ServerLimits(16384, 4194304, 5000.0, 30000.0)
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 EXIT_OK = 0
 EXIT_STORAGE = 3
 
@@ -153,6 +155,8 @@
         )
         self.metrics = metrics_module.RoutingMetrics()
         self.servers = []
+        self.starting = None  # the task, once it runs
+        self.serving = False
         self.stopping = False
 
     def handle(self, link, message):
@@ -161,6 +165,43 @@
             errors.ErrorKind.NO_LEADER, "this process is not a control member"
         )
 
+    async def start(self):
+        """Start to serve."""
+        raise NotImplementedError
+
+    def drain(self):
+        """Finish what is in progress, then close."""
+        raise NotImplementedError
+
+    def launch(self):
+        """Start to serve, unless told to stop before.
+
+        Returns
+        -------
+        Deferred
+            Fires once the process serves.
+        """
+        self.starting = self.loop.create_task(self.start())
+        return defer.Deferred.fromFuture(self.starting)
+
+    def stop(self):
+        """Stop: at once while starting, else after a drain."""
+        if self.stopping:
+            return
+        self.stopping = True
+        if self.serving:
+            self.drain()
+            return
+        LOGGER.info("stopping during the start")
+        if self.starting is not None:
+            self.starting.cancel()
+        self.close()
+
+    def start_serving(self, role):
+        """Record that the start has ended."""
+        self.serving = True
+        LOGGER.info("serving", extra={"role": role})
+
     async def listen(self, name, address, handler, read_limits):
         """Start an HTTP server at an address."""
         server = http_server.HttpServer(
@@ -274,14 +315,14 @@
         )
         await self.listen_metrics()
         self.watch_client.start()
-        LOGGER.info("serving", extra={"role": "entry"})
+        self.start_serving("entry")
 
     def reload(self, settings):
         """Apply changed settings."""
         self.settings = settings
         self.watch_client.set_seeds(settings.seeds)
 
-    def stop(self):
+    def drain(self):
         """Drain and stop.
 
         Readiness checks fail from now on, and requests that can't end in
@@ -291,9 +332,6 @@
         `drain.STOP_MARGIN_S` before the end of the grace period are answered
         without a result.
         """
-        if self.stopping:
-            return
-        self.stopping = True
         self.drain_started_s = self.loop.time()
         self.entry.start_draining(self.settings.grace_s)
         self.watch_client.stop_relaying()
@@ -426,22 +464,19 @@
             lambda: CONTROL_LIMITS,
         )
         await self.listen_metrics()
-        LOGGER.info("serving", extra={"role": "control"})
+        self.start_serving("control")
 
     def reload(self, settings):
         """Apply changed settings."""
         self.settings = settings
         self.node.seeds = settings.seeds
 
-    def stop(self):
+    def drain(self):
         """Finish requests in progress, then stop."""
-        if self.stopping:
-            return
-        self.stopping = True
         LOGGER.info("stopping")
         for server in self.servers:
             server.start_closing()
-        self.timers.call_later(0.2, self._finish_stop)
+        self.timers.call_later(0.2, self.close)
 
     def handle(self, link, message):
         """Handle a message from another process and return the answer."""
@@ -458,9 +493,10 @@
         message = messages.Replicate(data, self.settings.peer_address)
         self.network.send(address, message)
 
-    def _finish_stop(self):
+    def close(self):
+        """Close the storage as well."""
         self.node.stop()
-        self.close()
+        super().close()
 
 
 def open_storage(settings: RoutingSettings):
@@ -499,6 +535,24 @@
     logs.log_decision("group-started", member=node.identity.member_id)
 
 
+def remember_signals() -> set:
+    """Catch signals until the event loop runs, which then handles them.
+
+    Returns
+    -------
+    set of int
+        The signals that have come; grows.
+    """
+    early = set()
+
+    def remember(number, frame):
+        early.add(number)
+
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
+        signal.signal(number, remember)
+    return early
+
+
 def run(reactor, loop, clock, adapter: Adapter) -> int:
     """Run a process until it is stopped by a signal or a failure.
 
@@ -515,6 +569,7 @@
         if reactor.running:
             reactor.callLater(0, reactor.stop)
 
+    early = remember_signals()
     settings = adapter.read_settings()
     process_class = EntryProcess if settings.entry_address else ControlProcess
     try:
@@ -541,18 +596,26 @@
             process.reload(new_settings)
 
     def on_start_failed(failure):
+        if process.stopping:
+            return
         LOGGER.error("start failed: %s", failure.getTraceback())
         stop_reactor(EXIT_STORAGE)
 
     def start():
-        starting = defer.Deferred.fromFuture(loop.create_task(process.start()))
-        starting.addErrback(on_start_failed)
+        for number in STOP_SIGNALS:
+            loop.add_signal_handler(number, process.stop)
+        loop.add_signal_handler(signal.SIGHUP, reload)
+        if early.intersection(STOP_SIGNALS):
+            process.stop()
+            return
+        process.launch().addErrback(on_start_failed)
         process.timers.subscribe("settings", SETTINGS_CHECK_INTERVAL_S, reload)
+        if signal.SIGHUP in early:
+            reload()
         loops.freeze_heap()
 
-    loop.add_signal_handler(signal.SIGTERM, process.stop)
-    loop.add_signal_handler(signal.SIGINT, process.stop)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    reactor.callWhenRunning(start)
+    # The reactor's own hooks run before the loop does, which loses signals
+    # that come before it runs.
+    loop.call_soon(start)
     reactor.run(installSignalHandlers=False)
     return exit_codes[0]
