--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -23,6 +23,7 @@
 from chervilspindle.core import timers as timers_module
 from chervilspindle.routing import connection_prewarmer
 from chervilspindle.routing import contexts
+from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import entry as entry_module
 from chervilspindle.routing import metrics as metrics_module
@@ -39,13 +40,14 @@
 
 GROUP_NAME = "routing"
 BACKLOG = 512
-DRAIN_NOTICE_S = 2.6  # two failed checks of a balancer that polls each second
-STOP_MARGIN_S = 0.6  # between stopping and the platform's SIGKILL
 STOP_CHECK_INTERVAL_S = 0.05
+FLUSH_S = 0.05  # for the last answers to leave
 SETTINGS_CHECK_INTERVAL_S = 2.0
 CRASH_REPORT_TIMEOUT_S = 1.0
 CONTROL_LIMITS = http_server.ServerLimits(16384, 4194304, 5000.0, 30000.0)
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 EXIT_OK = 0
 EXIT_STORAGE = 3
 
@@ -154,6 +156,8 @@
         )
         self.metrics = metrics_module.RoutingMetrics()
         self.servers = []
+        self.starting = None  # the task, once it runs
+        self.serving = False
         self.stopping = False
 
     def handle(self, link, message):
@@ -162,6 +166,46 @@
             errors.ErrorKind.NO_LEADER, "this process is not a control member"
         )
 
+    async def start(self):
+        """Start to serve."""
+        raise NotImplementedError
+
+    def drain(self):
+        """Finish what is in progress, then close."""
+        raise NotImplementedError
+
+    def launch(self):
+        """Start to serve, unless told to stop before.
+
+        Returns
+        -------
+        Deferred
+            Fires once the process serves.
+        """
+        self.starting = self.loop.create_task(self.start())
+        return defer.Deferred.fromFuture(self.starting)
+
+    def stop(self):
+        """Stop: at once while starting, else after a drain."""
+        if self.stopping:
+            return
+        self.stopping = True
+        if self.serving:
+            self.drain()
+            return
+        LOGGER.info("stopping during the start")
+        if self.starting is not None:
+            self.starting.cancel()
+        self.close()
+
+    def start_serving(self, role):
+        """Record that the start has ended."""
+        self.serving = True
+        LOGGER.info(
+            "serving",
+            extra={"role": role, "peer_version": versions.CURRENT},
+        )
+
     async def listen(self, name, address, handler, read_limits):
         """Start an HTTP server at an address."""
         server = http_server.HttpServer(
@@ -276,28 +320,25 @@
         )
         await self.listen_metrics()
         self.watch_client.start()
-        LOGGER.info(
-            "serving",
-            extra={"role": "entry", "peer_version": versions.CURRENT},
-        )
+        self.start_serving("entry")
 
     def reload(self, settings):
         """Apply changed settings."""
         self.settings = settings
         self.watch_client.set_seeds(settings.seeds)
 
-    def stop(self):
+    def drain(self):
         """Drain and stop.
 
-        Readiness checks fail from now on. The process stops once the
-        balancer had time to notice and requests in progress have ended, at
-        the latest `STOP_MARGIN_S` before the end of the grace period.
+        Readiness checks fail from now on, and requests that can't end in
+        time are refused; once none can, neither are new connections
+        accepted. The process stops once the balancer had time to
+        notice and requests in progress have ended. Those that are left
+        `drain.STOP_MARGIN_S` before the end of the grace period are answered
+        without a result.
         """
-        if self.stopping:
-            return
-        self.stopping = True
         self.drain_started_s = self.loop.time()
-        self.entry.draining = True
+        self.entry.start_draining(self.settings.grace_s)
         self.watch_client.stop_relaying()
         self.caller_server.start_closing()
         self.timers.subscribe("stop", STOP_CHECK_INTERVAL_S, self._check_stop)
@@ -307,20 +348,30 @@
 
     def _check_stop(self):
         elapsed = self.loop.time() - self.drain_started_s
-        if elapsed < DRAIN_NOTICE_S:
+        self.entry.refuse_waiting()
+        if not self.entry.takes_any():
+            # A refused connection costs a caller less than a refusal.
+            self.caller_server.stop_listening()
+        if elapsed < drain.compute_notice_s(self.settings.grace_s):
             return
         self.caller_server.close_idle()
         busy = self.caller_server.count_busy() + self.entry_peer.count_busy()
-        if busy and elapsed < self.settings.grace_s - STOP_MARGIN_S:
+        has_time = self.context.drain.get_left_s() > 0.0
+        if busy and has_time:
             return
         self.timers.cancel("stop")
         self.watch_client.stop()
+        if has_time:
+            self.close()
+            return
         if busy:
             LOGGER.warning(
-                "stopped with requests in progress",
+                "stopping with requests in progress",
                 extra={"in_progress": busy},
             )
-        self.close()
+        self.entry.end_requests()
+        self.entry_peer.end_requests()
+        self.timers.call_later(FLUSH_S, self.close)
 
     def _answer_ready(self, exchange):
         if exchange.request.target != self.adapter.ready_path:
@@ -445,25 +496,19 @@
             lambda: CONTROL_LIMITS,
         )
         await self.listen_metrics()
-        LOGGER.info(
-            "serving",
-            extra={"role": "control", "peer_version": versions.CURRENT},
-        )
+        self.start_serving("control")
 
     def reload(self, settings):
         """Apply changed settings."""
         self.settings = settings
         self.node.seeds = settings.seeds
 
-    def stop(self):
+    def drain(self):
         """Finish requests in progress, then stop."""
-        if self.stopping:
-            return
-        self.stopping = True
         LOGGER.info("stopping")
         for server in self.servers:
             server.start_closing()
-        self.timers.call_later(0.2, self._finish_stop)
+        self.timers.call_later(0.2, self.close)
 
     def handle(self, link, message):
         """Handle a message from another process and return the answer."""
@@ -490,9 +535,10 @@
     def _read_service_names(self, data):
         return self.adapter.decode_document(data).service_by_name
 
-    def _finish_stop(self):
+    def close(self):
+        """Close the storage as well."""
         self.node.stop()
-        self.close()
+        super().close()
 
 
 def open_storage(settings: RoutingSettings):
@@ -531,6 +577,24 @@
     logs.log_decision("group-started", member=node.identity.member_id)
 
 
+def remember_signals() -> set:
+    """Catch signals until the event loop runs, which then handles them.
+
+    Returns
+    -------
+    set of int
+        The signals that have come; grows.
+    """
+    early = set()
+
+    def remember(number, frame):
+        early.add(number)
+
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
+        signal.signal(number, remember)
+    return early
+
+
 def run(reactor, loop, clock, adapter: Adapter) -> int:
     """Run a process until it is stopped by a signal or a failure.
 
@@ -547,6 +611,7 @@
         if reactor.running:
             reactor.callLater(0, reactor.stop)
 
+    early = remember_signals()
     settings = adapter.read_settings()
     process_class = EntryProcess if settings.entry_address else ControlProcess
     try:
@@ -573,18 +638,26 @@
             process.reload(new_settings)
 
     def on_start_failed(failure):
+        if process.stopping:
+            return
         LOGGER.error("start failed: %s", failure.getTraceback())
         stop_reactor(EXIT_STORAGE)
 
     def start():
-        starting = defer.Deferred.fromFuture(loop.create_task(process.start()))
-        starting.addErrback(on_start_failed)
+        for number in STOP_SIGNALS:
+            loop.add_signal_handler(number, process.stop)
+        loop.add_signal_handler(signal.SIGHUP, reload)
+        if early.intersection(STOP_SIGNALS):
+            process.stop()
+            return
+        process.launch().addErrback(on_start_failed)
         process.timers.subscribe("settings", SETTINGS_CHECK_INTERVAL_S, reload)
+        if signal.SIGHUP in early:
+            reload()
         loops.freeze_heap()
 
-    loop.add_signal_handler(signal.SIGTERM, process.stop)
-    loop.add_signal_handler(signal.SIGINT, process.stop)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    reactor.callWhenRunning(start)
+    # The reactor's own hooks run before the loop does, which loses signals
+    # that come before it runs.
+    loop.call_soon(start)
     reactor.run(installSignalHandlers=False)
     return exit_codes[0]
