Test: a log that ends in zero bytes, and a power loss at each byte

Command: .venv/bin/python -m pytest chervilspindle/control/storage_test.py Seen: test_a_log_that_ends_in_zeros_keeps_every_record and the case [zeros] of test_power_loss_at_each_byte_of_the_last_write fail at each run, the case [nothing] passes.

--- a/chervilspindle/control/storage_test.py
+++ b/chervilspindle/control/storage_test.py
@@ -75,6 +75,52 @@
     assert len(reopened.log) == len(recovered.log) + 1
 
 
+def write_log(folder, data):
+    folder.mkdir()
+    (folder / "log").write_bytes(data)
+
+
+def test_a_log_that_ends_in_zeros_keeps_every_record(tmp_path):
+    """Guards against a torn write that only made the file longer."""
+    states = [build_state(n) for n in range(1, 4)]
+    write(tmp_path, *states)
+    whole = (tmp_path / "log").read_bytes()
+    for zeros in (1, 7, 8, 9, 16, 4096):
+        folder = tmp_path / f"zeros-{zeros}"
+        write_log(folder, whole + bytes(zeros))
+        storage, recovered = open_storage(folder)
+        assert recovered.log == states[-1].log
+        assert recovered.torn_bytes == zeros
+        storage.persist(states[-1], build_state(4))
+        storage.close()
+        _, reopened = open_storage(folder)
+        assert len(reopened.log) == 4
+
+
+@pytest.mark.parametrize("fill", ("nothing", "zeros"))
+def test_power_loss_at_each_byte_of_the_last_write(tmp_path, fill):
+    """The last write is a vote with an entry, the one before was synced."""
+    states = [build_state(n) for n in range(1, 4)]
+    write(tmp_path, *states)
+    synced = (tmp_path / "log").stat().st_size
+    storage, _ = open_storage(tmp_path)
+    last = build_state(4)._replace(term=2, voted_for="vm#2")
+    storage.persist(states[-1], last)
+    storage.close()
+    whole = (tmp_path / "log").read_bytes()
+    for size in range(synced, len(whole)):
+        data = whole[:size]
+        if fill == "zeros":
+            data = data.ljust(len(whole), b"\0")
+        folder = tmp_path / f"cut-{size}"
+        write_log(folder, data)
+        storage, recovered = open_storage(folder)
+        storage.close()
+        assert recovered.log[:3] == states[-1].log, size
+        assert recovered.log in (states[-1].log, last.log), size
+        assert recovered.hard in ((1, ""), (2, "vm#2")), size
+
+
 def test_damage_before_the_last_record_is_an_error(tmp_path):
     write(tmp_path, *(build_state(n) for n in range(1, 8)))
     path = tmp_path / "log"
