Storage: a log that ends in zeros opens without its last write

Operators saw a control process that ended at each start after a loss of power: the file had grown, but the bytes of the last write had not come.

Cause: split_records took a header of zeros (length 0, and the CRC-32 of nothing is 0) for a valid, empty record; replay_records then raised a DecodeError that is no StorageError.

So length 0 is damage; at the end of the file it is cut off, with a warning (valid_bytes, torn_bytes). Zeros that are followed by a valid record are an error, as other damage before the last record is: test_zeros_before_the_last_record_are_an_error, at 8 lengths.

--- a/chervilspindle/control/storage.py
+++ b/chervilspindle/control/storage.py
@@ -1,13 +1,15 @@
 """Durable storage of one member: a write-ahead log and a snapshot.
 
 Every record has its length and a CRC-32. A torn last record, left by a crash
-during a write, is truncated at recovery. Damage before the last record is an
-error, because acknowledged entries would be lost. Writes return only after
-fsync. After any failed write the storage rejects further writes, so that the
-process stops instead of acknowledging data that may not be durable.
+during a write, is truncated at recovery, and so are zeros after the last
+record. Damage before the last record is an error, because acknowledged
+entries would be lost. Writes return only after fsync. After any failed write
+the storage rejects further writes, so that the process stops instead of
+acknowledging data that may not be durable.
 """
 
 import contextlib
+import logging
 import os
 import struct
 import typing
@@ -18,6 +20,8 @@
 
 from chervilspindle.control import raft_messages as messages
 
+LOGGER = logging.getLogger(__name__)
+
 HEADER = struct.Struct(">II")  # length in bytes, CRC-32
 IDENTITY_FILE = "identity.json"
 LOG_FILE = "log"
@@ -125,8 +129,14 @@
         data = _read_file(path)
         records, valid = split_records(data)
         hard, log = replay_records(records, snapshot.mark)
+        torn_bytes = len(data) - valid
+        if torn_bytes:
+            LOGGER.warning(
+                "torn write cut off the log",
+                extra={"valid_bytes": valid, "torn_bytes": torn_bytes},
+            )
         self._open(path, valid)
-        return RecoveredState(hard, log, snapshot, len(data) - valid)
+        return RecoveredState(hard, log, snapshot, torn_bytes)
 
     def persist(self, old, new):
         """Make the difference of two Raft states durable.
@@ -319,7 +329,9 @@
     while offset + HEADER.size <= len(data):
         length, checksum = HEADER.unpack_from(data, offset)
         body = data[offset + HEADER.size : offset + HEADER.size + length]
-        if len(body) < length or zlib.crc32(body) != checksum:
+        # No record is empty, and the checksum of nothing is 0: a header of
+        # zeros is the end of a file that a lost write only made longer.
+        if not length or len(body) < length or zlib.crc32(body) != checksum:
             _raise_if_not_torn_tail(data, offset, length)
             break
         records.append(body)
@@ -405,17 +417,27 @@
 
 def _raise_if_not_torn_tail(data: bytes, offset: int, length: int):
     """Raise if the damaged record at `offset` is followed by a valid one."""
-    following = offset + HEADER.size + length
-    if following + HEADER.size > len(data):
-        return
-    next_length, checksum = HEADER.unpack_from(data, following)
-    body = data[following + HEADER.size :][:next_length]
-    if next_length and len(body) == next_length:
-        if zlib.crc32(body) == checksum:
-            raise StorageError(
-                f"record at byte {offset} is damaged, "
-                "but followed by a valid one"
-            )
+    following = (offset + HEADER.size + length,)
+    if not length:
+        # The length of the next record itself begins with zero bytes.
+        zeros = len(data) - offset - len(data[offset:].lstrip(b"\0"))
+        end = offset + zeros
+        following = range(max(offset, end - HEADER.size), end + 1)
+    if any(_has_valid_record(data, start) for start in following):
+        raise StorageError(
+            f"record at byte {offset} is damaged, but followed by a valid one"
+        )
+
+
+def _has_valid_record(data: bytes, offset: int) -> bool:
+    if offset + HEADER.size > len(data):
+        return False
+    length, checksum = HEADER.unpack_from(data, offset)
+    start = offset + HEADER.size
+    body = data[start : start + length]
+    if not length or len(body) < length:
+        return False
+    return zlib.crc32(body) == checksum
 
 
 def _encode_record(record) -> bytes:
--- a/chervilspindle/control/storage_test.py
+++ b/chervilspindle/control/storage_test.py
@@ -131,6 +131,20 @@
         open_storage(tmp_path)
 
 
+def test_zeros_before_the_last_record_are_an_error(tmp_path):
+    """Acknowledged records behind the zeros would be lost."""
+    write(tmp_path, *(build_state(n) for n in range(1, 8)))
+    path = tmp_path / "log"
+    data = path.read_bytes()
+    second = storage_module.HEADER.size + len(
+        storage_module.split_records(data)[0][0]
+    )
+    for zeros in (1, 2, 3, 7, 8, 9, 30, 90):
+        path.write_bytes(data[:second] + bytes(zeros) + data[second:])
+        with pytest.raises(storage_module.StorageError):
+            open_storage(tmp_path)
+
+
 def test_damaged_snapshot_is_an_error(tmp_path):
     storage, _ = open_storage(tmp_path)
     state = build_state(5)._replace(commit_index=5)
