Test: lost disks after replacements, and right after the first document

- two disks lost after a planned replacement, each of the five replaced: no leader is elected again, 5 of 5;
- the same without notice, the leader replaced, the successor there for sync-time-s: no leader again; another voter replaced and the leader's disk lost: a lost identity is still a voter 16 s later;
- three planned replacements 0.1 s and 1.5 s apart: no leader again;
- one and two disks lost right after the first acknowledgement: no leader.

--- a/chervilspindle/control/node_test.py
+++ b/chervilspindle/control/node_test.py
@@ -5,12 +5,19 @@
 import pytest
 from twisted.internet import task
 
+from chervilspindle.control import frontend as frontend_module
 from chervilspindle.control import node as node_module
 from chervilspindle.control import raft
 from chervilspindle.control import storage as storage_module
+from chervilspindle.core import errors
+from chervilspindle.core import rows
 from chervilspindle.core import timers
+from chervilspindle.wire import messages
 
 TURN_S = 0.01
+SYNC_TIME_S = 4.0  # of the platform: a machine is lost until then
+RECOVERY_S = 12.0
+STOP_S = 0.2
 
 
 class Group:
@@ -20,6 +27,7 @@
         self.folder = folder
         self.clock = task.Clock()
         self.node_by_vm = {}
+        self.frontend_by_vm = {}
         self.isolated = set()
         self.starts = 0
         self.vms = tuple(f"core-{n}" for n in range(5))
@@ -48,6 +56,9 @@
         if self.starts == 1:
             node.initialise()
         self.node_by_vm[vm_id] = node
+        self.frontend_by_vm[vm_id] = frontend_module.ControlFrontend(
+            node, None, timers.TimerService(task.Clock()), self.read_ms
+        )
         node.start()
 
     def read_ms(self):
@@ -59,8 +70,9 @@
         self.clock.callLater(TURN_S, self._deliver, sender, address, data)
 
     def _deliver(self, sender, address, data):
-        if not {sender, address} & self.isolated:
-            self.node_by_vm[address].receive(data, sender)
+        node = self.node_by_vm.get(address)
+        if node is not None and not {sender, address} & self.isolated:
+            node.receive(data, sender)
 
     def run(self, seconds):
         """Advance the simulated time."""
@@ -72,6 +84,51 @@
         self.node_by_vm[vm_id].stop()
         self.start(vm_id)
 
+    def remove(self, vm_id):
+        """End a node for good, without notice."""
+        self.node_by_vm.pop(vm_id).stop()
+
+    def retire(self, vm_id):
+        """End a node for good, as its process does after SIGTERM."""
+        self.run(STOP_S)
+        self.remove(vm_id)
+
+    def lose_disks(self, vms, down_s=1.0):
+        """End nodes at once; they restart with empty disks."""
+        for vm_id in vms:
+            self.remove(vm_id)
+        self.run(down_s)
+        for vm_id in vms:
+            self.start(vm_id)
+
+    def put_document(self, version):
+        """Send a document to the leader; tell whether it is acknowledged."""
+        outcomes = []
+        for vm_id, node in self.node_by_vm.items():
+            if node.is_leader():
+                call = messages.DocumentCall(
+                    rows.StoredDocument(version, b"document")
+                )
+                try:
+                    deferred = frontend_module.handle_leader_call(
+                        call, self.frontend_by_vm[vm_id]
+                    )
+                except errors.ProblemError:
+                    return False
+                deferred.addCallbacks(outcomes.append, lambda failure: None)
+        while not outcomes:
+            self.run(TURN_S)
+            if not any(n.is_leader() for n in self.node_by_vm.values()):
+                return False
+        return bool(outcomes)
+
+    def read_version(self):
+        """Return the version that the leader holds, None without leader."""
+        for node in self.node_by_vm.values():
+            if node.is_leader():
+                return node.tables.document.version
+        return None
+
     def find_leader(self):
         """Return the VM of the leader."""
         return next(v for v, n in self.node_by_vm.items() if n.is_leader())
@@ -156,3 +213,62 @@
     group.run(1.0)
     members = group.node_by_vm["core-1"].raft.members
     assert stale not in {m.member_id for m in members}
+
+
+@pytest.mark.parametrize("planned", (True, False))
+@pytest.mark.parametrize("number", (0, 1, 2, 3, 4))
+def test_two_disks_lost_after_a_replacement_keep_the_group(
+    group, planned, number
+):
+    """Guards against a removed voter that counts while its successor waits."""
+    assert group.put_document(1)
+    removed = group.vms[number]
+    if planned:
+        group.start("core-5")
+        group.run(SYNC_TIME_S + 2.0)
+        group.retire(removed)
+        group.run(2.5)
+    else:
+        group.remove(removed)
+        group.run(1.0)
+        group.start("core-5")
+        group.run(SYNC_TIME_S)
+    remaining = [v for v in group.vms if v != removed]
+    group.lose_disks(remaining[:2])
+    group.run(SYNC_TIME_S + RECOVERY_S)
+    assert group.read_version() == 1
+    assert set(group.list_voters()) == group.list_ids()
+    assert group.put_document(2)
+
+
+@pytest.mark.parametrize("pause_s", (0.1, 1.5))
+def test_three_planned_replacements_in_a_row_keep_the_group(group, pause_s):
+    """Guards against learners that wait until too few voters are left."""
+    assert group.put_document(1)
+    for number in (5, 6, 7):
+        group.start(f"core-{number}")
+    group.run(SYNC_TIME_S + 2.0)
+    for vm_id in group.vms[:3]:
+        group.retire(vm_id)
+        group.run(pause_s)
+    group.run(SYNC_TIME_S + RECOVERY_S)
+    assert group.read_version() == 1
+    assert set(group.list_voters()) == group.list_ids()
+    assert group.put_document(2)
+
+
+@pytest.mark.parametrize("lost", (1, 2))
+def test_first_document_survives_disks_lost_right_after_it(tmp_path, lost):
+    """Guards against an acknowledgement by a group that is still forming."""
+    group = Group(tmp_path)
+    while not group.put_document(1):
+        group.run(TURN_S)
+        assert group.clock.seconds() < 10.0
+    leader = group.find_leader()
+    others = [v for v in group.vms if v != leader]
+    group.lose_disks([leader, *others][:lost])
+    group.run(SYNC_TIME_S + RECOVERY_S)
+    assert group.read_version() == 1
+    assert set(group.list_voters()) == group.list_ids()
+    for node in group.node_by_vm.values():
+        node.stop()
