Control group: a leaving voter hands its vote over before it ends

Callers saw the end of control after planned work: once one machine was replaced as planned, two lost disks, or two more replacements, left no majority that held the log, and no read or change was answered again.

Cause: a removed machine stayed a voter for REPLACE_TIMEOUT_MS (4 s) after its last answer or the last election, and its successor, in step for long, was a learner until then. A process that got SIGTERM said nothing. Beside it: - a machine with an empty disk whose seeds were all gone found nobody, and its lost identity stayed a voter (case [1-False]: 16 s and longer); - a member without a vote in its own configuration granted none, and didn't start an election. After a loss of power in the middle of a change the only member with the log could have been one of these.

Now a process that gets SIGTERM tells the leader (Leave) until it may end: when no learner can take its vote, or a configuration without it is committed. The successor is promoted before the other one is removed, so the group never has fewer voters than its target. A leader hands over its own vote and leads until that is committed. A lost voter is removed first, after 1.5 s of silence (1.0 s if its VM has a new identity), only while a live learner waits and if a majority of the rest is live. Votes are granted whatever the own configuration says, and one who was a voter campaigns until the configuration without it is known as committed (sections 4.2.2 and 4.2.3 of the dissertation). The join request also goes to the leader that still writes to the former member.

With a shorter timeout alone, cases with SIGTERM stay broken, as no timeout is short enough for 'at once'.

Tests changed: plan_removal and plan_promotion are one function now, plan_voters, so the tests of frontend_test.py call that and ask for the same; the case of a group below its target has a test of its own, which also asks for the promotion. raft_test.py's cluster passes the number of voters that it was built with as the target, 4 in test_even_partition_commits_nothing (was 3: with that target a fourth voter is now removed).

--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -389,7 +389,7 @@
 
 def test_silent_voter_is_removed_once_a_learner_caught_up():
     state = build_leader(VOTERS, ("f#1",), {"c#1": 1000.0}, 10000.0)
-    members = membership.plan_removal(state, 5, 10000.0, 4000.0)
+    members = membership.plan_voters(state, 5, (), 10000.0)
     assert {m.member_id for m in members} == {
         "a#1",
         "b#1",
@@ -400,19 +400,23 @@
 
 
 @pytest.mark.parametrize(
-    "voters, learners, acked",
+    "learners, acked",
     [
-        (VOTERS, (), {"c#1": 1000.0}),
-        (VOTERS, ("f#1",), {}),
-        (VOTERS, ("f#1",), {"c#1": 1000.0, "f#1": 1000.0}),
-        (VOTERS[:4], ("f#1",), {"c#1": 1000.0}),
+        ((), {"c#1": 1000.0}),
+        (("f#1",), {}),
+        (("f#1",), {"c#1": 1000.0, "f#1": 1000.0}),
     ],
 )
-def test_voter_is_not_removed_without_failure_and_replacement(
-    voters, learners, acked
-):
-    state = build_leader(voters, learners, acked, 10000.0)
-    assert membership.plan_removal(state, 5, 10000.0, 4000.0) is None
+def test_voter_is_not_removed_without_failure_and_replacement(learners, acked):
+    state = build_leader(VOTERS, learners, acked, 10000.0)
+    assert membership.plan_voters(state, 5, (), 10000.0) is None
+
+
+def test_silent_voter_stays_until_the_target_of_voters_is_reached():
+    state = build_leader(VOTERS[:4], ("f#1",), {"c#1": 1000.0}, 10000.0)
+    members = membership.plan_voters(state, 5, (), 10000.0)
+    assert [m.member_id for m in members] == [*VOTERS[:4], "f#1"]
+    assert all(m.voter for m in members)
 
 
 def test_a_content_that_crashes_endpoints_reaches_busy_entries_at_once(
--- a/chervilspindle/control/membership.py
+++ b/chervilspindle/control/membership.py
@@ -1,14 +1,22 @@
 """Plans membership changes that keep the configured number of voters.
 
 A VM that starts with an empty disk asks to join under a new member id and
-replicates the log as a learner. Once the learner has caught up, the leader
-removes the VM's former member, whose disk is lost, and promotes the learner.
-Only one member changes at a time, and no operator has to act.
+replicates the log as a learner. Once it has caught up it takes the place of a
+voter that leaves, whose VM has a new identity, or that is silent. Only one
+member changes at a time, and no operator has to act.
+
+The order of the two steps depends on the voter. One that leaves is still
+there, so its successor is promoted first, and the group never has fewer
+voters than its target. One that is lost is removed first, so that the group
+never needs the successor before it has its vote.
 """
 
 from chervilspindle.control import raft
 
 MAX_LEARNER_LAG_ENTRIES = 64
+LIVE_TIMEOUT_MS = 1000.0  # several heartbeats
+REPLACE_TIMEOUT_MS = 1500.0  # longer than an election
+SURPLUS_TIMEOUT_MS = 2000.0  # leaving voters have told a new leader by then
 
 
 def get_vm_id(member_id: str) -> str:
@@ -37,67 +45,145 @@
     return members + (raft.Member(member_id, address, False),)
 
 
-def plan_promotion(state: raft.RaftState, voter_target: int):
+def plan_voters(
+    state: raft.RaftState, voter_target: int, leaving_ids, now: float
+):
     """Return the members after the next step towards `voter_target` voters.
 
-    The step removes the former voter of a caught-up learner's VM, or promotes
-    a learner.
+    Parameters
+    ----------
+    state : raft.RaftState
+        State of the leader.
+    voter_target : int
+    leaving_ids : collection of str
+        Members that are about to end.
+    now : float
+        Monotonic milliseconds.
 
     Returns
     -------
     tuple of Member or None
-        None if there is nothing to do.
+        None if there is nothing to do, or if the step could leave fewer live
+        voters than a majority.
     """
-    for member in state.members:
-        if member.voter or not _is_caught_up(state, member.member_id):
-            continue
-        vm_id = get_vm_id(member.member_id)
-        former_voters = [
-            m
-            for m in state.members
-            if m.voter and get_vm_id(m.member_id) == vm_id
-        ]
-        if former_voters:
-            return tuple(m for m in state.members if m != former_voters[0])
-        if len(raft.list_voters(state)) < voter_target:
-            promoted = member._replace(voter=True)
-            return tuple(promoted if m == member else m for m in state.members)
+    count = len(raft.list_voters(state))
+    successor = _find_successor(state, leaving_ids, now)
+    if count > voter_target:
+        return _plan_surplus(state, leaving_ids, now)
+    if successor is None:
+        return None
+    if count < voter_target:
+        return _promote(state, successor)
+    if any(m.voter and m.member_id in leaving_ids for m in state.members):
+        return _promote(state, successor)
+    lost = _find_lost_voter(state, now)
+    if lost is not None:
+        return _remove(state, lost, now)
     return None
 
 
-def plan_removal(
-    state: raft.RaftState, voter_target: int, now: float, timeout_ms: float
-):
-    """Return the members without a failed voter that a learner can replace.
+def has_left(state: raft.RaftState) -> bool:
+    """Tell whether this member knows that it has no vote."""
+    return not raft.is_voter(state) and raft.is_latest_config_committed(state)
 
-    The replacement of a lost VM has another name, so a voter is removed once
-    it has not answered for `timeout_ms` and a learner on another VM has
-    caught up. A removed voter that is still alive rejoins as a learner.
 
-    Returns
-    -------
-    tuple of Member or None
-        None if there is nothing to do.
+def is_free_to_leave(
+    state: raft.RaftState,
+    voter_target: int,
+    member_id: str,
+    leaving_ids,
+    now: float,
+) -> bool:
+    """Tell on the leader whether a member that leaves may end now.
+
+    A voter waits for a learner that can take its place, and until a
+    configuration without it is committed.
     """
-    if len(raft.list_voters(state)) < voter_target:
-        return None
-    replacements = [
-        m
+    committed = raft.find_members_at(state, state.commit_index)
+    voters = {m.member_id for m in (*committed, *state.members) if m.voter}
+    if member_id not in voters:
+        return True
+    has_successor = any(
+        not m.voter
+        and m.member_id not in leaving_ids
+        and _is_live(state, m.member_id, now)
         for m in state.members
-        if not m.voter
-        and _is_caught_up(state, m.member_id)
-        and now - state.progress_by_id[m.member_id].acked_sent_ms < timeout_ms
-    ]
-    if not replacements or now - state.elected_ms < timeout_ms:
-        return None
+    )
+    is_replaced = len(raft.list_voters(state)) > voter_target
+    return not has_successor and not is_replaced
+
+
+def _find_successor(state, leaving_ids, now):
+    """Return a learner that can take a vote now, None if there is none."""
+    for member in state.members:
+        if (
+            not member.voter
+            and member.member_id not in leaving_ids
+            and _is_live(state, member.member_id, now)
+            and _is_caught_up(state, member.member_id)
+        ):
+            return member
+    return None
+
+
+def _find_lost_voter(state, now):
+    """Return a voter whose disk is replaced or that is silent, or None."""
+    last_by_vm = {get_vm_id(m.member_id): m for m in state.members}
+    lost = None
     for member in state.members:
         if not member.voter or member.member_id == state.member_id:
             continue
-        progress = state.progress_by_id.get(member.member_id)
-        last_acked_ms = progress.acked_sent_ms if progress else raft.NEVER_MS
-        if now - max(last_acked_ms, state.elected_ms) > timeout_ms:
-            return tuple(m for m in state.members if m != member)
-    return None
+        silence_ms = _get_silence_ms(state, member.member_id, now)
+        is_replaced = last_by_vm[get_vm_id(member.member_id)] != member
+        if is_replaced and silence_ms > LIVE_TIMEOUT_MS:
+            return member
+        if silence_ms > REPLACE_TIMEOUT_MS:
+            lost = lost or member
+    return lost
+
+
+def _plan_surplus(state, leaving_ids, now):
+    """Return the members without one voter more than the target."""
+    voters = [m for m in state.members if m.voter]
+    leaving = [m for m in voters if m.member_id in leaving_ids]
+    lost = _find_lost_voter(state, now)
+    if leaving:
+        return _remove(state, leaving[0], now)
+    if lost is not None:
+        return _remove(state, lost, now)
+    if now - state.elected_ms < SURPLUS_TIMEOUT_MS:
+        return None
+    others = [m for m in voters if m.member_id != state.member_id]
+    return _remove(state, others[-1], now)
+
+
+def _promote(state, learner):
+    promoted = learner._replace(voter=True)
+    return tuple(promoted if m == learner else m for m in state.members)
+
+
+def _remove(state, member, now):
+    """Return the members without one, None if too few live voters remain."""
+    remaining = tuple(m for m in state.members if m != member)
+    voters = [m.member_id for m in remaining if m.voter]
+    live = sum(_is_live(state, v, now) for v in voters)
+    return remaining if live * 2 > len(voters) else None
+
+
+def _is_live(state, member_id: str, now: float) -> bool:
+    if member_id == state.member_id:
+        return True
+    progress = state.progress_by_id.get(member_id)
+    if progress is None:
+        return False
+    return now - progress.acked_sent_ms < LIVE_TIMEOUT_MS
+
+
+def _get_silence_ms(state, member_id: str, now: float) -> float:
+    """Return how long this leader has had no answer of a member."""
+    progress = state.progress_by_id.get(member_id)
+    last_acked_ms = progress.acked_sent_ms if progress else raft.NEVER_MS
+    return now - max(last_acked_ms, state.elected_ms)
 
 
 def _is_stale_learner(member, member_id: str) -> bool:
--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -29,8 +29,8 @@
 SNAPSHOT_ENTRIES = 2000
 PROPOSAL_TIMEOUT_MS = 3000.0
 PARTS_PER_SLICE = 4
-REJOIN_TIMEOUT_MS = 3000.0  # longer than two elections
-REPLACE_TIMEOUT_MS = 4000.0  # longer than a restart or a pause of a VM
+REJOIN_TIMEOUT_MS = 2000.0  # longer than two elections
+LEAVE_NOTICE_MS = 1000.0  # several ticks, in each of which a Leave is sent
 
 
 class Proposal(typing.NamedTuple):
@@ -132,6 +132,10 @@
         self.failed = False
         self.join_due_ms = 0.0
         self.pending_joins = {}
+        self.leaving = False
+        self.free_to_leave = False
+        # Used by the leader only: time of the latest Leave by member id.
+        self.leave_ms_by_id = {}
         self.leader_listeners = []
         self.applied_listeners = []
         self.address_by_member = {}
@@ -171,6 +175,18 @@
         self.failed = True
         self.storage.close()
 
+    def leave(self):
+        """Announce that this member ends soon.
+
+        If another VM can take its vote, the leader lets it. `free_to_leave`
+        is set once this member is not needed for that any more.
+        """
+        self.leaving = True
+        if self.raft is None:
+            self.free_to_leave = True
+        else:
+            self.tick()
+
     def initialise(self):
         """Bootstrap a new group whose only voter is this member."""
         self._recover()
@@ -250,10 +266,13 @@
         self._expire_pending(now)
         if self.failed:
             return
+        if self.leaving:
+            self._request_leave(now)
         if self.raft.role == "leader":
             self._reconcile_members(now)
         else:
             self.pending_joins.clear()
+            self.leave_ms_by_id.clear()
             if now >= self.join_due_ms:
                 self.join_due_ms = now + JOIN_INTERVAL_MS
                 self._request_join()
@@ -285,6 +304,11 @@
         if isinstance(message, raft_messages.Join):
             self._handle_join(sender, message)
             return ()
+        if isinstance(message, raft_messages.Leave):
+            return self._handle_leave(sender)
+        if isinstance(message, raft_messages.LeaveReply):
+            self.free_to_leave = self.free_to_leave or message.free
+            return ()
         if isinstance(message, raft_messages.Install):
             return self._handle_install(sender, message)
         now = self.read_clock()
@@ -413,6 +437,8 @@
             self.applied_index = index
             results = self._apply_entry(entry)
             self._resolve_pending(entry, results)
+            if entry.kind == raft.CONFIG:
+                self.timers.call_later(0, self._continue_reconciling)
         if self.applied_index > before:
             for listener in self.applied_listeners:
                 listener()
@@ -517,6 +543,8 @@
         own log but gets no messages. It asks again when it has had no
         contact with a leader for `REJOIN_TIMEOUT_MS`.
         """
+        if self.leaving:
+            return
         member_ids = {m.member_id for m in self.raft.members}
         silent_ms = self.read_clock() - self.raft.leader_contact_ms
         if (
@@ -527,6 +555,8 @@
         join = raft_messages.Join(self.identity.member_id, self.address)
         addresses = {*self.address_by_vm.values(), *self.seeds}
         addresses.update(m.address for m in self.raft.members)
+        # The leader still sends to the former member of this address.
+        addresses.update(filter(None, [self.find_leader_address()]))
         for address in sorted(addresses - {self.address}):
             self._send_join(address, join)
 
@@ -550,12 +580,48 @@
         )
         self.send(address, data)
 
+    def _request_leave(self, now):
+        if self.raft.role == "leader":
+            self._record_leave(self.identity.member_id, now)
+            self.free_to_leave = self._is_free(self.identity.member_id, now)
+        elif membership.has_left(self.raft):
+            self.free_to_leave = True
+        elif self.raft.leader_id:
+            leave = raft_messages.Leave(self.identity.member_id)
+            self._send(self.raft.leader_id, leave)
+
+    def _handle_leave(self, sender):
+        if self.raft.role != "leader":
+            return ()
+        now = self.read_clock()
+        self._record_leave(sender, now)
+        reply = raft_messages.LeaveReply(self._is_free(sender, now))
+        return ((sender, reply),)
+
+    def _record_leave(self, member_id, now):
+        self.pending_joins.pop(member_id, None)
+        if member_id not in self.leave_ms_by_id:
+            logs.log_decision("member-leaving", member=member_id)
+        self.leave_ms_by_id[member_id] = now
+
+    def _is_free(self, member_id, now):
+        # A leader that has been replaced may not know of the successor.
+        return self.is_leader() and membership.is_free_to_leave(
+            self.raft, self.voters, member_id, self.leave_ms_by_id, now
+        )
+
+    def _continue_reconciling(self):
+        """Take the next step once a configuration is committed."""
+        if not self.failed and self.raft.role == "leader":
+            self._reconcile_members(self.read_clock())
+
     def _reconcile_members(self, now):
-        planned = membership.plan_promotion(self.raft, self.voters)
-        if planned is None:
-            planned = membership.plan_removal(
-                self.raft, self.voters, now, REPLACE_TIMEOUT_MS
-            )
+        for member_id, left_ms in list(self.leave_ms_by_id.items()):
+            if now - left_ms > LEAVE_NOTICE_MS:
+                del self.leave_ms_by_id[member_id]
+        planned = membership.plan_voters(
+            self.raft, self.voters, self.leave_ms_by_id, now
+        )
         if planned is None:
             planned = self._plan_next_join()
         if planned is None:
--- a/chervilspindle/control/node_test.py
+++ b/chervilspindle/control/node_test.py
@@ -18,6 +18,7 @@
 SYNC_TIME_S = 4.0  # of the platform: a machine is lost until then
 RECOVERY_S = 12.0
 STOP_S = 0.2
+LEAVE_TIMEOUT_S = 4.0
 
 
 class Group:
@@ -90,7 +91,12 @@
 
     def retire(self, vm_id):
         """End a node for good, as its process does after SIGTERM."""
+        node = self.node_by_vm[vm_id]
+        node.leave()
         self.run(STOP_S)
+        end_s = self.clock.seconds() + LEAVE_TIMEOUT_S
+        while not node.free_to_leave and self.clock.seconds() < end_s:
+            self.run(TURN_S)
         self.remove(vm_id)
 
     def lose_disks(self, vms, down_s=1.0):
--- a/chervilspindle/control/raft.py
+++ b/chervilspindle/control/raft.py
@@ -196,6 +196,12 @@
     return state.member_id in list_voters(state)
 
 
+def is_latest_config_committed(state: RaftState) -> bool:
+    """Tell whether this member knows its latest configuration as committed."""
+    uncommitted = get_entries(state, state.commit_index + 1, 1 << 62)
+    return not any(entry.kind == CONFIG for entry in uncommitted)
+
+
 def has_majority(state: RaftState, ids) -> bool:
     """Tell whether `ids` contain a strict majority of the voters."""
     voters = list_voters(state)
@@ -241,7 +247,7 @@
     """Handle timers: start an election, send heartbeats or step down."""
     if state.role == "leader":
         return _tick_leader(state, now, jitter)
-    if now < state.election_due_ms or not is_voter(state):
+    if now < state.election_due_ms or not _may_campaign(state):
         return Step(state)
     return _start_pre_vote(state, now, jitter)
 
@@ -274,9 +280,8 @@
         return Step(state), None
     if get_term_at(state, state.commit_index) != state.term:
         return Step(state), None
-    for entry in get_entries(state, state.commit_index + 1, 1 << 62):
-        if entry.kind == CONFIG:
-            return Step(state), None
+    if not is_latest_config_committed(state):
+        return Step(state), None
     if len(set(members) ^ set(state.members)) > 2:
         return Step(state), None
     changed = set(list_voters(state)) ^ {
@@ -381,6 +386,30 @@
     return _reset_election(state, now, jitter)
 
 
+def _may_campaign(state: RaftState) -> bool:
+    """Tell whether this member may start an election.
+
+    One that a configuration removes may be the only one that holds it, or
+    entries before it. The others then need its log until that configuration
+    is committed (section 4.2.2 of the dissertation).
+    """
+    if is_voter(state):
+        return True
+    if is_latest_config_committed(state):
+        return False
+    configs = [state.snapshot_members]
+    configs.extend(
+        _decode_members(messages.decode_members(entry.data))
+        for entry in state.log
+        if entry.kind == CONFIG
+    )
+    return any(
+        member.voter and member.member_id == state.member_id
+        for members in configs
+        for member in members
+    )
+
+
 def _list_others(state: RaftState) -> tuple[str, ...]:
     return tuple(
         m.member_id for m in state.members if m.member_id != state.member_id
@@ -434,8 +463,10 @@
 def _tick_leader(state, now, jitter) -> Step:
     acked_ms = compute_quorum_ack_time(state, now)
     contact_ms = max(acked_ms, state.elected_ms)
+    # A leader that a configuration removes leads until it is committed.
+    removed = not is_voter(state) and is_latest_config_committed(state)
     # Check-quorum: a leader without contact to a majority steps down.
-    if now > contact_ms + ELECTION_MIN_MS or not is_voter(state):
+    if now > contact_ms + ELECTION_MIN_MS or removed:
         return Step(_become_follower(state, state.term, "", now, jitter))
     if now < state.heartbeat_due_ms:
         return Step(state)
@@ -549,10 +580,11 @@
 
 
 def _handle_pre_vote(state, sender, message, now) -> Step:
+    # Votes are granted whatever the own configuration says: a candidate may
+    # know a later one, in which this member has a vote, and counts only those.
     granted = (
         message.term > state.term
         and not _has_leader_contact(state, now)
-        and is_voter(state)
         and _is_up_to_date(state, message.last_index, message.last_term)
     )
     reply = messages.PreVoteReply(message.term, granted, state.term)
@@ -577,7 +609,6 @@
     granted = (
         message.term == state.term
         and state.voted_for in ("", sender)
-        and is_voter(state)
         and _is_up_to_date(state, message.last_index, message.last_term)
     )
     if granted:
--- a/chervilspindle/control/raft_messages.py
+++ b/chervilspindle/control/raft_messages.py
@@ -115,6 +115,18 @@
     address: str
 
 
+class Leave(typing.NamedTuple):
+    """Tells the leader that a member is about to end; repeated until then."""
+
+    member_id: str
+
+
+class LeaveReply(typing.NamedTuple):
+    """Answers a Leave: whether the member may end now."""
+
+    free: bool
+
+
 class Envelope(typing.NamedTuple):
     """One message between members of a group."""
 
@@ -135,6 +147,8 @@
         AppendReply,
         Install,
         Join,
+        Leave,
+        LeaveReply,
     )
 }
 
--- a/chervilspindle/control/raft_test.py
+++ b/chervilspindle/control/raft_test.py
@@ -32,6 +32,7 @@
 
     def __init__(self, seed, voters=3):
         self.random = random.Random(seed)
+        self.voters = voters
         self.now = 0.0
         self.in_flight = []
         self.cut_links = set()
@@ -178,7 +179,9 @@
         self.complete_step(member_id, result)
         state = self.state_by_id[member_id]
         if state.role == "leader":
-            planned = membership.plan_promotion(state, 3)
+            planned = membership.plan_voters(
+                state, self.voters, (), self.read_clock(member_id)
+            )
             if planned is None:
                 planned = self.plan_join(state)
             if planned is not None:
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -41,6 +41,8 @@
 DRAIN_NOTICE_S = 2.6  # two failed checks of a balancer that polls each second
 STOP_MARGIN_S = 0.6  # between stopping and the platform's SIGKILL
 STOP_CHECK_INTERVAL_S = 0.05
+CONTROL_STOP_S = 0.2  # requests in progress end in this time
+LEAVE_TIMEOUT_S = 4.0  # an election and the changes of the configuration
 SETTINGS_CHECK_INTERVAL_S = 2.0
 CRASH_REPORT_TIMEOUT_S = 1.0
 CONTROL_LIMITS = http_server.ServerLimits(16384, 4194304, 5000.0, 30000.0)
@@ -400,6 +402,7 @@
         self.watch = watch_module.WatchServer(
             self.node, self.frontend, self.timers, read_clock
         )
+        self.leave_started_s = None
 
     async def start(self):
         """Recover the state from disk and start the servers."""
@@ -421,14 +424,20 @@
         self.node.seeds = settings.seeds
 
     def stop(self):
-        """Finish requests in progress, then stop."""
+        """Finish requests in progress, hand over the vote, then stop.
+
+        The vote goes to another control member if one waits for a vote. It
+        has it before this process ends, so that losses right after are borne.
+        """
         if self.stopping:
             return
         self.stopping = True
+        self.leave_started_s = self.loop.time()
         LOGGER.info("stopping")
         for server in self.servers:
             server.start_closing()
-        self.timers.call_later(0.2, self._finish_stop)
+        self.node.leave()
+        self.timers.subscribe("stop", STOP_CHECK_INTERVAL_S, self._check_stop)
 
     def handle(self, link, message):
         """Handle a message from another process and return the answer."""
@@ -445,7 +454,16 @@
         message = messages.Replicate(data, self.settings.peer_address)
         self.network.send(address, message)
 
-    def _finish_stop(self):
+    def _check_stop(self):
+        elapsed_s = self.loop.time() - self.leave_started_s
+        if elapsed_s < CONTROL_STOP_S:
+            return
+        latest_s = min(LEAVE_TIMEOUT_S, self.settings.grace_s - STOP_MARGIN_S)
+        if not self.node.free_to_leave:
+            if elapsed_s < latest_s:
+                return
+            LOGGER.warning("stopped before the vote was handed over")
+        self.timers.cancel("stop")
         self.node.stop()
         self.close()
 
