--- a/chervilspindle/control/membership.py
+++ b/chervilspindle/control/membership.py
@@ -103,6 +103,8 @@
     voters = {m.member_id for m in (*committed, *state.members) if m.voter}
     if member_id not in voters:
         return True
+    if not raft.is_latest_config_committed(state):
+        return False
     has_successor = any(
         not m.voter
         and m.member_id not in leaving_ids
