Control group: the first document waits for all voters

Operators saw the end of control when the machine that acknowledged the first configuration lost its disk at once: the configuration was gone, and no further one was ever accepted.

Cause: the first seed is a group of one voter, the others join one at a time, and a change was acknowledged by a majority of the voters of that moment: one disk of one, or two of two. Ruled out: to wait at the commit of the entry instead of before the proposal (the entry would be in force without having been acknowledged), and to name all first voters in the settings (a process is told three addresses at most, and not how many there are).

Now the leader answers the first document with 503, not run, until the voters are on as many VMs as the settings ask (2 * tolerance + 1). Entries after the configuration of that many voters are on a majority of them, one more than may be lost, and the rest elects. Where fewer machines exist, or some are lost from the start, the group is complete 6 s after the election: a machine that has not joined by then is one of the losses. The voters are never fewer than the seeds, which exist. A group that holds a document was formed before, and is not asked again.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -393,6 +393,10 @@
 def _handle_document(
     message: messages.DocumentCall, frontend: ControlFrontend
 ):
+    if not frontend.node.is_formed():
+        raise errors.build_error(
+            errors.ErrorKind.NO_LEADER, "the control group is still forming"
+        )
     deferred = frontend.node.propose(
         state_module.ApplyDocument(message.document)
     )
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -42,6 +42,9 @@
     def is_leader(self):
         return self.leads
 
+    def is_formed(self):
+        return True
+
     def find_leader_address(self):
         return None
 
--- a/chervilspindle/control/membership.py
+++ b/chervilspindle/control/membership.py
@@ -17,6 +17,8 @@
 LIVE_TIMEOUT_MS = 1000.0  # several heartbeats
 REPLACE_TIMEOUT_MS = 1500.0  # longer than an election
 SURPLUS_TIMEOUT_MS = 2000.0  # leaving voters have told a new leader by then
+# Longer than a VM takes to join after the first start of all.
+FORMING_TIMEOUT_MS = 6000.0
 
 
 def get_vm_id(member_id: str) -> str:
@@ -115,6 +117,25 @@
     return not has_successor and not is_replaced
 
 
+def is_formed(
+    state: raft.RaftState, voter_target: int, seeds: int, now: float
+) -> bool:
+    """Tell on the leader whether a new group may acknowledge changes.
+
+    It may once voters on `voter_target` VMs hold them, so that a majority
+    that holds them is left after the losses that the target allows for. A VM
+    that has not joined `FORMING_TIMEOUT_MS` after the election is one of
+    these losses, or does not exist. The seeds exist.
+    """
+    voters = len({get_vm_id(v) for v in raft.list_voters(state)})
+    if voters >= voter_target:
+        return True
+    waited_ms = now - state.elected_ms
+    return voters >= min(voter_target, seeds) and (
+        waited_ms > FORMING_TIMEOUT_MS
+    )
+
+
 def _find_successor(state, leaving_ids, now):
     """Return a learner that can take a vote now, None if there is none."""
     for member in state.members:
--- a/chervilspindle/control/membership_test.py
+++ b/chervilspindle/control/membership_test.py
@@ -98,6 +98,8 @@
 
 def test_lost_identity_of_a_voter_is_no_second_vote():
     """A machine whose disk was lost counts once, also before its removal."""
+    state = build_leader("a#1 b#1 c#1 d#1 d#2", (), {"d#1"})
+    assert not membership.is_formed(state, TARGET, 3, OLD_MS + 5000.0)
     state = build_leader("a#1 b#1 c#1 d#1 d#2", ["e#1"], {"d#1"})
     assert plan(state) == ["a#1 b#1 c#1 d#2", "a#1 b#1 c#1 d#2 e#1"]
 
@@ -152,3 +154,25 @@
     assert not membership.is_free_to_leave(
         result.state, TARGET, "b#1", {"b#1"}, NOW_MS
     )
+
+
+@pytest.mark.parametrize(
+    "voters, seeds, waited_ms, formed",
+    [
+        ("a#1", 3, 60000.0, False),
+        ("a#1 b#1", 3, 60000.0, False),
+        ("a#1 b#1 c#1", 3, 1000.0, False),
+        ("a#1 b#1 c#1", 3, 6001.0, True),
+        ("a#1 b#1 c#1 d#1", 3, 1000.0, False),
+        ("a#1 b#1 c#1 d#1 e#1", 3, 0.0, True),
+        ("a#1", 1, 1000.0, False),
+        ("a#1", 1, 6001.0, True),
+    ],
+)
+def test_first_document_waits_for_as_many_disks_as_the_target_asks(
+    voters, seeds, waited_ms, formed
+):
+    """Fewer are enough only where no more have joined for long."""
+    state = build_leader(voters)
+    now = state.elected_ms + waited_ms
+    assert formed == membership.is_formed(state, TARGET, seeds, now)
--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -187,6 +187,17 @@
         else:
             self.tick()
 
+    def is_formed(self) -> bool:
+        """Tell on the leader whether the group may acknowledge documents.
+
+        A group that holds one has been formed before.
+        """
+        if self.tables.document.version >= 0:
+            return True
+        return membership.is_formed(
+            self.raft, self.voters, len(self.seeds), self.read_clock()
+        )
+
     def initialise(self):
         """Bootstrap a new group whose only voter is this member."""
         self._recover()
