--- a/chervilspindle/control/raft_test.py
+++ b/chervilspindle/control/raft_test.py
@@ -484,3 +484,71 @@
     state = cluster.state_by_id[lagging]
     assert state.snapshot_index > 0
     assert cluster.applied_by_id[lagging] == cluster.applied_by_id[leader]
+
+
+def build_member(member_id, *configs, commit=0):
+    """Return a member whose log holds configurations of voters."""
+    log = tuple(
+        messages.Entry(
+            index,
+            1,
+            raft.CONFIG,
+            messages.encode_members(tuple((v, v, True) for v in voters)),
+        )
+        for index, voters in enumerate(configs, 1)
+    )
+    state = raft.build_state(
+        member_id,
+        messages.HardState(1, ""),
+        log,
+        messages.SnapshotMetadata(0, 0, ()),
+        0.0,
+        0.5,
+    )
+    return state._replace(commit_index=commit)
+
+
+SIX = ("a#1", "b#1", "c#1", "d#1", "e#1", "f#1")
+
+
+def test_member_without_a_vote_by_its_own_log_grants_votes():
+    """Guards against a promotion that only its leader has on disk."""
+    state = build_member("f#1", SIX[:5])
+    request = messages.PreVote(2, 2, 1)
+    reply = raft.step(state, "a#1", request, 1000.0, 0.5).outbox[0][1]
+    assert reply.granted
+    request = messages.RequestVote(2, 2, 1)
+    voted = raft.step(state, "a#1", request, 1000.0, 0.5)
+    assert voted.outbox[0][1].granted
+    assert voted.state.voted_for == "a#1"
+
+
+def test_member_that_only_its_own_log_removes_campaigns():
+    """Guards against a removal that only the removed member has on disk."""
+    state = build_member("a#1", SIX, SIX[1:])
+    campaign = raft.tick(state, 1000.0, 0.5)
+    assert {receiver for receiver, _ in campaign.outbox} == set(SIX[1:])
+    state = build_member("a#1", SIX, SIX[1:], commit=2)
+    assert not raft.tick(state, 1000.0, 0.5).outbox
+
+
+def test_leader_leads_until_its_own_removal_is_committed():
+    cluster = Cluster(9, voters=4)
+    cluster.run(3000)
+    leader = get_leader(cluster)
+    state = cluster.state_by_id[leader]
+    remaining = tuple(m for m in state.members if m.member_id != leader)
+    cluster.voters = 3
+    result, index = raft.propose_members(
+        state, remaining, cluster.read_clock(leader)
+    )
+    cluster.complete_step(leader, result)
+    cluster.tick(leader)
+    assert cluster.state_by_id[leader].role == "leader"
+    assert index not in cluster.committed
+    cluster.run(100)
+    assert index in cluster.committed
+    assert cluster.state_by_id[leader].role != "leader"
+    cluster.crash(leader)
+    cluster.run(3000)
+    assert get_leader(cluster) in {m.member_id for m in remaining}
