Test: a restarted voter whose vote was taken joins again at once

A voter that restarts while a learner waits hands its vote over, and back up asks to join after 2 s without a leader only. With a slow start that is more than sync-time-s; a planned replacement, or a lost disk, that comes next finds no learner.

Command: .venv/bin/python -m pytest chervilspindle/control/node_test.py

--- a/chervilspindle/control/node_test.py
+++ b/chervilspindle/control/node_test.py
@@ -35,12 +35,14 @@
         for vm_id in self.vms:
             self.start(vm_id)
 
-    def start(self, vm_id):
-        """Start a node with an empty disk."""
+    def start(self, vm_id, folder=None):
+        """Start a node with an empty disk, or with that in a folder."""
         self.starts += 1
-        folder = self.folder / f"{vm_id}-{self.starts}"
-        folder.mkdir()
-        identity = storage_module.create_identity(str(folder), "group", vm_id)
+        if folder is None:
+            folder = self.folder / f"{vm_id}-{self.starts}"
+            folder.mkdir()
+            storage_module.create_identity(str(folder), "group", vm_id)
+        identity = storage_module.load_identity(str(folder))
         node = node_module.ControlNode(
             identity,
             vm_id,
@@ -263,6 +265,25 @@
     assert group.put_document(2)
 
 
+def test_restarted_voter_whose_vote_was_taken_joins_again_at_once(group):
+    """Guards against a group below its tolerance after a slow start."""
+    group.start("core-5")
+    group.run(SYNC_TIME_S)
+    leader = group.find_leader()
+    restarted, replaced, lost = [v for v in group.vms if v != leader][:3]
+    folder = group.node_by_vm[restarted].storage.folder
+    group.retire(restarted)
+    group.start(restarted, folder)
+    group.run(1.0)
+    group.retire(replaced)
+    assert group.node_by_vm[restarted].identity.member_id in (
+        group.list_voters()
+    )
+    group.lose_disks([leader, lost])
+    group.run(SYNC_TIME_S + RECOVERY_S)
+    assert set(group.list_voters()) == group.list_ids()
+
+
 @pytest.mark.parametrize("lost", (1, 2))
 def test_first_document_survives_disks_lost_right_after_it(tmp_path, lost):
     """Guards against an acknowledgement by a group that is still forming."""
