Control node: a member that starts asks the seeds to join after 0.5 s

A voter that restarts while a learner waits gives its vote to that learner.

A leader sends to each member more often than every 0.1 s. A member that has heard nothing 0.5 s after its start was removed, or the group has no leader; it now asks the seeds then, and all members that it knows of after 2 s as before.

Evidence: test_restarted_voter_whose_vote_was_taken_joins_again_at_once, red before.

--- a/chervilspindle/control/node.py
+++ b/chervilspindle/control/node.py
@@ -30,6 +30,8 @@
 PROPOSAL_TIMEOUT_MS = 3000.0
 PARTS_PER_SLICE = 4
 REJOIN_TIMEOUT_MS = 2000.0  # longer than two elections
+# After a start; the leader of a group sends to each member more often.
+FIRST_CONTACT_TIMEOUT_MS = 500.0
 LEAVE_NOTICE_MS = 1000.0  # several ticks, in each of which a Leave is sent
 
 
@@ -130,6 +132,7 @@
         self.inbox = []
         self.flush_scheduled = False
         self.failed = False
+        self.started_ms = 0.0
         self.join_due_ms = 0.0
         self.pending_joins = {}
         self.leaving = False
@@ -156,6 +159,7 @@
             now,
             self.random.random(),
         )
+        self.started_ms = now
         self.persisted = self.raft
         self._load_tables(recovered.snapshot)
         LOGGER.info(
@@ -552,20 +556,22 @@
 
         A member that was removed while it was down still finds itself in its
         own log but gets no messages. It asks again when it has had no
-        contact with a leader for `REJOIN_TIMEOUT_MS`.
+        contact with a leader for `REJOIN_TIMEOUT_MS`, or the seeds only for
+        `FIRST_CONTACT_TIMEOUT_MS` after its start.
         """
         if self.leaving:
             return
         member_ids = {m.member_id for m in self.raft.members}
         silent_ms = self.read_clock() - self.raft.leader_contact_ms
-        if (
-            self.identity.member_id in member_ids
-            and silent_ms < REJOIN_TIMEOUT_MS
-        ):
+        timeout_ms = REJOIN_TIMEOUT_MS
+        if self.raft.leader_contact_ms <= self.started_ms:
+            timeout_ms = FIRST_CONTACT_TIMEOUT_MS
+        if self.identity.member_id in member_ids and silent_ms < timeout_ms:
             return
         join = raft_messages.Join(self.identity.member_id, self.address)
         addresses = {*self.address_by_vm.values(), *self.seeds}
-        addresses.update(m.address for m in self.raft.members)
+        if silent_ms >= REJOIN_TIMEOUT_MS:
+            addresses.update(m.address for m in self.raft.members)
         # The leader still sends to the former member of this address.
         addresses.update(filter(None, [self.find_leader_address()]))
         for address in sorted(addresses - {self.address}):
