Test: the model plays restarts by SIGTERM with a slow start

One more disruption of the histories: a machine gets SIGTERM, gives its vote to a learner where one waits, and starts with its disk 1.5 s later.

--- a/chervilspindle/control/membership_model_test.py
+++ b/chervilspindle/control/membership_model_test.py
@@ -11,6 +11,7 @@
 import copy
 import functools
 import heapq
+import math
 import random
 import typing
 
@@ -26,8 +27,10 @@
 SYNC_TIME_MS = 4000.0
 LEAVE_TIMEOUT_MS = 4000.0
 REJOIN_TIMEOUT_MS = 2000.0
+FIRST_CONTACT_TIMEOUT_MS = 500.0
 LEAVE_NOTICE_MS = 1000.0
 TICK_MS = 100.0
+SLOW_START_MS = 1500.0
 CHANGE_TIMEOUT_MS = 1000.0
 RECOVERY_MS = 15000.0
 CHUNKS = 8
@@ -49,6 +52,7 @@
     def __init__(self, name):
         self.name = name
         self.incarnation = 0
+        self.started_ms = 0.0
         self.disk = Disk()
         self.state = None
         self.applied = 0
@@ -57,6 +61,7 @@
         self.free = False
         self.retired = False
         self.leaves_again = False
+        self.restarts = False
         self.successor = None
         self.lost_until_ms = 0.0
         self.disk_lost = False
@@ -192,6 +197,7 @@
             self.now,
             self.random.random(),
         )
+        machine.started_ms = self.now
         machine.applied = disk.mark.index
         machine.values = disk.values
         machine.joins, machine.leave_ms_by_id = {}, {}
@@ -203,7 +209,7 @@
         """Count a machine as lost until a time."""
         machine.lost_until_ms = max(machine.lost_until_ms, until_ms)
 
-    def stop(self, machine, lost_ms=1e12):
+    def stop(self, machine, lost_ms=math.inf):
         """End a machine's process at once."""
         machine.state = None
         machine.leaving_since_ms = None
@@ -388,6 +394,9 @@
         if machine.free or waited_ms > LEAVE_TIMEOUT_MS:
             self.tell(f"{machine.name} ended, free {machine.free}")
             self.stop(machine)
+            if machine.restarts:
+                machine.restarts = False
+                self.push(SLOW_START_MS, "start", machine.name)
 
     def is_free(self, machine, member_id):
         """Answer a member that leaves."""
@@ -423,8 +432,11 @@
         """Ask the others to join unless this is a member with a leader."""
         state = machine.state
         silent_ms = self.now - state.leader_contact_ms
+        timeout_ms = REJOIN_TIMEOUT_MS
+        if state.leader_contact_ms <= machine.started_ms:
+            timeout_ms = FIRST_CONTACT_TIMEOUT_MS
         ids = {m.member_id for m in state.members}
-        if machine.member_id in ids and silent_ms < REJOIN_TIMEOUT_MS:
+        if machine.member_id in ids and silent_ms < timeout_ms:
             return
         join = messages.Join(machine.member_id, machine.name)
         for other in self.machine_by_name.values():
@@ -541,6 +553,16 @@
         group.push(1500.0 * group.random.random(), "start", machine.name)
 
 
+def restart(group):
+    """Stop a machine by SIGTERM; it starts slowly, with its disk."""
+    machine = pick_machine(group)
+    if may_lose(group, machine, False):
+        group.tell(f"restart {machine.name}")
+        machine.leaving_since_ms, machine.free = group.now, False
+        machine.restarts = True
+        machine.lost_until_ms = math.inf
+
+
 def lose_disks(group):
     """End one or two machines; they restart with empty disks."""
     for _ in range(group.random.choice((1, 2))):
@@ -628,7 +650,10 @@
     group.tell("kill all")
     for machine in group.machine_by_name.values():
         if machine.state is not None:
-            machine.leaves_again = machine.leaving_since_ms is not None
+            machine.leaves_again = (
+                machine.leaving_since_ms is not None and machine.retired
+            )
+            machine.restarts = False
             group.stop(machine)
             delay_ms = group.random.choice((0.0, 1000.0))
             group.push(delay_ms * group.random.random(), "start", machine.name)
@@ -642,6 +667,7 @@
 
 ACTIONS = (
     (crash, 2),
+    (restart, 1),
     (lose_disks, 4),
     (replace_planned, 4),
     (replace_unplanned, 2),
