--- a/chervilspindle/control/raft_messages.py
+++ b/chervilspindle/control/raft_messages.py
@@ -118,6 +118,18 @@
     address: str
 
 
+class Leave(typing.NamedTuple):
+    """Tells the leader that a member is about to end; repeated until then."""
+
+    member_id: str
+
+
+class LeaveReply(typing.NamedTuple):
+    """Answers a Leave: whether the member may end now."""
+
+    free: bool
+
+
 class Envelope(typing.NamedTuple):
     """One message between members of a group."""
 
@@ -138,12 +150,14 @@
         AppendReply,
         Install,
         Join,
+        Leave,
+        LeaveReply,
     )
 }
 
-# As in `wire.messages`; no row and no kind has been added so far.
+# As in `wire.messages`; no row has been changed so far.
 FIELD_COUNTS = {}
-FIRST_VERSION_BY_KIND = {}
+FIRST_VERSION_BY_KIND = {Leave: versions.CURRENT, LeaveReply: versions.CURRENT}
 
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -42,6 +42,8 @@
 BACKLOG = 512
 STOP_CHECK_INTERVAL_S = 0.05
 FLUSH_S = 0.05  # for the last answers to leave
+CONTROL_STOP_S = 0.2  # requests in progress end in this time
+LEAVE_TIMEOUT_S = 4.0  # an election and the changes of the configuration
 SETTINGS_CHECK_INTERVAL_S = 2.0
 CRASH_REPORT_TIMEOUT_S = 1.0
 CONTROL_LIMITS = http_server.ServerLimits(16384, 4194304, 5000.0, 30000.0)
@@ -483,6 +485,7 @@
         self.watch = watch_module.WatchServer(
             self.node, self.frontend, self.timers, read_clock
         )
+        self.leave_started_s = None
 
     async def start(self):
         """Recover the state from disk and start the servers."""
@@ -504,11 +507,17 @@
         self.node.seeds = settings.seeds
 
     def drain(self):
-        """Finish requests in progress, then stop."""
+        """Finish requests in progress, hand over the vote, then stop.
+
+        The vote goes to another control member if one waits for a vote. It
+        has it before this process ends, so that losses right after are borne.
+        """
+        self.leave_started_s = self.loop.time()
         LOGGER.info("stopping")
         for server in self.servers:
             server.start_closing()
-        self.timers.call_later(0.2, self.close)
+        self.node.leave()
+        self.timers.subscribe("stop", STOP_CHECK_INTERVAL_S, self._check_stop)
 
     def handle(self, link, message):
         """Handle a message from another process and return the answer."""
@@ -535,6 +544,18 @@
     def _read_service_names(self, data):
         return self.adapter.decode_document(data).service_by_name
 
+    def _check_stop(self):
+        elapsed_s = self.loop.time() - self.leave_started_s
+        if elapsed_s < CONTROL_STOP_S:
+            return
+        latest_s = drain.compute_end_s(self.settings.grace_s)
+        if not self.node.free_to_leave:
+            if elapsed_s < min(LEAVE_TIMEOUT_S, latest_s):
+                return
+            LOGGER.warning("stopped before the vote was handed over")
+        self.timers.cancel("stop")
+        self.close()
+
     def close(self):
         """Close the storage as well."""
         self.node.stop()
