Peers: a relay's rows on shards it was not sent are ignored

What callers would see: a query without the parts that a relay reported behind a row on a shard that it was not sent, or a second one on the same shard. Cause: the row raised in the fan-out, after the shards had been taken off the list of those that are waited for. Such rows are logged and passed over. No peer is known to send them. Failed before: the new test; holds after, with the tests of relays, cut-off VMs and quarantine.

--- a/chervilspindle/routing/forwarding_test.py
+++ b/chervilspindle/routing/forwarding_test.py
@@ -1,8 +1,9 @@
-"""Tests of reports on requests that another entry sends."""
+"""Tests of reports on requests and shards that other entries send."""
 
 import pytest
 
 from chervilspindle.routing import forwarding
+from chervilspindle.routing import relayed_query
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import messages
 
@@ -45,3 +46,43 @@
     (answer,) = report(ending)
     assert answer.ending is endpoint_http.Ending.RELAY_LOST
     assert not answer.status and not answer.body
+
+
+class Listener:
+    """Records what a relay reported; knows two shards."""
+
+    def __init__(self):
+        self.rows = []
+
+    def on_endpoint_chosen(self, dispatch, service, endpoint_id):
+        self.rows.append(("sent", service))
+
+    def on_part_set(self, dispatch, part_set, mean_ms):
+        self.rows.append(("part", part_set.services))
+
+    def on_parts_lost(self, dispatch, losses):
+        self.rows.append(("lost", tuple(row.service for row in losses)))
+
+
+def test_rows_of_a_relay_on_other_shards_are_ignored_beside_the_sound_ones():
+    listener = Listener()
+    client = Client()
+    dispatch = relayed_query.RelayedDispatch(
+        client, "vm:1", 7, ("one", "two", "three"), listener
+    )
+    parts = tuple(
+        messages.PartSet(services, b"s", b"")
+        for services in (("other",), ("one", "other"), ("one",), ("one",))
+    )
+    losses = tuple(
+        messages.Loss(service, "e-1", "broken", True)
+        for service in ("other", "two", "two", "one")
+    )
+    sent = (("other", "e-1"), ("three", "e-2"))
+    dispatch.handle_report(messages.RelayReport(7, parts, losses, sent, 1.0))
+    assert listener.rows == [
+        ("sent", "three"),
+        ("part", ("one",)),
+        ("lost", ("two",)),
+    ]
+    assert dispatch.pending_services == {"three"} and not client.discarded
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -17,6 +17,7 @@
 from chervilspindle.routing import part_merging
 from chervilspindle.wire import messages
 
+MAX_LOGGED_SERVICES = 8
 REPORT_BATCH_S = 0.002  # parts within this time share one report
 
 
@@ -65,19 +66,35 @@
         """Pass the content of a report to the listener."""
         self.reported = True
         self.presumed_lost = False
+        pending = self.pending_services
         for service, endpoint_id in report.sent:
-            self.listener.on_endpoint_chosen(self, service, endpoint_id)
+            if self._is_expected((service,)):
+                self.listener.on_endpoint_chosen(self, service, endpoint_id)
         for part_set in report.parts:
-            self.pending_services.difference_update(part_set.services)
-            self.listener.on_part_set(self, part_set, report.mean_part_ms)
-        self.pending_services.difference_update(
-            loss.service for loss in report.losses
-        )
-        if report.losses:
-            self.listener.on_parts_lost(self, report.losses)
+            if self._is_expected(part_set.services):
+                pending.difference_update(part_set.services)
+                self.listener.on_part_set(self, part_set, report.mean_part_ms)
+        losses = []
+        for loss in report.losses:
+            if self._is_expected((loss.service,)):
+                pending.discard(loss.service)
+                losses.append(loss)
+        if losses:
+            self.listener.on_parts_lost(self, tuple(losses))
         if not self.pending_services:
             self.client.discard(self)
 
+    def _is_expected(self, services) -> bool:
+        """Tell whether all of the shards are pending."""
+        if self.pending_services.issuperset(services):
+            return True
+        logs.log_decision(
+            "relay-row-ignored",
+            address=self.address,
+            services=list(services)[:MAX_LOGGED_SERVICES],
+        )
+        return False
+
     def abandon(self) -> list[str]:
         """Cancel what is in progress without telling the listener.
 
