--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -39,6 +39,8 @@
 ANNOUNCE_INTERVAL_S = 0.6
 MEAN_ARRIVAL_INTERVAL_S = 0.02
 SHUTDOWN_GRACE_S = 6.0
+SYNC_TIME_S = 4.0  # a new member counts as sound after this
+MAX_START_S = 10.0  # of a process on a busy machine
 PAUSE_SLACK_S = 0.5  # for requests on the way when a pause begins
 # An entry has to be refused once to know of a pause; two more may cross it.
 MAX_PAUSE_ARRIVALS = 3
@@ -95,8 +97,10 @@
             SHUTDOWN_GRACE_S,
             MEMORY_MB,
         )
-        with open(self.settings, "w", encoding="utf-8") as handle:
+        # A process may read the file at any moment.
+        with open(self.settings + ".new", "w", encoding="utf-8") as handle:
             json.dump(settings, handle)
+        os.replace(self.settings + ".new", self.settings)
 
     async def start(self):
         """Start the process, appending to the log of earlier starts."""
@@ -123,6 +127,13 @@
             handle.seek(self.log_offset)
             return b'"message": "serving"' in handle.read()
 
+    async def wait_until_served(self):
+        """Wait until the process serves, at most `MAX_START_S`."""
+        for _ in range(round(MAX_START_S / 0.05)):
+            if self.has_served():
+                return
+            await asyncio.sleep(0.05)
+
     def send_signal(self, number):
         """Send a signal to the process if it is running."""
         if self.process is not None and self.process.returncode is None:
@@ -155,6 +166,7 @@
         # A stream of its own keeps the faults of earlier seeds as they were.
         self.endless_random = random.Random(f"endless {seed}")
         self.notice_random = random.Random(f"notice {seed}")
+        self.member_random = random.Random(f"member {seed}")
         self.seconds = seconds
         self.folder = folder
         self.findings = []
@@ -167,7 +179,9 @@
         self.stopping = False
         self.started_s = loop.time()
         ports = find_ports(5)
+        self.member_ports = ports[:4]
         net = self.random.randrange(10, 250)
+        self.member_net = f"127.{net}.1"
         self.members = [
             Node(folder, f"core-{i}", f"127.{net}.1.{i + 1}", ports[:4], True)
             for i in range(MEMBERS)
@@ -178,6 +192,7 @@
             )
             for i in range(ENTRIES)
         ]
+        self.spares = []  # members that take the place of another soon
         clock = loops.LoopClock(loop)
         self.backends = []
         self.proxy_by_id = {}
@@ -201,9 +216,7 @@
 
     async def run(self):
         """Run the soak and return its findings."""
-        seeds = [f"{m.ip}:{m.ports[2]}" for m in self.members]
-        for node in (*self.members, *self.entries):
-            node.write_settings(seeds, True)
+        self._write_settings(True)
         for backend in self.backends:
             await backend.start()
             await self.proxy_by_id[backend.endpoint_id].start(
@@ -214,8 +227,9 @@
         tasks = [self.loop.create_task(self._announce_all())]
         try:
             await self._put_document()
-            for node in (*self.members, *self.entries):
-                node.write_settings(seeds, False)
+            self._write_settings(False)
+            if self.member_random.random() < 0.5:
+                await self._wipe(self.member_random)
             await asyncio.sleep(2.0)
             for activity in (
                 self._generate_load,
@@ -224,6 +238,7 @@
                 self._inject_endless_answers,
                 self._inject_pauses,
                 self._inject_leaving,
+                self._replace_members,
                 self._watch_memory,
             ):
                 tasks.append(self.loop.create_task(activity()))
@@ -235,13 +250,21 @@
         finally:
             for task in tasks:
                 task.cancel()
-            for node in (*self.members, *self.entries):
+            for node in (*self.members, *self.spares, *self.entries):
                 await node.stop(signal.SIGKILL)
             for backend in self.backends:
                 backend.stop()
                 self.proxy_by_id[backend.endpoint_id].stop()
         return self.findings
 
+    def _list_seeds(self):
+        return [f"{m.ip}:{m.ports[2]}" for m in self.members]
+
+    def _write_settings(self, first_start):
+        seeds = self._list_seeds()
+        for node in (*self.members, *self.entries):
+            node.write_settings(seeds, first_start)
+
     # Endpoints and operators.
 
     async def _announce_all(self):
@@ -533,7 +556,7 @@
                     self.record_violation("memory above the limit", text)
             await asyncio.sleep(0.5)
 
-    def _acquire_node(self, nodes):
+    def _acquire_node(self, nodes, source=None):
         """Reserve a random node for a fault, or return None.
 
         A majority of the control members is always left undisturbed.
@@ -545,7 +568,7 @@
                 return None
         if not free:
             return None
-        node = self.random.choice(free)
+        node = (source or self.random).choice(free)
         node.busy = True
         node.disturbed_s = self.loop.time()
         self.counts[f"fault on {node.name[:4]}"] += 1
@@ -568,6 +591,8 @@
         await node.stop(signal.SIGKILL)
         await asyncio.sleep(self.random.uniform(0.1, 2.0))
         await node.start()
+        if node.serves_control:
+            await node.wait_until_served()
         self._release_node(node)
 
     async def _freeze(self):
@@ -583,6 +608,14 @@
         node = self._acquire_node(self._pick_group())
         if node is None:
             return
+        await self._terminate(node)
+        await node.start()
+        if node.serves_control:
+            await node.wait_until_served()
+        self._release_node(node)
+
+    async def _terminate(self, node):
+        """Send SIGTERM and check that the process ends in time."""
         node.send_signal(signal.SIGTERM)
         try:
             await asyncio.wait_for(node.process.wait(), SHUTDOWN_GRACE_S)
@@ -597,20 +630,54 @@
         except asyncio.TimeoutError:
             self.record_violation("shutdown took too long", node.name)
         await node.stop(signal.SIGKILL)
-        await node.start()
-        self._release_node(node)
 
-    async def _wipe(self):
-        node = self._acquire_node(self.members)
+    async def _wipe(self, source=None):
+        node = self._acquire_node(self.members, source)
         if node is None:
             return
         await node.stop(signal.SIGKILL)
         shutil.rmtree(node.data)
         os.makedirs(node.data)
-        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        await asyncio.sleep((source or self.random).uniform(0.1, 1.0))
         await node.start()
+        if node.serves_control:
+            await node.wait_until_served()
         self._release_node(node)
 
+    async def _replace_members(self):
+        """Replace members as planned; a disk is lost right after each."""
+        for number in range(MEMBERS, 250):
+            pause_s = self.member_random.uniform(0.5, 10.0)
+            if await self._is_stopped_within(pause_s):
+                return
+            ip = f"{self.member_net}.{number + 1}"
+            new = Node(
+                self.folder, f"core-{number}", ip, self.member_ports, True
+            )
+            new.write_settings(self._list_seeds(), False)
+            self.spares.append(new)
+            await new.start()
+            await new.wait_until_served()
+            old, pause_s = None, SYNC_TIME_S
+            while old is None:
+                if await self._is_stopped_within(pause_s):
+                    return
+                old = self._acquire_node(self.members, self.member_random)
+                pause_s = 0.1
+            await self._terminate(old)
+            self.spares.remove(new)
+            self.members[self.members.index(old)] = new
+            self._write_settings(False)
+            self.counts["member replaced"] += 1
+            await self._wipe(self.member_random)
+
+    async def _is_stopped_within(self, seconds):
+        """Wait; return early with True once the soak ends."""
+        end_s = self.loop.time() + seconds
+        while self.loop.time() < end_s and not self.stopping:
+            await asyncio.sleep(0.1)
+        return self.stopping
+
     async def _inject_endpoint_fault(self):
         backend = self.random.choice(self.backends)
         proxy = self.proxy_by_id[backend.endpoint_id]
