--- a/chervilspindle/platform/platform_test.py
+++ b/chervilspindle/platform/platform_test.py
@@ -92,6 +92,15 @@
     assert decoded.budget == (0.2, 116.0, 10.0)
 
 
+@pytest.mark.parametrize("value", (0, -1, 1e308))
+def test_a_limit_out_of_range_is_replaced_by_its_default(value):
+    limits = dict.fromkeys(
+        ("cpu-share", "cpu-cores", "link-speed-mbps", "memory-mb"), value
+    )
+    decoded = settings.decode_settings(encode({**SETTINGS, "limits": limits}))
+    assert decoded == settings.decode_settings(encode(SETTINGS))
+
+
 def test_settings_that_are_nested_too_deeply_cannot_be_read():
     nested = b"[" * samples.NESTING + b"]" * samples.NESTING
     data = encode(SETTINGS)[:-1] + b', "extra": ' + nested + b"}"
--- a/chervilspindle/platform/settings.py
+++ b/chervilspindle/platform/settings.py
@@ -9,6 +9,7 @@
 # connections and processes of other deployments, but does not protect against
 # an attacker on the network.
 SHARED_KEY = "chervilspindle links"
+MAX_LIMIT = 1 << 53  # JSON numbers are exact up to here
 
 
 class Addresses(msgspec.Struct):
@@ -83,6 +84,7 @@
     port, metrics_port = file.ports[0], file.ports[0] + 1
     seeds = tuple(f"{s.rsplit(':', 1)[0]}:{port}" for s in file.seeds)
     policy = file.policy
+    limits = _replace_unusable(file.limits)
     return process.RoutingSettings(
         vm_id=file.node_name,
         zone=file.zone,
@@ -100,7 +102,17 @@
             policy.budget_ratio, policy.budget_base, policy.budget_window_s
         ),
         grace_s=policy.grace_s,
-        core_share=file.limits.core_share * file.limits.speed,
-        link_mbps=file.limits.link_mbps,
-        memory_mb=file.limits.memory_mb,
+        core_share=limits.core_share * limits.speed,
+        link_mbps=limits.link_mbps,
+        memory_mb=limits.memory_mb,
     )
+
+
+def _replace_unusable(limits: Limits) -> Limits:
+    """Replace limits that nothing can be computed with by their defaults."""
+    usable = {
+        name: value
+        for name, value in msgspec.structs.asdict(limits).items()
+        if 0 < value <= MAX_LIMIT
+    }
+    return Limits(**usable)
