--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -357,7 +357,7 @@
 
     def _connect_failed(self, address: str, failure):
         if not failure.check(internet_error.ConnectError, OSError):
-            LOGGER.error(
+            LOGGER.warning(
                 "peer address cannot be used",
                 extra={"address": address, "why": str(failure.value)},
             )
