A nested peer frame closes its link with the usual line

RecursionError passed through PeerLink.stringReceived into the event loop. The link is closed as for other frames that cannot be decoded.

Evidence: peer_test.py, with this commit; before, RecursionError.

--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -93,7 +93,7 @@
             return
         try:
             message, call_id, is_reply = messages.decode_frame(body)
-        except (msgspec.MsgspecError, KeyError):
+        except (msgspec.MsgspecError, KeyError, RecursionError):
             LOGGER.warning("peer frame cannot be decoded; closing link")
             self.transport.abortConnection()
             return
--- a/chervilspindle/wire/peer_test.py
+++ b/chervilspindle/wire/peer_test.py
@@ -1,5 +1,6 @@
 """Tests of peer links: authentication, calls, silent and idle links."""
 
+import msgspec
 import pytest
 from twisted.internet import defer
 from twisted.internet import task
@@ -258,3 +259,15 @@
     assert failures[0].value.problem.kind is errors.ErrorKind.INTERNAL
     assert failures[0].value.problem.not_run
     assert not pair.dialler.transport.disconnecting
+
+
+def test_a_nested_frame_closes_its_link_only(pair):
+    other = End(pair.clock, b"k" * 16, "").link
+    pair.listener.network.add_link(other)
+    frame = messages.Frame("Leave", 0, False, b"")
+    nested = msgspec.Raw(b"\x91" * 5000 + b"\xc0")
+    body = msgspec.msgpack.encode(frame._replace(body=nested))
+    pair.dialler.link._send_body(body)
+    pair.listener.link.dataReceived(pair.dialler.transport.value())
+    assert pair.listener.transport.disconnecting
+    assert other in pair.listener.network.links
