Settings without seeds do not end an entry's watch

An entry that had reached no member yet and read settings with an empty list of seeds raised ValueError while it chose the next member, in the errback that sends the next call: it never asked again, also with the seeds back.

An empty list leaves the seeds as they are.

Evidence: watch_client_test.py, with this commit; before, one call instead of two.

--- a/chervilspindle/routing/watch_client.py
+++ b/chervilspindle/routing/watch_client.py
@@ -112,8 +112,8 @@
         self.entry_info = self.entry_info._replace(relay_address="")
 
     def set_seeds(self, seeds):
-        """Replace the seeds, after a change of settings."""
-        self.seeds = tuple(seeds)
+        """Replace the seeds, after a change of settings, unless by none."""
+        self.seeds = tuple(seeds) or self.seeds
 
     def _watch(self):
         if self.stopped:
--- a/chervilspindle/routing/watch_client_test.py
+++ b/chervilspindle/routing/watch_client_test.py
@@ -236,3 +236,17 @@
     control.clock.pump([0.05] * 50)
     assert control.client.version > before + 1
     assert control.client.is_connected
+
+
+def test_settings_without_seeds_do_not_end_the_watch():
+    control = Control()
+    pending = defer.Deferred()
+    control.answer = lambda address, message: pending
+    control.client.start()
+    control.client.set_seeds(())
+    control.answer = lambda address, message: defer.Deferred()
+    pending.errback(
+        errors.build_error(errors.ErrorKind.CONNECTION_LOST, "cut off")
+    )
+    control.clock.pump([0.1] * 10)
+    assert len(control.calls) == 2
