An endpoint that runs does not move to another address or service

An announcement of another writer under the id and start of a real endpoint, with another address and a higher sequence, replaced the endpoint's row for as long as it ran: entries sent to an address where it is not, its own announcements were acknowledged and ignored, and as they kept the id alive the row was never recorded as lost.

A process keeps its address and service, so that the leader refuses a change of either within one incarnation, unless the endpoint is lost or gone, or its start is not announced.

Not covered: a start in the future, or a higher sequence with all else equal. Both are what an endpoint itself may say.

Evidence: two cases of frontend_test.py, with this commit; before, no failure and the other writer's row stored.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -455,12 +455,18 @@
 def _find_conflict(endpoint, frontend) -> str:
     """Return why an announcement is not of the endpoint with its id.
 
-    Empty if it may be. Another writer may use the id of an endpoint in use;
-    the endpoint does not change to a service that nothing is sent to.
+    Empty if it may be. Another writer may use the id of an endpoint in use.
+    An endpoint neither moves while it runs nor changes to a service that
+    nothing is sent to.
     """
     stored = frontend.node.tables.endpoint_by_id.get(endpoint.endpoint_id)
     if stored is None or stored.state in ("lost", "gone"):
         return ""
+    if endpoint.incarnation and stored.incarnation == endpoint.incarnation:
+        if stored.address != endpoint.address:
+            return f"id is in use at {stored.address}"
+        if stored.service != endpoint.service:
+            return f"id is in use by an endpoint of service {stored.service}"
     if stored.service == endpoint.service:
         return ""
     if not frontend.is_named(stored.service):
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -265,6 +265,25 @@
     assert (stored.service, stored.state) == ("s", "draining")
 
 
+@pytest.mark.parametrize(
+    "change", ({"address": "10.9.9.9:1"}, {"service": "t"})
+)
+def test_an_endpoint_does_not_move_while_it_runs(control, change):
+    _, node, frontend, _ = control
+    frontend.announce(build_endpoint(1))
+    failures = []
+    odd = build_endpoint(1 << 50, **change)
+    deferred = defer.maybeDeferred(frontend.announce, odd)
+    deferred.addErrback(failures.append)
+    assert failures[0].value.problem.kind is errors.ErrorKind.MALFORMED
+    frontend.announce(build_endpoint(2, state="draining"))
+    assert node.tables.endpoint_by_id["i-1"] == build_endpoint(
+        2, state="draining"
+    )
+    frontend.announce(build_endpoint(1, incarnation=6, **change))
+    assert node.tables.endpoint_by_id["i-1"].incarnation == 6
+
+
 def test_an_endpoint_that_is_lost_may_return_with_a_service_to_come(control):
     _, node, frontend, _ = control
     name_service(node, frontend)
