Start: SIGHUP during a start no longer ends the process

Cause: the default action. Now __main__ ignores it in its first statement; settings are read later, and a change between that and the loop is found by the check each 2 s, or remembered.

Ruled out: remembering it from the first statement on; the settings are not read by then, so there is nothing to read again.

--- a/chervilspindle/platform/__main__.py
+++ b/chervilspindle/platform/__main__.py
@@ -11,8 +11,10 @@
     """Handle signals until the process is built.
 
     SIGTERM ends the process, which has done nothing yet; an exception from
-    the handler could be ignored by the code that it interrupts.
+    the handler could be ignored by the code that it interrupts. SIGHUP asks
+    for settings to be read, which a start does anyway.
     """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, lambda number, frame: os._exit(EXIT_OK))
 
 
