Tests: a control member that stops cuts calls in progress (red)

A call of an operator or an endpoint that waits for the leader, up to 0.9 s, is cut 0.2 s after SIGTERM: the caller can't tell whether its change is in force. A second test, green before, bounds how long a call may hold the process up.

--- a/chervilspindle/routing/drain_test.py
+++ b/chervilspindle/routing/drain_test.py
@@ -488,3 +488,106 @@
         assert world.codes == [process_module.EXIT_OK]
 
     data_path_test.run_in_world(UnstartedWorld, test, LIMIT_S)
+
+
+class ControlWorld:
+    """A control process whose calls take a while."""
+
+    call_s = 0.5
+
+    def __init__(self, loop, folder):
+        self.loop = loop
+        self.codes = []
+        clock = loops.LoopClock(loop)
+        find = data_path_test.find_address
+        peer_address = find()
+        settings = process_module.RoutingSettings(
+            "vm-1",
+            "a",
+            peer_address,
+            find(),
+            (peer_address,),
+            "key",
+            "",
+            "",
+            find(),
+            str(folder),
+            True,
+            1,
+            retry_budget.Rule(0.2, 100.0, 10.0),
+            GRACE_S,
+            1.0,
+            1000.0,
+            256.0,
+        )
+        adapter = process_module.Adapter(
+            platform_names.HEADERS, b"", None, self.build_handler, None
+        )
+        self.address = settings.control_address
+        self.process = process_module.ControlProcess(
+            clock, loop, clock, settings, adapter, self.codes.append
+        )
+
+    def build_handler(self, frontend):
+        def handle(exchange):
+            self.loop.call_later(self.call_s, exchange.respond, 200)
+
+        return handle
+
+    async def start(self):
+        await self.process.launch().asFuture(self.loop)
+
+    def stop(self):
+        if not self.codes:
+            self.process.close()
+
+    async def put(self):
+        """Send a document; return the status."""
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"PUT /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+        )
+        try:
+            return (await data_path_test.read_answer(reader))[0]
+        except (OSError, asyncio.IncompleteReadError):
+            return None
+        finally:
+            writer.close()
+
+
+def test_a_change_in_progress_is_answered_before_a_control_member_stops(
+    tmp_path,
+):
+    async def test(world):
+        asks = [asyncio.create_task(world.put()) for _ in range(3)]
+        await asyncio.sleep(0.05)
+        world.process.stop()
+        assert [await ask for ask in asks] == [200] * 3
+        begun_s = world.loop.time()
+        while not world.codes:
+            await asyncio.sleep(0.01)
+        assert world.loop.time() - begun_s < 0.3
+
+    def build(loop):
+        return ControlWorld(loop, tmp_path)
+
+    data_path_test.run_in_world(build, test, LIMIT_S)
+
+
+def test_a_call_that_never_ends_does_not_hold_up_a_control_member(tmp_path):
+    async def test(world):
+        world.call_s = 60.0
+        ask = asyncio.create_task(world.put())
+        await asyncio.sleep(0.05)
+        world.process.stop()
+        begun_s = world.loop.time()
+        while not world.codes:
+            await asyncio.sleep(0.01)
+        assert world.loop.time() - begun_s < GRACE_S / 2
+        assert await ask is None
+
+    def build(loop):
+        return ControlWorld(loop, tmp_path)
+
+    data_path_test.run_in_world(build, test, LIMIT_S)
