Control members answer calls in progress before they stop

Cause: ControlProcess.stop closed everything after 0.2 s, whatever was in progress. A call to the leader may take 0.9 s.

Now it stops listening after these 0.2 s, closes each connection after its answer, and ends once nothing is in progress, after 1.5 s at the latest or 0.6 s before the end of the grace. The member takes part in the group until then, so that a change that waits for it can be committed.

Ruled out: refusing new calls from SIGTERM on; callers of an open connection would lose a member that can still serve them.

Evidence: three calls of 0.5 s, before: cut; after: answered, end within 0.3 s of the last.

--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -41,6 +41,8 @@
 BACKLOG = 512
 STOP_CHECK_INTERVAL_S = 0.05
 FLUSH_S = 0.05  # for the last answers to leave
+CONTROL_LINGER_S = 0.2
+CONTROL_STOP_S = 1.5  # longer than a call to the leader may take
 SETTINGS_CHECK_INTERVAL_S = 2.0
 CRASH_REPORT_TIMEOUT_S = 1.0
 CONTROL_LIMITS = http_server.ServerLimits(16384, 4194304, 5000.0, 30000.0)
@@ -158,6 +160,7 @@
         self.starting = None  # the task, once it runs
         self.serving = False
         self.stopping = False
+        self.drain_started_s = None
 
     def handle(self, link, message):
         """Handle a message from another process and return the answer."""
@@ -280,7 +283,6 @@
         )
         context.quarantine.send_report = self._send_crash_report
         self.caller_server = None
-        self.drain_started_s = None
 
     def _send_crash_report(self, report):
         address = self.watch_client.member_address
@@ -476,7 +478,26 @@
         LOGGER.info("stopping")
         for server in self.servers:
             server.start_closing()
-        self.timers.call_later(0.2, self.close)
+        self.drain_started_s = self.loop.time()
+        self.timers.subscribe("stop", STOP_CHECK_INTERVAL_S, self._check_stop)
+
+    def _check_stop(self):
+        elapsed = self.loop.time() - self.drain_started_s
+        if elapsed < CONTROL_LINGER_S:
+            return
+        for server in self.servers:
+            server.stop_listening()
+        end_s = drain.compute_end_s(self.settings.grace_s)
+        busy = sum(server.count_busy() for server in self.servers)
+        if busy and elapsed < min(CONTROL_STOP_S, end_s):
+            return
+        self.timers.cancel("stop")
+        if busy:
+            LOGGER.warning(
+                "stopping with requests in progress",
+                extra={"in_progress": busy},
+            )
+        self.close()
 
     def handle(self, link, message):
         """Handle a message from another process and return the answer."""
