Tests: the product's own entries take what they can't end (red)

An entry that drains serves on for 1.5 s whatever the deadline, and ends after drain_seconds: a query or a command with a longer deadline may be cut. By default both are 30 s at most, so a command sent 1.5 s after SIGTERM may be cut 1.5 s before its deadline.

--- a/features/http_api_test.py
+++ b/features/http_api_test.py
@@ -159,6 +159,23 @@
     assert send(world, "GET", "/readyz")[0].code == 503
 
 
+def test_draining_entry_refuses_what_may_not_end_before_it_does(world):
+    entry = world.vm_by_name["entry-1"].entry
+    entry.settings = entry.settings._replace(drain_seconds=4.0)
+    entry.drain()
+    command = {"service": "portal-1", "key": "a", "command": {"nonce": "x"}}
+    long_s = 6.0
+    for path, body in (("/v1/query", QUERY), ("/v1/command", command)):
+        headers = {"Idempotency-Key": path}
+        body = {**body, "deadline_ms": int(long_s * 1000)}
+        response, refusal = send(world, "POST", path, body, headers=headers)
+        assert response.code == 503
+        assert (refusal["kind"], refusal["not_run"]) == ("draining", True)
+        body["deadline_ms"] = 600
+        response, _ = send(world, "POST", path, body, headers=headers)
+        assert response.code == 200
+
+
 def test_draining_entry_refuses_as_not_run(world):
     entry = world.vm_by_name["entry-1"].entry
     entry.drain()
