The product's own entries refuse what they may not end

Callers of deployments of the product's own: an entry that drains took each request for 1.5 s, whatever its deadline, and ended after drain_seconds. A command with a longer deadline could be cut without an answer.

Entry.drain now notes when it ends, and a query or command whose deadline is later is refused as draining, not run, with a log line too-late-to-end that has the request's id. What was admitted before SIGTERM is waited for as before.

Ruled out: an estimate of the time needed as in routing/drain.py. Readiness fails 1.5 s before anything else changes here, and deadlines are mostly far below drain_seconds.

Evidence: the test red before passes, and the 91 tests of query/, http_api_test and handover_test.

--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -1,6 +1,7 @@
 """The entry role of a VM, and its handlers of messages from peers."""
 
 import functools
+import math
 import random
 
 import msgspec
@@ -131,6 +132,7 @@
         self.bucket_by_customer = {}
         self.in_flight = 0
         self.is_rejecting = False
+        self.end_s = math.inf  # by the timers' clock, while it drains
         network.lost_listeners.append(self.gatherer.handle_connection_lost)
 
     def start(self):
@@ -274,6 +276,7 @@
         logs.log_decision("drain", session=self.session.vm.session)
         self.session.set_state("draining")
         due = self.timers.clock.seconds() + self.settings.drain_seconds
+        self.end_s = due
         # Serve requests until the load balancer has noticed the failing
         # readiness check and sends no more.
         yield self._pause(READY_LINGER_S)
@@ -319,6 +322,23 @@
         self._check_rate(grant, request_id)
         return grant
 
+    def _check_time_left(self, deadline_ms, request_id):
+        """Refuse a request that may last longer than this process."""
+        left_ms = (self.end_s - self.timers.clock.seconds()) * 1000.0
+        if deadline_ms <= left_ms:
+            return
+        logs.log_decision(
+            "too-late-to-end",
+            request_id=request_id,
+            needed_ms=deadline_ms,
+            left_ms=round(left_ms),
+        )
+        raise errors.build_error(
+            errors.ErrorKind.DRAINING,
+            "this VM shuts down before the request's deadline",
+            request_id=request_id,
+        )
+
     def _check_rate(self, grant, request_id):
         rate = grant.plan.rate
         if not rate:
@@ -347,6 +367,7 @@
 
     def _build_query(self, request_id, grant, body):
         requests.check_deadline(body.deadline_ms)
+        self._check_time_left(body.deadline_ms, request_id)
         rank = requests.check_priority(body.priority, grant.plan)
         services = requests.match_plan_services(
             body.services, grant.plan, self.directory.list_services()
@@ -365,6 +386,7 @@
 
     def _build_command(self, request_id, grant, body, idempotency_key):
         requests.check_deadline(body.deadline_ms)
+        self._check_time_left(body.deadline_ms, request_id)
         rank = requests.check_priority(body.priority, grant.plan)
         requests.match_plan_services(
             [body.service], grant.plan, self.directory.list_services()
