Tests: a stopping entry closes new connections unread (red)

From 2.6 s after SIGTERM on, an entry closes idle connections each 50 ms, also those that it has just accepted and whose first request is on its way: of four that send 120 ms after connecting none is answered. The caller may repeat, but loses a round trip and the time of a retry.

--- a/chervilspindle/routing/drain_test.py
+++ b/chervilspindle/routing/drain_test.py
@@ -160,8 +160,11 @@
         runs = [b.runs for b in self.backend_by_id.values()]
         return [run.request_id for rows in runs for run in rows]
 
-    async def ask(self, path, request_id, deadline_ms=TIMEOUT_MS):
-        """Send one request on a new connection and record what came."""
+    async def ask(self, path, request_id, deadline_ms=TIMEOUT_MS, wait_s=0.0):
+        """Send one request on a new connection and record what came.
+
+        It is sent `wait_s` after the connection was opened.
+        """
         begun_s = self.loop.time()
         host, port = self.address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
@@ -171,6 +174,7 @@
             f"{platform_names.HEADERS.deadline_ms}: {deadline_ms:.0f}\r\n"
             "Content-Length: 0\r\n\r\n"
         )
+        await asyncio.sleep(wait_s)
         try:
             writer.write(head.encode())
             answer = await data_path_test.read_answer(reader)
@@ -278,6 +282,21 @@
     run_test(test)
 
 
+def test_new_connections_are_not_closed_before_their_request_comes(run_test):
+    async def test(world):
+        stop = asyncio.create_task(stop_under_load(world, "/once/"))
+        await asyncio.sleep(0.6 + drain.NOTICE_S + 0.05)
+        asks = [
+            world.ask("/once/", f"new-{number}", wait_s=0.12)
+            for number in range(4)
+        ]
+        rows = await asyncio.gather(*asks)
+        await stop
+        assert {row.status for row in rows} == {200}
+
+    run_test(test)
+
+
 def test_requests_that_outlast_the_grace_are_answered_before_its_end(run_test):
     async def test(world):
         for backend in world.backend_by_id.values():
