Drain: new connections are left open for their first request

Callers saw (by test): a connection that the balancer made to a draining entry was closed unread within 50 ms, though its request could have been served.

Cause: close_idle takes a connection without a request for idle, however new. It is now left for 0.5 s, and an entry does not end early while it has such connections; the end of the grace is as before.

Ruled out: closing no idle connections at all; those that callers keep would hold the entry until the end of the grace.

Evidence: four requests sent 120 ms after connecting, before: none answered; after: all served. drain_test.py: 32 of 32.

--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -354,7 +354,7 @@
         self.caller_server.close_idle()
         busy = self.caller_server.count_busy() + self.entry_peer.count_busy()
         has_time = self.context.drain.get_left_s() > 0.0
-        if busy and has_time:
+        if has_time and (busy or self.caller_server.count_new()):
             return
         self.timers.cancel("stop")
         self.watch_client.stop()
--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -18,6 +18,7 @@
 LOGGER = logging.getLogger(__name__)
 
 SWEEP_S = 0.5
+FIRST_REQUEST_S = 0.5  # within which a new connection gets its request
 MAX_PIPELINED = 16
 MAX_HEADERS = 200
 # In Linux's `struct tcp_info`, the smoothed round trip time in us.
@@ -182,11 +183,18 @@
             self.server.close()
 
     def close_idle(self):
-        """Close connections without a request in progress or half read."""
+        """Close connections without a request in progress or half read.
+
+        Those that are new are left.
+        """
         for connection in list(self.connections):
-            if connection.is_idle():
+            if connection.is_idle() and not connection.is_new():
                 connection.transport.close()
 
+    def count_new(self) -> int:
+        """Return the number of connections that are about to be used."""
+        return sum(1 for c in self.connections if c.is_new())
+
     def stop(self):
         """Close the listener and all connections."""
         self.timers.cancel(self.name)
@@ -344,6 +352,13 @@
         """Return whether all that was read has been answered."""
         return self.exchange is None and self.request_started_s is None
 
+    def is_new(self) -> bool:
+        """Return whether its first request may be on its way."""
+        if self.request_count:
+            return False
+        age_s = self.server.loop.time() - self.idle_since_s
+        return age_s < FIRST_REQUEST_S
+
     def check_time(self, now: float, limits: ServerLimits):
         """Close the connection if its caller takes too long."""
         if self.exchange is not None or self.transport.is_closing():
