--- a/chervilspindle/routing/drain_test.py
+++ b/chervilspindle/routing/drain_test.py
@@ -160,8 +160,11 @@
         runs = [b.runs for b in self.backend_by_id.values()]
         return [run.request_id for rows in runs for run in rows]
 
-    async def ask(self, path, request_id, deadline_ms=TIMEOUT_MS):
-        """Send one request on a new connection and record what came."""
+    async def ask(self, path, request_id, deadline_ms=TIMEOUT_MS, wait_s=0.0):
+        """Send one request on a new connection and record what came.
+
+        It is sent `wait_s` after the connection was opened.
+        """
         begun_s = self.loop.time()
         host, port = self.address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
@@ -171,6 +174,7 @@
             f"{platform_names.HEADERS.deadline_ms}: {deadline_ms:.0f}\r\n"
             "Content-Length: 0\r\n\r\n"
         )
+        await asyncio.sleep(wait_s)
         try:
             writer.write(head.encode())
             answer = await data_path_test.read_answer(reader)
@@ -278,6 +282,21 @@
     run_test(test)
 
 
+def test_new_connections_are_not_closed_before_their_request_comes(run_test):
+    async def test(world):
+        stop = asyncio.create_task(stop_under_load(world, "/once/"))
+        await asyncio.sleep(0.6 + drain.NOTICE_S + 0.05)
+        asks = [
+            world.ask("/once/", f"new-{number}", wait_s=0.12)
+            for number in range(4)
+        ]
+        rows = await asyncio.gather(*asks)
+        await stop
+        assert {row.status for row in rows} == {200}
+
+    run_test(test)
+
+
 def test_requests_that_outlast_the_grace_are_answered_before_its_end(run_test):
     async def test(world):
         for backend in world.backend_by_id.values():
@@ -491,3 +510,106 @@
         assert world.codes == [process_module.EXIT_OK]
 
     data_path_test.run_in_world(UnstartedWorld, test, LIMIT_S)
+
+
+class ControlWorld:
+    """A control process whose calls take a while."""
+
+    call_s = 0.5
+
+    def __init__(self, loop, folder):
+        self.loop = loop
+        self.codes = []
+        clock = loops.LoopClock(loop)
+        find = data_path_test.find_address
+        peer_address = find()
+        settings = process_module.RoutingSettings(
+            "vm-1",
+            "a",
+            peer_address,
+            find(),
+            (peer_address,),
+            "key",
+            "",
+            "",
+            find(),
+            str(folder),
+            True,
+            1,
+            retry_budget.Rule(0.2, 100.0, 10.0),
+            GRACE_S,
+            1.0,
+            1000.0,
+            256.0,
+        )
+        adapter = process_module.Adapter(
+            platform_names.HEADERS, b"", None, self.build_handler, None
+        )
+        self.address = settings.control_address
+        self.process = process_module.ControlProcess(
+            clock, loop, clock, settings, adapter, self.codes.append
+        )
+
+    def build_handler(self, frontend):
+        def handle(exchange):
+            self.loop.call_later(self.call_s, exchange.respond, 200)
+
+        return handle
+
+    async def start(self):
+        await self.process.launch().asFuture(self.loop)
+
+    def stop(self):
+        if not self.codes:
+            self.process.close()
+
+    async def put(self):
+        """Send a document; return the status."""
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"PUT /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+        )
+        try:
+            return (await data_path_test.read_answer(reader))[0]
+        except (OSError, asyncio.IncompleteReadError):
+            return None
+        finally:
+            writer.close()
+
+
+def test_a_change_in_progress_is_answered_before_a_control_member_stops(
+    tmp_path,
+):
+    async def test(world):
+        asks = [asyncio.create_task(world.put()) for _ in range(3)]
+        await asyncio.sleep(0.05)
+        world.process.stop()
+        assert [await ask for ask in asks] == [200] * 3
+        begun_s = world.loop.time()
+        while not world.codes:
+            await asyncio.sleep(0.01)
+        assert world.loop.time() - begun_s < 0.3
+
+    def build(loop):
+        return ControlWorld(loop, tmp_path)
+
+    data_path_test.run_in_world(build, test, LIMIT_S)
+
+
+def test_a_call_that_never_ends_does_not_hold_up_a_control_member(tmp_path):
+    async def test(world):
+        world.call_s = 60.0
+        ask = asyncio.create_task(world.put())
+        await asyncio.sleep(0.05)
+        world.process.stop()
+        begun_s = world.loop.time()
+        while not world.codes:
+            await asyncio.sleep(0.01)
+        assert world.loop.time() - begun_s < GRACE_S / 2
+        assert await ask is None
+
+    def build(loop):
+        return ControlWorld(loop, tmp_path)
+
+    data_path_test.run_in_world(build, test, LIMIT_S)
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -42,7 +42,8 @@
 BACKLOG = 512
 STOP_CHECK_INTERVAL_S = 0.05
 FLUSH_S = 0.05  # for the last answers to leave
-CONTROL_STOP_S = 0.2  # requests in progress end in this time
+CONTROL_LINGER_S = 0.2
+CONTROL_STOP_S = 1.5  # longer than a call to the leader may take
 LEAVE_TIMEOUT_S = 4.0  # an election and the changes of the configuration
 SETTINGS_CHECK_INTERVAL_S = 2.0
 CRASH_REPORT_TIMEOUT_S = 1.0
@@ -161,6 +162,7 @@
         self.starting = None  # the task, once it runs
         self.serving = False
         self.stopping = False
+        self.drain_started_s = None
 
     def handle(self, link, message):
         """Handle a message from another process and return the answer."""
@@ -287,7 +289,6 @@
         )
         context.quarantine.send_report = self._send_crash_report
         self.caller_server = None
-        self.drain_started_s = None
 
     def _send_crash_report(self, report):
         address = self.watch_client.member_address
@@ -359,7 +360,7 @@
         self.caller_server.close_idle()
         busy = self.caller_server.count_busy() + self.entry_peer.count_busy()
         has_time = self.context.drain.get_left_s() > 0.0
-        if busy and has_time:
+        if has_time and (busy or self.caller_server.count_new()):
             return
         self.timers.cancel("stop")
         self.watch_client.stop()
@@ -485,7 +486,7 @@
         self.watch = watch_module.WatchServer(
             self.node, self.frontend, self.timers, read_clock
         )
-        self.leave_started_s = None
+        self.drain_started_s = None
 
     async def start(self):
         """Recover the state from disk and start the servers."""
@@ -512,13 +513,34 @@
         The vote goes to another control member if one waits for a vote. It
         has it before this process ends, so that losses right after are borne.
         """
-        self.leave_started_s = self.loop.time()
         LOGGER.info("stopping")
         for server in self.servers:
             server.start_closing()
         self.node.leave()
+        self.drain_started_s = self.loop.time()
         self.timers.subscribe("stop", STOP_CHECK_INTERVAL_S, self._check_stop)
 
+    def _check_stop(self):
+        elapsed = self.loop.time() - self.drain_started_s
+        if elapsed < CONTROL_LINGER_S:
+            return
+        for server in self.servers:
+            server.stop_listening()
+        end_s = drain.compute_end_s(self.settings.grace_s)
+        busy = sum(server.count_busy() for server in self.servers)
+        if busy and elapsed < min(CONTROL_STOP_S, end_s):
+            return
+        has_vote = not self.node.free_to_leave
+        if has_vote and elapsed < min(LEAVE_TIMEOUT_S, end_s):
+            return
+        self.timers.cancel("stop")
+        if busy or has_vote:
+            LOGGER.warning(
+                "stopping with work in progress",
+                extra={"in_progress": busy, "has_vote": has_vote},
+            )
+        self.close()
+
     def handle(self, link, message):
         """Handle a message from another process and return the answer."""
         if isinstance(message, messages.Replicate):
@@ -544,18 +566,6 @@
     def _read_service_names(self, data):
         return self.adapter.decode_document(data).service_by_name
 
-    def _check_stop(self):
-        elapsed_s = self.loop.time() - self.leave_started_s
-        if elapsed_s < CONTROL_STOP_S:
-            return
-        latest_s = drain.compute_end_s(self.settings.grace_s)
-        if not self.node.free_to_leave:
-            if elapsed_s < min(LEAVE_TIMEOUT_S, latest_s):
-                return
-            LOGGER.warning("stopped before the vote was handed over")
-        self.timers.cancel("stop")
-        self.close()
-
     def close(self):
         """Close the storage as well."""
         self.node.stop()
