--- a/chervilspindle/tools/soak_test.py
+++ b/chervilspindle/tools/soak_test.py
@@ -67,6 +67,9 @@
     async def _inject_leaving(self):
         """Do nothing."""
 
+    async def _replace_members(self):
+        """Do nothing."""
+
 
 def test_changes_are_in_force_while_another_writer_announces_junk(tmp_path):
     loop = uvloop.new_event_loop()
--- a/features/two_builds_test.py
+++ b/features/two_builds_test.py
@@ -143,6 +143,9 @@
         """Do nothing: endpoints are well."""
 
     _inject_pauses = _inject_leaving = _inject_endless_answers
+    _replace_members = _inject_endless_answers
+    # Builds before version 5 take such announcements.
+    _inject_unusable_announcements = _inject_endless_answers
 
 
 def extract(commit, folder):
