--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -239,8 +239,7 @@
         try:
             await self._put_document()
             self._write_settings(False)
-            if self.member_random.random() < 0.5:
-                await self._wipe(self.member_random)
+            await self._lose_first_disk()
             await asyncio.sleep(2.0)
             for activity in (
                 self._generate_load,
@@ -269,6 +268,11 @@
                 self.proxy_by_id[backend.endpoint_id].stop()
         return self.findings
 
+    async def _lose_first_disk(self):
+        """Lose a disk right after the first document, at half of the seeds."""
+        if self.member_random.random() < 0.5:
+            await self._wipe(self.member_random)
+
     async def _wait_for_end(self):
         await asyncio.sleep(self.seconds)
 
--- a/features/two_builds_test.py
+++ b/features/two_builds_test.py
@@ -144,8 +144,9 @@
 
     _inject_pauses = _inject_leaving = _inject_endless_answers
     _replace_members = _inject_endless_answers
-    # Builds before version 5 take such announcements.
+    # Builds before version 5 bear neither.
     _inject_unusable_announcements = _inject_endless_answers
+    _lose_first_disk = _inject_endless_answers
 
 
 def extract(commit, folder):
