Tests of the drain: a connection closed before its request counts as such

Traced: a caller's connection was accepted by the kernel only and closed with the listener at the entry's end, before the caller wrote; uvloop raises RuntimeError for a write on a closed transport, where others raise OSError. The row counts as one without an answer, as with OSError; that no such request ran is checked as before.

--- a/chervilspindle/routing/drain_test.py
+++ b/chervilspindle/routing/drain_test.py
@@ -176,6 +176,8 @@
         )
         await asyncio.sleep(wait_s)
         try:
+            if writer.is_closing():
+                raise ConnectionResetError("closed before the request")
             writer.write(head.encode())
             answer = await data_path_test.read_answer(reader)
             status, headers, _ = answer
