Read-through: one copy of limits, log clips and test set-ups

The largest number of JSON stood four times (core/json_limits.py now), the longest deadline twice, the clip of a header for a log line four times (logs.clip_header). The leader asked twice for each silent endpoint whether its service is named. Tests: one set-up of relays, issuer and process settings each in place of two.

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -383,10 +383,11 @@
             return
         # Another writer may announce any number of endpoints of services
         # that the document does not name. They tell nothing about the rest.
-        named = [e for e in usable if self.is_named(e.service)]
-        silent = [e for e in timed_out if self.is_named(e.service)]
-        if len(silent) > len(named) * (1.0 - MIN_ANNOUNCED_SHARE):
-            timed_out = [e for e in timed_out if not self.is_named(e.service)]
+        named = sum(self.is_named(e.service) for e in usable)
+        unnamed = [e for e in timed_out if not self.is_named(e.service)]
+        silent = len(timed_out) - len(unnamed)
+        if silent > named * (1.0 - MIN_ANNOUNCED_SHARE):
+            timed_out = unnamed
         if timed_out:
             self._record_lost(timed_out, now)
 
--- a/chervilspindle/core/endpoint_checks.py
+++ b/chervilspindle/core/endpoint_checks.py
@@ -7,12 +7,12 @@
 import ipaddress
 import typing
 
+from chervilspindle.core import json_limits
 from chervilspindle.core import rows
 
 MAX_PORT = 65535
 MAX_NAME_CHARACTERS = 200
 MAX_SLOTS = 1 << 20
-MAX_INCARNATION_MS = 1 << 53  # JSON numbers are exact up to here
 
 
 class Address(typing.NamedTuple):
@@ -52,7 +52,7 @@
         return "zone is not a name"
     if not 1 <= endpoint.slots <= MAX_SLOTS:
         return f"slots must be 1 to {MAX_SLOTS}"
-    if not 0 <= endpoint.incarnation <= MAX_INCARNATION_MS:
+    if not 0 <= endpoint.incarnation <= json_limits.MAX_EXACT_INTEGER:
         return "start time is out of range"
     if not 0 <= endpoint.sequence <= rows.FINAL_SEQUENCE:
         return "sequence is out of range"
--- a/chervilspindle/core/logs.py
+++ b/chervilspindle/core/logs.py
@@ -5,6 +5,7 @@
 import sys
 import time
 
+MAX_HEADER_CHARACTERS = 40
 DECISION_LOGGER = logging.getLogger("chervilspindle.decision")
 
 _STANDARD_FIELDS = frozenset(
@@ -51,6 +52,11 @@
         DECISION_LOGGER.info(decision, extra=fields)
 
 
+def clip_header(value: bytes) -> str:
+    """Return the start of a header's value for a log line."""
+    return value.decode("latin-1")[:MAX_HEADER_CHARACTERS]
+
+
 def read_wall_ms() -> int:
     """Return the wall-clock time in milliseconds since the epoch."""
     return int(time.time() * 1000)
--- a/chervilspindle/platform/documents.py
+++ b/chervilspindle/platform/documents.py
@@ -112,6 +112,7 @@
         If it cannot be read; the message names the field.
     """
     if spare_frames:
+        # Each call adds a frame to the stack.
         return decode_new_document(data, spare_frames - 1)
     data.decode()
     configuration = _decode(data)
--- a/chervilspindle/platform/settings.py
+++ b/chervilspindle/platform/settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from chervilspindle.core import json_limits
 from chervilspindle.routing import process
 from chervilspindle.routing import retry_budget
 
@@ -9,7 +10,6 @@
 # connections and processes of other deployments, but does not protect against
 # an attacker on the network.
 SHARED_KEY = "chervilspindle links"
-MAX_LIMIT = 1 << 53  # JSON numbers are exact up to here
 
 
 class Addresses(msgspec.Struct):
@@ -113,6 +113,6 @@
     usable = {
         name: value
         for name, value in msgspec.structs.asdict(limits).items()
-        if 0 < value <= MAX_LIMIT
+        if 0 < value <= json_limits.MAX_EXACT_INTEGER
     }
     return Limits(**usable)
--- a/chervilspindle/routing/cut_off_test.py
+++ b/chervilspindle/routing/cut_off_test.py
@@ -86,15 +86,20 @@
     run_fleet(test)
 
 
+def use_relays(entry):
+    """Leave each shard one endpoint and tell the relay table its zone."""
+    for shard in data_path_test.SHARDS:
+        entry.context.table.drop(f"{shard}-b", "test")
+    relay_table = entry.context.relays.table
+    relay_table.add_endpoint_zones(entry.context.table.list_zones())
+    relay_table.update_document(entry.entry.document)
+
+
 def test_vms_in_touch_avoid_relays_that_are_cut_off(run_fleet):
     async def test(fleet):
         for entry in fleet.entries:
             entry.context.budget.rule = retry_budget.Rule(0.2, 5.0, 10.0)
-            for shard in data_path_test.SHARDS:
-                entry.context.table.drop(f"{shard}-b", "test")
-            relay_table = entry.context.relays.table
-            relay_table.add_endpoint_zones(entry.context.table.list_zones())
-            relay_table.update_document(entry.entry.document)
+            use_relays(entry)
         await warm_up(fleet)
         start_cut(fleet, link_faults.Cut.HANG, (2, 4))
         await ask_all(fleet, (1, 3), ("/all/x",), 1)
@@ -350,11 +355,7 @@
     async def test(fleet):
         unknown = [play_older_build(fleet.entries[i], 3) for i in (1, 3)]
         for entry in fleet.entries:
-            for shard in data_path_test.SHARDS:
-                entry.context.table.drop(f"{shard}-b", "test")
-            relay_table = entry.context.relays.table
-            relay_table.add_endpoint_zones(entry.context.table.list_zones())
-            relay_table.update_document(entry.entry.document)
+            use_relays(entry)
         await warm_up(fleet)
         start_cut(fleet, link_faults.Cut.HANG, (2, 4))
         await ask_all(fleet, (1, 3), ("/all/x",), 1)
--- a/chervilspindle/routing/documents.py
+++ b/chervilspindle/routing/documents.py
@@ -6,7 +6,7 @@
 
 import typing
 
-MAX_NUMBER = 1 << 53  # JSON numbers are exact up to here
+from chervilspindle.core import json_limits
 
 
 class Limits(typing.NamedTuple):
@@ -110,10 +110,11 @@
 def check_document(document: Document) -> tuple[DocumentError, ...]:
     """Return all errors of a document, empty if it may be applied."""
     errors = []
-    if not 0 <= document.version <= MAX_NUMBER:
+    largest = json_limits.MAX_EXACT_INTEGER
+    if not 0 <= document.version <= largest:
         errors.append(DocumentError("version", "is out of range"))
     for place, row in _list_numeric_rows(document):
-        if any(abs(n) > MAX_NUMBER for n in row if _is_number(n)):
+        if any(abs(n) > largest for n in row if _is_number(n)):
             errors.append(DocumentError(place, "a number is out of range"))
     route_name_by_key = {}
     for route in document.routes:
--- a/chervilspindle/routing/drain_test.py
+++ b/chervilspindle/routing/drain_test.py
@@ -85,6 +85,30 @@
     headers: dict
 
 
+def build_settings(**changes):
+    find = data_path_test.find_address
+    settings = process_module.RoutingSettings(
+        vm_id="vm-1",
+        zone="a",
+        peer_address=find(),
+        metrics_address=find(),
+        seeds=(find(),),
+        shared_key="key",
+        entry_address="",
+        ready_address="",
+        control_address="",
+        data_folder="",
+        first_start=False,
+        voters=1,
+        budget=retry_budget.Rule(0.2, 100.0, 10.0),
+        grace_s=GRACE_S,
+        core_share=1.0,
+        link_mbps=1000.0,
+        memory_mb=256.0,
+    )
+    return settings._replace(**changes)
+
+
 class World:
     """An entry process that has not read its settings from a file."""
 
@@ -96,24 +120,8 @@
         self.sent = []
         self.started_s = 0.0
         find = data_path_test.find_address
-        settings = process_module.RoutingSettings(
-            "vm-1",
-            "a",
-            find(),
-            find(),
-            (find(),),
-            "key",
-            find(),
-            find(),
-            "",
-            "",
-            False,
-            1,
-            retry_budget.Rule(0.2, 100.0, 10.0),
-            grace_s,
-            1.0,
-            1000.0,
-            256.0,
+        settings = build_settings(
+            entry_address=find(), ready_address=find(), grace_s=grace_s
         )
         adapter = process_module.Adapter(
             platform_names.HEADERS, b"/ready", None, None, None
@@ -524,26 +532,12 @@
         self.codes = []
         clock = loops.LoopClock(loop)
         find = data_path_test.find_address
-        peer_address = find()
-        settings = process_module.RoutingSettings(
-            "vm-1",
-            "a",
-            peer_address,
-            find(),
-            (peer_address,),
-            "key",
-            "",
-            "",
-            find(),
-            str(folder),
-            True,
-            1,
-            retry_budget.Rule(0.2, 100.0, 10.0),
-            GRACE_S,
-            1.0,
-            1000.0,
-            256.0,
+        settings = build_settings(
+            control_address=find(),
+            data_folder=str(folder),
+            first_start=True,
         )
+        settings = settings._replace(seeds=(settings.peer_address,))
         adapter = process_module.Adapter(
             platform_names.HEADERS, b"", None, self.build_handler, None
         )
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -46,7 +46,6 @@
 STAMP_PATTERN = re.compile(rb"[!-+\--~]+")  # visible ASCII but the comma
 # Three numbers, bounded so that one endpoint can't state an absurd load.
 LOAD_PATTERN = re.compile(rb"\s*(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})\s*")
-MAX_LOGGED_CHARACTERS = 40  # of a malformed header
 PERMIT_LIFETIME_S = 0.5  # of a permit that waits for a connection
 # Reasons of outcomes.
 HELD_BACK = endpoint_http.Ending.HELD_BACK.value
@@ -442,7 +441,7 @@
             logs.log_decision(
                 "endpoint-load-malformed",
                 endpoint=target.endpoint.endpoint_id,
-                value=load.decode("latin-1")[:MAX_LOGGED_CHARACTERS],
+                value=logs.clip_header(load),
             )
     if answer.ending is endpoint_http.Ending.ANSWERED:
         if outcome.reason != "other_endpoint":
--- a/chervilspindle/routing/entry.py
+++ b/chervilspindle/routing/entry.py
@@ -14,6 +14,7 @@
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import fanout
 from chervilspindle.routing import request_content
+from chervilspindle.routing import request_timing
 from chervilspindle.routing import single_endpoint
 from chervilspindle.wire import http_server
 
@@ -22,8 +23,6 @@
 # Typical time from the start of an entry to its first document.
 FIRST_DOCUMENT_S = 0.8
 MIN_RETRY_AFTER_S = 0.1
-MAX_LOGGED_CHARACTERS = 40  # of a malformed header
-MAX_CALLER_MS = 86_400_000.0
 
 
 class RoutingEntry:
@@ -123,7 +122,7 @@
         logs.log_decision(
             "deadline-malformed",
             request_id=request_id.decode("latin-1"),
-            value=value.decode("latin-1")[:MAX_LOGGED_CHARACTERS],
+            value=logs.clip_header(value),
         )
 
     def start_draining(self, grace_s: float):
@@ -238,7 +237,7 @@
     """Parse a time in ms, up to a day; None if missing or malformed."""
     if value is None or not value.strip().isdigit():
         return None
-    return min(float(value), MAX_CALLER_MS)
+    return min(float(value), request_timing.MAX_DEADLINE_MS)
 
 
 def _read_host(value: bytes) -> str:
--- a/chervilspindle/routing/entry_test.py
+++ b/chervilspindle/routing/entry_test.py
@@ -14,6 +14,7 @@
 from chervilspindle.platform import names as platform_names
 from chervilspindle.routing import data_path_test
 from chervilspindle.routing import entry as entry_module
+from chervilspindle.routing import request_timing
 
 NAMES = platform_names.HEADERS
 # Set by the entry in each request to an endpoint.
@@ -84,8 +85,8 @@
         (None, None),
         (b"0", 0.0),
         (b" 900 ", 900.0),
-        (b"9" * 400, entry_module.MAX_CALLER_MS),
-        (b"9" * 5000, entry_module.MAX_CALLER_MS),
+        (b"9" * 400, request_timing.MAX_DEADLINE_MS),
+        (b"9" * 5000, request_timing.MAX_DEADLINE_MS),
         (b"", None),
         (b"-1", None),
         (b"+1", None),
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -131,7 +131,7 @@
         endpoint_calls.submit(send, context)
 
     def refuse(self):
-        """Tell that the request is not sent, as this VM is cut off."""
+        """Tell that the request is not sent from this VM."""
         self.link.send(messages.RelayRefusal(self.message.query_id))
 
     def handle_cut_off(self):
--- a/chervilspindle/routing/permission.py
+++ b/chervilspindle/routing/permission.py
@@ -141,7 +141,7 @@
         logs.log_decision(
             "endpoint-limit-malformed",
             endpoint=restrictions.endpoint_id,
-            value=value.decode("latin-1")[:40],
+            value=logs.clip_header(value),
         )
         return
     if limit != restrictions.limit_per_s:
@@ -220,7 +220,7 @@
         logs.log_decision(
             "endpoint-pause-ignored",
             endpoint=restrictions.endpoint_id,
-            value=value.decode("latin-1")[:40],
+            value=logs.clip_header(value),
         )
         return False
     until_s = now + pause_s * (1.0 + PAUSE_SPREAD * random.random())
--- a/chervilspindle/routing/rate_limit_test.py
+++ b/chervilspindle/routing/rate_limit_test.py
@@ -208,14 +208,19 @@
     run_in_fleet(test)
 
 
+def find_issuer(fleet):
+    """Return the entry that issues the permits of the endpoint desk-a."""
+    rows = [e.row for e in fleet.entries]
+    issuer = rate_permits.choose_issuer(rows, "desk-a", "a")
+    return [e for e in fleet.entries if e.row == issuer][0]
+
+
 def test_the_limit_holds_while_the_issuer_is_lost():
     async def test(fleet):
         limited = fleet.backend_by_id["desk-a"]
         limited.limit_per_s = 4.0
         start_s = fleet.loop.time()
-        rows = [e.row for e in fleet.entries]
-        issuer = rate_permits.choose_issuer(rows, "desk-a", "a")
-        lost = [e for e in fleet.entries if e.row == issuer][0]
+        lost = find_issuer(fleet)
         numbers = [i for i, e in enumerate(fleet.entries) if e is not lost]
 
         def lose():
@@ -235,9 +240,7 @@
         limited = fleet.backend_by_id["desk-a"]
         limited.limit_per_s = 4.0
         start_s = fleet.loop.time()
-        rows = [e.row for e in fleet.entries]
-        issuer = rate_permits.choose_issuer(rows, "desk-a", "a")
-        older = [e for e in fleet.entries if e.row == issuer][0]
+        older = find_issuer(fleet)
         older.network.own_version = 2
         received = []
         older.network.handler = lambda link, message: received.append(message)
--- a/chervilspindle/routing/request_timing.py
+++ b/chervilspindle/routing/request_timing.py
@@ -12,7 +12,7 @@
 # Latest hedge as a share of the answer time; a hedge has to be answered
 # within the objective.
 MAX_HEDGE_SHARE = 0.33
-MAX_DEADLINE_MS = 86_400_000.0  # of routes with a longer timeout
+MAX_DEADLINE_MS = 86_400_000.0  # for routes and callers that allow more
 DEFAULT_HEDGE_MS = 50.0  # routes without an objective
 # Between a caller and this VM, where the system does not measure it.
 DEFAULT_ROUND_TRIP_MS = 6.0
--- a/chervilspindle/wire/http_api.py
+++ b/chervilspindle/wire/http_api.py
@@ -18,6 +18,7 @@
 from chervilspindle.config import tokens
 from chervilspindle.core import endpoint_checks
 from chervilspindle.core import errors
+from chervilspindle.core import json_limits
 from chervilspindle.core import rows
 from chervilspindle.query import coverage
 from chervilspindle.query import entry as entry_module
@@ -29,11 +30,11 @@
 IDLE_TIMEOUT_S = 120
 MAX_HOLDINGS = 1000
 MAX_NAME_CHARACTERS = 200
-MAX_NUMBER = 1 << 53  # JSON numbers are exact up to here
+MAX_NUMBER = json_limits.MAX_EXACT_INTEGER
 RANGE_BY_FIELD = {
     "slots": (1, endpoint_checks.MAX_SLOTS),
     "connections": (1, MAX_NUMBER),
-    "incarnation": (0, endpoint_checks.MAX_INCARNATION_MS),
+    "incarnation": (0, MAX_NUMBER),
     "sequence": (0, rows.FINAL_SEQUENCE - 1),
     "in_use": (0, MAX_NUMBER),
 }
--- a/features/two_builds_test.py
+++ b/features/two_builds_test.py
@@ -93,8 +93,9 @@
         await node.stop(number)
         node.checkout = checkout
         await node.start()
-        while not node.has_served():
-            await asyncio.sleep(0.05)
+        await node.wait_until_served()
+        if not node.has_served():
+            self.record_violation("process does not serve", node.name)
         await asyncio.sleep(0.5)
         node.disturbed_s = self.loop.time()
         node.busy = False
