Soak: the disks of control members fail, one after another

tools/disk_faults.py runs a member on a disk that refuses writes (the first one half), refuses everything, is slow or hangs, as a file says from outside, so that a fault outlasts a restart. Each operation that met the fault is recorded, and the test asks that each disk met one. The soak draws such faults (with a kill, or with the disk lost, while it lasts); disk_faults_test.py plays them in turn, the leader's first and last, all kinds, with an operator that changes the configuration all along and for 10 s after.

The leader is found in one place now; two_builds_test.py had its own.

--- /dev/null
+++ b/chervilspindle/tools/disk_faults_test.py
@@ -0,0 +1,122 @@
+"""Plays failing disks of control members with real processes."""
+
+import asyncio
+
+import pytest
+import uvloop
+
+from chervilspindle.tools import disk_faults
+from chervilspindle.tools import soak
+
+ACK_S = 5.0  # limit for an acknowledgement while a majority is well
+DOCUMENT_BYTES = 200_000  # a snapshot is due every 42 documents
+FAULT_S = 3.0
+AFTERMATH_S = 10.0  # how long the operator goes on after the last fault
+
+
+class FailingDisksSoak(soak.Soak):
+    """Disks of members fail one after another; nothing else does.
+
+    Parameters
+    ----------
+    folder : str
+    faults : list of soak.DiskFault
+        The first is of the leader's disk, and so is the last.
+    gap_s : float or None
+        From the end of one to the next; None to wait until the member serves.
+
+    Attributes
+    ----------
+    ack_s : list of float
+        How long each change took to be acknowledged.
+    """
+
+    def __init__(self, folder, faults, gap_s=None):
+        super().__init__(uvloop.new_event_loop(), 4, 0.0, str(folder))
+        self.faults = faults
+        self.gap_s = gap_s
+        self.ack_s = []
+        self.ended = asyncio.Event()
+
+    async def _wait_for_end(self):
+        await self.ended.wait()
+
+    async def _lose_first_disk(self):
+        """Do nothing."""
+
+    def _build_document(self):
+        padding = "x" * DOCUMENT_BYTES
+        return {**super()._build_document(), "padding": padding}
+
+    async def _run_operator(self):
+        while not self.stopping:
+            started_s = self.loop.time()
+            await self._put_document()
+            self.ack_s.append(self.loop.time() - started_s)
+            self.loop.create_task(self._check_read(None))
+            self.loop.create_task(self._check_in_force(self.acked[-1]))
+            await asyncio.sleep(0.05)
+
+    async def _inject_disk_faults(self):
+        await asyncio.sleep(1.0)
+        leader = self.find_leader()
+        others = [m for m in self.members if m is not leader]
+        ending = []
+        for number, fault in enumerate(self.faults):
+            node = others[number % len(others)]
+            if number in (0, len(self.faults) - 1):
+                node = self.find_leader()
+            node.busy = True
+            failing = self.loop.create_task(self._fail_disk(node, fault))
+            failing.add_done_callback(lambda _, n=node: self._release_node(n))
+            ending.append(failing)
+            if self.gap_s is None:
+                await failing
+            else:
+                await asyncio.sleep(fault.for_s + self.gap_s)
+        await asyncio.wait(ending)
+        await asyncio.sleep(AFTERMATH_S)
+        self.ended.set()
+
+    async def _inject_faults(self):
+        """Do nothing."""
+
+    async def _inject_endless_answers(self):
+        """Do nothing."""
+
+    async def _inject_pauses(self):
+        """Do nothing."""
+
+    async def _inject_leaving(self):
+        """Do nothing."""
+
+    async def _inject_unusable_announcements(self):
+        """Do nothing."""
+
+    async def _replace_members(self):
+        """Do nothing."""
+
+
+def play(folder, faults, gap_s=None):
+    """Play faults; return the run and its findings."""
+    run = FailingDisksSoak(folder, faults, gap_s)
+    try:
+        findings = run.loop.run_until_complete(run.run())
+    finally:
+        run.loop.close()
+    return run, findings
+
+
+@pytest.mark.parametrize("kind", disk_faults.FAULTS)
+def test_changes_are_acknowledged_while_and_after_disks_fail_in_turn(
+    kind, tmp_path
+):
+    """Guards against changes refused long after full disks had room again."""
+    faults = [
+        soak.DiskFault(kind, FAULT_S, meanwhile)
+        for meanwhile in ("", "kill", "wipe", "")
+    ]
+    run, findings = play(tmp_path, faults)
+    assert findings == []
+    assert all(m.disk.read_met() for m in run.members), "a disk never failed"
+    assert max(run.ack_s) < ACK_S
--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -25,6 +25,7 @@
 from chervilspindle.platform import samples
 from chervilspindle.routing import record_merging
 from chervilspindle.tools import backends
+from chervilspindle.tools import disk_faults
 from chervilspindle.tools import fault_proxy
 
 SHARDS = tuple(f"shard-{i}" for i in range(6))
@@ -41,6 +42,7 @@
 SHUTDOWN_GRACE_S = 6.0
 SYNC_TIME_S = 4.0  # a new member counts as sound after this
 MAX_START_S = 10.0  # of a process on a busy machine
+RESTART_DELAY_S = 0.5  # of a process that ended by itself
 PAUSE_SLACK_S = 0.5  # for requests on the way when a pause begins
 # An entry has to be refused once to know of a pause; two more may cross it.
 MAX_PAUSE_ARRIVALS = 3
@@ -57,6 +59,24 @@
     detail: str
 
 
+class DiskFault(typing.NamedTuple):
+    """One fault of a disk.
+
+    Parameters
+    ----------
+    kind : str
+        One of `disk_faults.FAULTS`.
+    for_s : float
+    meanwhile : str
+        What happens half way: "kill", "wipe" (killed, and the disk is lost),
+        or nothing.
+    """
+
+    kind: str
+    for_s: float
+    meanwhile: str = ""
+
+
 class Node:
     """A control member or an entry, run as a process that can restart.
 
@@ -74,12 +94,14 @@
         self.folder = os.path.join(folder, name)
         self.data = os.path.join(self.folder, "data")
         self.settings = os.path.join(self.folder, "settings.json")
+        self.disk = disk_faults.DiskSwitch(os.path.join(self.folder, "disk"))
         self.process = None
         self.log = None
         self.log_offset = 0
         self.disturbed_s = 0.0
         self.busy = False
         self.starts = 0
+        self.own_ends = 0
         self.checkout = ""
 
     def write_settings(self, seeds, first_start):
@@ -115,12 +137,15 @@
         self.log = open(self.get_log_path(), "ab")
         self.log_offset = os.path.getsize(self.get_log_path())
         environment = {**os.environ, names.SETTINGS_VARIABLE: self.settings}
+        program = ["chervilspindle.platform"]
         if self.checkout:
             environment["PYTHONPATH"] = self.checkout
+        elif self.serves_control:
+            program = [disk_faults.__name__, self.disk.path, self.data]
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "chervilspindle.platform",
+            *program,
             env=environment,
             cwd=self.checkout or None,
             stdout=self.log,
@@ -149,6 +174,15 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    async def keep_running(self):
+        """Start the process again each time that it ends, until cancelled."""
+        while True:
+            await self.process.wait()
+            self.log.close()
+            self.own_ends += 1
+            await asyncio.sleep(RESTART_DELAY_S)
+            await self.start()
+
     async def stop(self, number):
         """Send a signal to the process and wait until it has exited."""
         self.send_signal(number)
@@ -178,6 +212,7 @@
         self.notice_random = random.Random(f"notice {seed}")
         self.writer_random = random.Random(f"writer {seed}")
         self.member_random = random.Random(f"member {seed}")
+        self.disk_random = random.Random(f"disk {seed}")
         self.seconds = seconds
         self.folder = folder
         self.findings = []
@@ -250,6 +285,7 @@
                 self._inject_leaving,
                 self._inject_unusable_announcements,
                 self._replace_members,
+                self._inject_disk_faults,
                 self._watch_memory,
             ):
                 tasks.append(self.loop.create_task(activity()))
@@ -599,6 +635,16 @@
                     self.record_violation("memory above the limit", text)
             await asyncio.sleep(0.5)
 
+    def find_leader(self):
+        """Return the member that was elected last."""
+        member_by_term = {}
+        for member in self.members:
+            with open(member.get_log_path(), encoding="utf-8") as handle:
+                for line in handle:
+                    if '"role": "leader"' in line and '"leadership"' in line:
+                        member_by_term[json.loads(line)["term"]] = member
+        return member_by_term[max(member_by_term)]
+
     def _acquire_node(self, nodes, source=None):
         """Reserve a random node for a fault, or return None.
 
@@ -687,6 +733,34 @@
             await node.wait_until_served()
         self._release_node(node)
 
+    async def _inject_disk_faults(self):
+        """Let the disks of members fail, never two at once."""
+        rng = self.disk_random
+        while not await self._is_stopped_within(rng.uniform(0.5, 6.0)):
+            node = self._acquire_node(self.members, rng)
+            if node is not None:
+                await self._fail_disk(node, draw_disk_fault(rng))
+                self._release_node(node)
+
+    async def _fail_disk(self, node, fault):
+        """Let a disk fail; return once its process serves again."""
+        self.counts[f"disk {fault.kind}"] += 1
+        node.disk.set_fault(fault.kind)
+        keeping = self.loop.create_task(node.keep_running())
+        await asyncio.sleep(fault.for_s / 2)
+        if fault.meanwhile:
+            self.counts[f"disk {fault.kind}, {fault.meanwhile}"] += 1
+            node.send_signal(signal.SIGKILL)
+            await node.process.wait()
+        if fault.meanwhile == "wipe":
+            shutil.rmtree(node.data)
+            os.makedirs(node.data)
+        await asyncio.sleep(fault.for_s / 2)
+        node.disk.set_fault("")
+        await asyncio.sleep(2 * RESTART_DELAY_S)
+        await node.wait_until_served()
+        keeping.cancel()
+
     async def _replace_members(self):
         """Replace members as planned; a disk is lost right after each."""
         for number in range(MEMBERS, 250):
@@ -830,6 +904,15 @@
                 self.record_violation("ran though refused", request_id)
 
 
+def draw_disk_fault(rng) -> DiskFault:
+    """Return a random fault of a disk."""
+    return DiskFault(
+        rng.choice(disk_faults.FAULTS),
+        rng.uniform(0.5, 5.0),
+        rng.choice(("", "", "kill", "wipe")),
+    )
+
+
 def read_peak_memory_mb(process) -> float:
     """Return the peak resident memory of a process, 0 if it has ended."""
     try:
--- a/features/two_builds_test.py
+++ b/features/two_builds_test.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import collections
-import json
 import os
 import pathlib
 import signal
@@ -74,7 +73,7 @@
             self.upgraded.set()
 
     async def _kill_old(self, nodes):
-        leader = self._find_leader()
+        leader = self.find_leader()
         old = [
             n
             for n in nodes.values()
@@ -82,7 +81,7 @@
         ]
         await self._replace(old[-1], old[-1].checkout, signal.SIGKILL)
         await asyncio.sleep(STEP_S)
-        leader = self._find_leader()
+        leader = self.find_leader()
         await self._replace(leader, leader.checkout, signal.SIGKILL)
         await asyncio.sleep(STEP_S)
 
@@ -100,16 +99,6 @@
         node.disturbed_s = self.loop.time()
         node.busy = False
 
-    def _find_leader(self):
-        """Return the member that was elected last."""
-        elected = {}
-        for member in self.members:
-            log = pathlib.Path(member.get_log_path()).read_text()
-            for line in log.splitlines():
-                if '"role": "leader"' in line and '"leadership"' in line:
-                    elected[json.loads(line)["term"]] = member
-        return elected[max(elected)]
-
     def _is_disturbed(self, node):
         return node.busy or self.loop.time() - node.disturbed_s < SETTLED_S
 
