Storage: a log that cannot be reopened is a failed write, and so is one of 0 bytes

Two were not looked at: - After the log was replaced, opening it, its sync and that of the folder raised OSError, which nobody expects there: the exception ended a timer's call, and the member went on writing to a log whose last operation had failed, or to a closed descriptor. Now it is a StorageError like any other: the member writes no more, and ends. - A write of 0 bytes was tried again without end, on the event loop.

--- a/chervilspindle/control/storage.py
+++ b/chervilspindle/control/storage.py
@@ -9,6 +9,7 @@
 """
 
 import contextlib
+import errno
 import logging
 import os
 import struct
@@ -176,9 +177,9 @@
         kept = tuple(e for e in state.log if e.index > metadata.index)
         body = hard + _encode_record(AppendRecord(kept))
         self._replace(LOG_FILE, body)
-        if self.handle is not None:
-            os.close(self.handle)
-        self._open(os.path.join(self.folder, LOG_FILE), len(body))
+        with self.convert_errors():
+            self.close()
+            self._open(os.path.join(self.folder, LOG_FILE), len(body))
 
     def close(self):
         """Close the log file."""
@@ -222,6 +223,8 @@
         view = memoryview(data)
         while view:
             written = self.write(handle, view)
+            if not written:
+                raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
             view = view[written:]
 
     def _replace(self, name: str, data: bytes):
--- a/chervilspindle/control/storage_test.py
+++ b/chervilspindle/control/storage_test.py
@@ -187,6 +187,36 @@
         storage.fsync = os.fsync
 
 
+@pytest.mark.parametrize("failing", range(1, 7))
+def test_a_disk_that_fails_while_the_log_is_replaced_is_not_written_to_again(
+    tmp_path, failing
+):
+    """Guards against a member that goes on after an operation that failed."""
+    storage, _ = open_storage(tmp_path)
+    state = build_state(8)._replace(commit_index=5)
+    storage.persist(build_state(term=0), state)
+    writer = begin_snapshot(storage, state)
+    calls = []
+
+    def fail(handle):
+        calls.append(handle)
+        if len(calls) == failing:
+            raise OSError(28, "No space left on device")
+
+    storage.fsync = fail
+    with pytest.raises(storage_module.StorageError):
+        writer.finish(raft.compact(state, 5))
+    with pytest.raises(storage_module.StorageError):
+        storage.persist(state, build_state(9))
+
+
+def test_a_disk_that_takes_no_bytes_is_not_tried_without_end(tmp_path):
+    storage, _ = open_storage(tmp_path)
+    storage.write = lambda handle, data: 0
+    with pytest.raises(storage_module.StorageError):
+        storage.persist(build_state(), build_state(1))
+
+
 def test_short_writes_are_continued(tmp_path):
     storage, _ = open_storage(tmp_path)
     storage.write = lambda handle, data: os.write(handle, data[:3])
