Control: versions of members that a disk refused are stored later

The versions that members read were taken for stored before they were, so that one refused write (a full disk) left the file as it was until a version changed. After a restart a member that is down then counted as the oldest build, and reports of crashes were refused as not readable by it. Now they are stored at the next report.

Failing before: test_versions_that_a_disk_refused_are_stored_once_it_has_room, AssertionError: assert {} == {'b': 5}

--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -268,9 +268,10 @@
 
     def _store_versions(self):
         known = dict(self._list_versions())
-        if known != self.stored_versions:
+        if known == self.stored_versions:
+            return
+        if member_versions.save(self.folder, known):
             self.stored_versions = known
-            member_versions.save(self.folder, known)
 
     def _on_report_reply(self, reply):
         self.totals = reply
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -10,6 +10,7 @@
 from chervilspindle.control import changes
 from chervilspindle.control import frontend as frontend_module
 from chervilspindle.control import leader as leader_module
+from chervilspindle.control import member_versions
 from chervilspindle.control import membership
 from chervilspindle.control import raft
 from chervilspindle.control import raft_messages
@@ -689,3 +690,26 @@
     restarted = build(FakeNetwork())
     assert restarted.can_members_read(3) == (content is None)
     assert "elsewhere" not in restarted.network.version_by_address
+
+
+def test_versions_that_a_disk_refused_are_stored_once_it_has_room(
+    control, tmp_path
+):
+    """Guards against versions that are lost because a disk was full once."""
+    clock, node, _, _ = control
+    node.raft = node.raft._replace(members=(raft.Member("b#1", "b", True),))
+    folder = str(tmp_path)
+    frontend = frontend_module.ControlFrontend(
+        node,
+        FakeNetwork(b=5),
+        timers_module.TimerService(clock),
+        clock.seconds,
+        None,
+        folder,
+    )
+    refusing = tmp_path / "versions.json.new"
+    refusing.mkdir()
+    frontend._send_report()
+    refusing.rmdir()
+    frontend._send_report()
+    assert member_versions.load(folder) == {"b": 5}
--- a/chervilspindle/control/member_versions.py
+++ b/chervilspindle/control/member_versions.py
@@ -29,8 +29,8 @@
         return {}
 
 
-def save(folder: str, version_by_address: dict[str, int]):
-    """Store versions by peer address."""
+def save(folder: str, version_by_address: dict[str, int]) -> bool:
+    """Store versions by peer address; tell whether the disk took them."""
     path = os.path.join(folder, FILE_NAME)
     try:
         with open(path + ".new", "wb") as handle:
@@ -40,3 +40,5 @@
         LOGGER.warning(
             "versions of members cannot be stored", extra={"why": str(error)}
         )
+        return False
+    return True
