Control: a member starts once its disk takes writes

What an operator saw (played with a supervisor as docs/OPERATIONS.md asks for, with systemd's defaults: started again after 0.1 s, five starts in 10 s): the disks of three members were full for 5 s each, one after another; long after the last had room again, changes were not acknowledged and members were gone.

Cause: a member that cannot write ends, and one that starts did not ask whether it can. On a full disk it served for some ms, got an entry of the leader, ended with code 3, was started again, and so on every 0.7 s, until the supervisor gave up on it, for good. The next disk then ended the majority. A supervisor that waits ever longer between starts does the same for minutes.

Ruled out: a wedged group. Torn writes are truncated at each start; the processes did end and did not hang; votes and terms are durable or not used.

Now a control member writes, syncs and removes 64 KiB before it starts, and waits while the disk refuses that: it ends once a fault, listens on nothing meanwhile, so that callers are refused at once and go elsewhere, and serves within 0.1 s of the first room. SIGTERM ends the wait. What does not pass (no permission) ends the process with code 3 as before. The same for control members of the product's own deployments. A start that fails on its disk is a StorageError at each step, so that 'serve' ends with 3, not with 2.

The soak's supervisor has systemd's limits from now on, and faults last 5 s where they lasted 3 s: both are stricter.

--- a/chervilspindle/control/storage.py
+++ b/chervilspindle/control/storage.py
@@ -13,6 +13,7 @@
 import logging
 import os
 import struct
+import time
 import typing
 import uuid
 import zlib
@@ -28,7 +29,12 @@
 IDENTITY_FILE = "identity.json"
 LOG_FILE = "log"
 SNAPSHOT_FILE = "snapshot"
+PROBE_FILE = "probe"
 MAX_LOG_BYTES = 8 * 1024 * 1024
+PROBE_BYTES = 64 * 1024
+DISK_RETRY_S = 0.1
+# What a disk answers that may take writes again without help of an operator.
+PASSING_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EIO, errno.EROFS)
 
 
 class StorageError(Exception):
@@ -137,7 +143,8 @@
                 "torn write cut off the log",
                 extra={"valid_bytes": valid, "torn_bytes": torn_bytes},
             )
-        self._open(path, valid)
+        with self.convert_errors():
+            self._open(path, valid)
         return RecoveredState(hard, log, snapshot, torn_bytes)
 
     def persist(self, old, new):
@@ -408,6 +415,76 @@
     return None
 
 
+def check_writable(folder: str, write=os.write):
+    """Write, sync and remove a file.
+
+    Raises
+    ------
+    OSError
+        If the disk refuses that, for example because it is full.
+    """
+    os.makedirs(folder, mode=0o700, exist_ok=True)
+    storage = Storage(folder, write=write)
+    path = os.path.join(folder, PROBE_FILE)
+    handle = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        storage.write_all(handle, bytes(PROBE_BYTES))
+        storage.fsync(handle)
+    finally:
+        os.close(handle)
+        os.unlink(path)
+
+
+def wait_until_writable(
+    folder: str, is_stopped, write=os.write, sleep=time.sleep
+) -> bool:
+    """Wait, before a member starts, until its disk takes writes.
+
+    A process that ends on a full disk and is started again at once ends again;
+    supervisors give up on it, or wait ever longer, also after there is room.
+
+    Parameters
+    ----------
+    folder : str
+    is_stopped : callable
+        ``is_stopped()`` tells whether to wait no longer.
+    write, sleep : callable
+        Tests replace these.
+
+    Returns
+    -------
+    bool
+        False if told to stop.
+
+    Raises
+    ------
+    OSError
+        If the folder cannot be used for a reason that does not pass.
+    """
+    attempts = 0
+    while not is_stopped():
+        try:
+            check_writable(folder, write)
+        except OSError as error:
+            if error.errno not in PASSING_ERRORS:
+                raise
+            if not attempts:
+                LOGGER.error(
+                    "disk refuses writes, waiting before the start",
+                    extra={"folder": folder, "why": str(error)},
+                )
+            attempts += 1
+            sleep(DISK_RETRY_S)
+            continue
+        if attempts:
+            LOGGER.info(
+                "disk takes writes again",
+                extra={"folder": folder, "attempts": attempts + 1},
+            )
+        return True
+    return False
+
+
 def load_identity(folder: str) -> Identity | None:
     """Return the identity of a data folder, None if it has none."""
     data = _read_file(os.path.join(folder, IDENTITY_FILE))
--- a/chervilspindle/control/storage_test.py
+++ b/chervilspindle/control/storage_test.py
@@ -1,5 +1,6 @@
 """Tests of durable storage with torn, damaged and failed writes."""
 
+import errno
 import os
 
 import hypothesis
@@ -217,6 +218,50 @@
         storage.persist(build_state(), build_state(1))
 
 
+class FullDisk:
+    """Refuses writes until it has been waited for some times."""
+
+    def __init__(self, waits, code=errno.ENOSPC):
+        self.waits = waits
+        self.code = code
+        self.waited_s = 0.0
+
+    def write(self, handle, data):
+        if self.waits:
+            raise OSError(self.code, os.strerror(self.code))
+        return len(data)
+
+    def sleep(self, seconds):
+        self.waits -= 1
+        self.waited_s += seconds
+
+
+def wait_for(disk, folder, is_stopped=lambda: False):
+    return storage_module.wait_until_writable(
+        str(folder), is_stopped, disk.write, disk.sleep
+    )
+
+
+def test_a_member_starts_once_its_full_disk_has_room(tmp_path):
+    """Guards against a member that its supervisor gives up on."""
+    disk = FullDisk(7)
+    folder = tmp_path / "data"
+    assert wait_for(disk, folder)
+    assert disk.waited_s == pytest.approx(7 * storage_module.DISK_RETRY_S)
+    assert list(folder.iterdir()) == []
+
+
+def test_a_member_that_waits_for_its_disk_can_be_stopped(tmp_path):
+    disk = FullDisk(99)
+    assert not wait_for(disk, tmp_path, lambda: disk.waits < 97)
+    assert list(tmp_path.iterdir()) == []
+
+
+def test_a_folder_that_may_not_be_written_is_not_waited_for(tmp_path):
+    with pytest.raises(PermissionError):
+        wait_for(FullDisk(99, errno.EACCES), tmp_path)
+
+
 def test_short_writes_are_continued(tmp_path):
     storage, _ = open_storage(tmp_path)
     storage.write = lambda handle, data: os.write(handle, data[:3])
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -646,6 +646,14 @@
     settings = adapter.read_settings()
     process_class = EntryProcess if settings.entry_address else ControlProcess
     try:
+        if process_class is ControlProcess and not (
+            storage_module.wait_until_writable(
+                settings.data_folder,
+                lambda: early.intersection(STOP_SIGNALS),
+            )
+        ):
+            LOGGER.info("stopped before the start")
+            return EXIT_OK
         process = process_class(
             reactor, loop, clock, settings, adapter, stop_reactor
         )
--- a/chervilspindle/serve.py
+++ b/chervilspindle/serve.py
@@ -208,6 +208,15 @@
         another reason than storage, 3 if storage failed.
     """
     exit_codes = [EXIT_OK]
+    if "control" in settings.roles:
+        # A signal that comes meanwhile ends the process, which has not begun.
+        try:
+            storage_module.wait_until_writable(
+                settings.data_folder, lambda: False
+            )
+        except OSError as error:
+            LOGGER.error("data folder cannot be opened: %s", error)
+            return EXIT_STORAGE
 
     def stop_with_code(code):
         exit_codes[0] = code
--- a/chervilspindle/tools/disk_faults_test.py
+++ b/chervilspindle/tools/disk_faults_test.py
@@ -10,7 +10,7 @@
 
 ACK_S = 5.0  # limit for an acknowledgement while a majority is well
 DOCUMENT_BYTES = 200_000  # a snapshot is due every 42 documents
-FAULT_S = 3.0
+FAULT_S = 5.0
 AFTERMATH_S = 10.0  # how long the operator goes on after the last fault
 
 
@@ -120,3 +120,5 @@
     assert findings == []
     assert all(m.disk.read_met() for m in run.members), "a disk never failed"
     assert max(run.ack_s) < ACK_S
+    orders = sum(bool(f.meanwhile) for f in faults)
+    assert sum(m.ends for m in run.members) <= len(faults) + orders
--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -40,9 +40,13 @@
 ANNOUNCE_INTERVAL_S = 0.6
 MEAN_ARRIVAL_INTERVAL_S = 0.02
 SHUTDOWN_GRACE_S = 6.0
+DISK_SETTLING_S = 1.0  # until a member that ends of a fault has ended
 SYNC_TIME_S = 4.0  # a new member counts as sound after this
 MAX_START_S = 10.0  # of a process on a busy machine
-RESTART_DELAY_S = 0.5  # of a process that ended by itself
+# Of a process that ended by itself; the defaults of systemd.
+RESTART_DELAY_S = 0.1
+START_LIMIT = 5
+START_LIMIT_INTERVAL_S = 10.0
 PAUSE_SLACK_S = 0.5  # for requests on the way when a pause begins
 # An entry has to be refused once to know of a pause; two more may cross it.
 MAX_PAUSE_ARRIVALS = 3
@@ -101,7 +105,7 @@
         self.disturbed_s = 0.0
         self.busy = False
         self.starts = 0
-        self.own_ends = 0
+        self.ends = 0  # while `keep_running` looked after it
         self.checkout = ""
 
     def write_settings(self, seeds, first_start):
@@ -175,11 +179,22 @@
             self.process.send_signal(number)
 
     async def keep_running(self):
-        """Start the process again each time that it ends, until cancelled."""
+        """Start the process again each time that it ends, until cancelled.
+
+        Like a supervisor, give up on one that ends again and again.
+        """
+        loop = asyncio.get_running_loop()
+        started_s = collections.deque(maxlen=START_LIMIT)
         while True:
             await self.process.wait()
             self.log.close()
-            self.own_ends += 1
+            self.ends += 1
+            now = loop.time()
+            if len(started_s) == START_LIMIT and (
+                now - started_s[0] < START_LIMIT_INTERVAL_S
+            ):
+                return
+            started_s.append(now)
             await asyncio.sleep(RESTART_DELAY_S)
             await self.start()
 
@@ -757,7 +772,7 @@
             os.makedirs(node.data)
         await asyncio.sleep(fault.for_s / 2)
         node.disk.set_fault("")
-        await asyncio.sleep(2 * RESTART_DELAY_S)
+        await asyncio.sleep(DISK_SETTLING_S)
         await node.wait_until_served()
         keeping.cancel()
 
