--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -117,7 +117,13 @@
         if target.restrictions.leaving:
             self._remember_leaving(target.endpoint)
         target.pool.close()
-        logs.log_decision("endpoint-dropped", endpoint=endpoint_id, why=reason)
+        logs.log_decision(
+            "endpoint-dropped",
+            endpoint=endpoint_id,
+            service=service,
+            address=target.endpoint.address,
+            why=reason,
+        )
 
     def _remember_leaving(self, endpoint):
         """Remember an endpoint in case control names it again."""
--- a/chervilspindle/tools/disk_faults_test.py
+++ b/chervilspindle/tools/disk_faults_test.py
@@ -1,6 +1,7 @@
 """Plays failing disks of control members with real processes."""
 
 import asyncio
+import pathlib
 
 import pytest
 import uvloop
@@ -121,4 +122,13 @@
     assert all(m.disk.read_met() for m in run.members), "a disk never failed"
     assert max(run.ack_s) < ACK_S
     orders = sum(bool(f.meanwhile) for f in faults)
-    assert sum(m.ends for m in run.members) <= len(faults) + orders
+    ends = sum(m.ends for m in run.members)
+    assert ends <= len(faults) + orders
+    # Each end but those by SIGKILL is in the log with its code.
+    assert ends - orders == sum(map(count_failed_ends, run.members))
+
+
+def count_failed_ends(member):
+    """Return how often a member logged that it ends as its disk failed."""
+    rows = pathlib.Path(member.get_log_path()).read_text().splitlines()
+    return sum('"process ends", "code": 3' in row for row in rows)
