Start: the wait for a disk has a function of its own, and a test of its signals

No behaviour changes. test_a_member_that_waits_for_its_disk_obeys_signals: SIGHUP does not end a member that waits, SIGTERM ends it with 0 (real process, disk full and read only); both pass on the code before as well.

--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -626,6 +626,26 @@
     return early
 
 
+def wait_for_disk(settings: RoutingSettings, signals) -> bool:
+    """Wait until the disk of a control member takes writes.
+
+    Returns
+    -------
+    bool
+        False if one of `STOP_SIGNALS` is among `signals` before that.
+
+    Raises
+    ------
+    OSError
+        If the data folder cannot be used.
+    """
+    if settings.entry_address:
+        return True
+    return storage_module.wait_until_writable(
+        settings.data_folder, lambda: signals.intersection(STOP_SIGNALS)
+    )
+
+
 def run(reactor, loop, clock, adapter: Adapter) -> int:
     """Run a process until it is stopped by a signal or a failure.
 
@@ -646,12 +666,7 @@
     settings = adapter.read_settings()
     process_class = EntryProcess if settings.entry_address else ControlProcess
     try:
-        if process_class is ControlProcess and not (
-            storage_module.wait_until_writable(
-                settings.data_folder,
-                lambda: early.intersection(STOP_SIGNALS),
-            )
-        ):
+        if not wait_for_disk(settings, early):
             LOGGER.info("stopped before the start")
             return EXIT_OK
         process = process_class(
--- a/chervilspindle/tools/disk_faults_test.py
+++ b/chervilspindle/tools/disk_faults_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 
 import pytest
 import uvloop
@@ -132,3 +133,30 @@
     """Return how often a member logged that it ends as its disk failed."""
     rows = pathlib.Path(member.get_log_path()).read_text().splitlines()
     return sum('"process ends", "code": 3' in row for row in rows)
+
+
+@pytest.mark.parametrize("kind", ("full", "read_only"))
+def test_a_member_that_waits_for_its_disk_obeys_signals(kind, tmp_path):
+    run = FailingDisksSoak(tmp_path, [])
+    member = run.members[0]
+
+    async def stop_while_waiting():
+        run._write_settings(True)
+        member.disk.set_fault(kind)
+        await member.start()
+        log = pathlib.Path(member.get_log_path())
+        while "disk refuses writes" not in log.read_text():
+            await asyncio.sleep(0.05)
+        member.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        assert member.process.returncode is None
+        member.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(member.process.wait(), 2.0)
+
+    try:
+        limited = asyncio.wait_for(stop_while_waiting(), 15.0)
+        assert run.loop.run_until_complete(limited) == 0
+    finally:
+        run.loop.run_until_complete(member.stop(signal.SIGKILL))
+        run.loop.close()
+    assert not member.has_served()
