Tests: the operator of failing disks asks the members in turn

Traced by the members' logs: 4.16 the leader's disk hangs, for 5 s; 4.52 another member leads; 5.06 a change was refused there in time (sent on to the old leader just before); from then on no member got a change until 9.17: the operator picks a member at random, and picked the one that hangs again and again, 1.5 s each. The group was well from 4.52 on, so nothing in the product is late. The platform's operator sends to other machines first (kinds, ack_lost), and so does this one now. Bound and faults stay as they are.

--- a/chervilspindle/tools/disk_faults_test.py
+++ b/chervilspindle/tools/disk_faults_test.py
@@ -1,6 +1,7 @@
 """Plays failing disks of control members with real processes."""
 
 import asyncio
+import itertools
 import pathlib
 import signal
 
@@ -38,6 +39,7 @@
         self.faults = faults
         self.gap_s = gap_s
         self.ack_s = []
+        self.turns = itertools.cycle(range(len(self.members)))
         self.ended = asyncio.Event()
 
     async def _wait_for_end(self):
@@ -50,6 +52,11 @@
         padding = "x" * DOCUMENT_BYTES
         return {**super()._build_document(), "padding": padding}
 
+    async def _call_control(self, method, path, value=None, member=None):
+        """Call members in turn, so that one that hangs is not asked again."""
+        member = member or self.members[next(self.turns)]
+        return await super()._call_control(method, path, value, member)
+
     async def _run_operator(self):
         while not self.stopping:
             started_s = self.loop.time()
