Start: each end of a process is logged, and a long wait for a disk again

The line `process ends` was written only after the event loop had run; starts that ended before it (unreadable settings, a data folder that can't be used, a signal during the wait for the disk) had none. It is written one level up, by the program of the platform and by `serve`.

`disk refuses writes, waiting before the start` is repeated every 30 s while it lasts (test red before: one line of three).

Storage: the probe is opened as other temporary files are. FaultyDisk: the test whether a file is on the disk has one place.

--- a/chervilspindle/cli.py
+++ b/chervilspindle/cli.py
@@ -36,7 +36,9 @@
 
     loaded = _load_settings(settings)
     logs.configure_logging(loaded.vm_id, loaded.log_level)
-    sys.exit(serve_module.run_server(reactor, loaded))
+    code = serve_module.run_server(reactor, loaded)
+    logs.log_end(code)
+    sys.exit(code)
 
 
 def init(*, settings: str):
--- a/chervilspindle/control/storage.py
+++ b/chervilspindle/control/storage.py
@@ -33,6 +33,7 @@
 MAX_LOG_BYTES = 8 * 1024 * 1024
 PROBE_BYTES = 64 * 1024
 DISK_RETRY_S = 0.1
+DISK_LOG_ATTEMPTS = 300  # every 30 s
 # What a disk answers that may take writes again without help of an operator.
 PASSING_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EIO, errno.EROFS)
 
@@ -426,13 +427,13 @@
     os.makedirs(folder, mode=0o700, exist_ok=True)
     storage = Storage(folder, write=write)
     path = os.path.join(folder, PROBE_FILE)
-    handle = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    handle = open_temporary(path)
     try:
         storage.write_all(handle, bytes(PROBE_BYTES))
         storage.fsync(handle)
     finally:
         os.close(handle)
-        os.unlink(path)
+        os.unlink(path + ".new")
 
 
 def wait_until_writable(
@@ -468,7 +469,7 @@
         except OSError as error:
             if error.errno not in PASSING_ERRORS:
                 raise
-            if not attempts:
+            if attempts % DISK_LOG_ATTEMPTS == 0:
                 LOGGER.error(
                     "disk refuses writes, waiting before the start",
                     extra={"folder": folder, "why": str(error)},
--- a/chervilspindle/control/storage_test.py
+++ b/chervilspindle/control/storage_test.py
@@ -257,6 +257,13 @@
     assert list(tmp_path.iterdir()) == []
 
 
+def test_a_long_wait_for_a_disk_is_logged_again(tmp_path, caplog):
+    waits = 2 * storage_module.DISK_LOG_ATTEMPTS + 1
+    assert wait_for(FullDisk(waits), tmp_path)
+    refusals = [r for r in caplog.records if "refuses" in r.getMessage()]
+    assert len(refusals) == 3
+
+
 def test_a_folder_that_may_not_be_written_is_not_waited_for(tmp_path):
     with pytest.raises(PermissionError):
         wait_for(FullDisk(99, errno.EACCES), tmp_path)
--- a/chervilspindle/core/logs.py
+++ b/chervilspindle/core/logs.py
@@ -6,6 +6,7 @@
 import time
 
 MAX_HEADER_CHARACTERS = 40
+LOGGER = logging.getLogger(__name__)
 DECISION_LOGGER = logging.getLogger("chervilspindle.decision")
 
 _STANDARD_FIELDS = frozenset(
@@ -52,6 +53,11 @@
         DECISION_LOGGER.info(decision, extra=fields)
 
 
+def log_end(code: int):
+    """Record with which exit code this process ends."""
+    LOGGER.info("process ends", extra={"code": code})
+
+
 def clip_header(value: bytes) -> str:
     """Return the start of a header's value for a log line."""
     return value.decode("latin-1")[:MAX_HEADER_CHARACTERS]
--- a/chervilspindle/platform/program.py
+++ b/chervilspindle/platform/program.py
@@ -38,6 +38,12 @@
         Exit code.
     """
     stream = log_output.NonBlockingStream(sys.stdout.fileno())
+    code = _run(stream)
+    logs.log_end(code)
+    return code
+
+
+def _run(stream) -> int:
     try:
         settings = read_settings()
     except (KeyError, OSError, ValueError) as error:
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -714,5 +714,4 @@
     # that come before it runs.
     loop.call_soon(start)
     reactor.run(installSignalHandlers=False)
-    LOGGER.info("process ends", extra={"code": exit_codes[0]})
     return exit_codes[0]
--- a/chervilspindle/serve.py
+++ b/chervilspindle/serve.py
@@ -247,7 +247,6 @@
     signal.signal(signal.SIGTERM, shut_down)
     signal.signal(signal.SIGINT, shut_down)
     reactor.run(installSignalHandlers=False)
-    LOGGER.info("process ends", extra={"code": exit_codes[0]})
     return exit_codes[0]
 
 
--- a/chervilspindle/tools/disk_faults.py
+++ b/chervilspindle/tools/disk_faults.py
@@ -96,7 +96,9 @@
             return ""
 
     def is_on_disk(self, path) -> bool:
-        """Tell whether a path belongs to the folder."""
+        """Tell whether a path belongs to the folder; a descriptor doesn't."""
+        if not isinstance(path, (str, os.PathLike)):
+            return False
         path = os.path.abspath(os.fspath(path))
         return os.path.join(path, "").startswith(self.prefix)
 
@@ -123,15 +125,19 @@
         if refused:
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC), name)
 
+    def meet_at(self, descriptor: int, operation: str):
+        """Do the same for a descriptor, if its file is on the disk."""
+        name = self.path_by_descriptor.get(descriptor)
+        if name is not None:
+            self.meet(operation, name)
+
     def _record(self, fault, operation, name):
         line = f"{time.time():.3f} {fault} {operation} {name}\n"
         with self.open_file(self.control + ".log", "a") as handle:
             handle.write(line)
 
     def _open(self, path, flags, *args, **options):
-        is_ours = isinstance(path, (str, os.PathLike)) and (
-            self.is_on_disk(path)
-        )
+        is_ours = self.is_on_disk(path)
         if is_ours and flags & (os.O_CREAT | os.O_TRUNC):
             self.meet("create", str(path))
         descriptor = self.open(path, flags, *args, **options)
@@ -140,10 +146,8 @@
         return descriptor
 
     def _write(self, descriptor, data):
-        if descriptor not in self.path_by_descriptor:
-            return self.write(descriptor, data)
         try:
-            self.meet("write", self.path_by_descriptor[descriptor])
+            self.meet_at(descriptor, "write")
         except OSError:
             if not self.has_room:
                 raise
@@ -156,8 +160,7 @@
         self.close(descriptor)
 
     def _fsync(self, descriptor):
-        if descriptor in self.path_by_descriptor:
-            self.meet("sync", self.path_by_descriptor[descriptor])
+        self.meet_at(descriptor, "sync")
         self.fsync(descriptor)
 
     def _replace(self, source, target, **options):
@@ -166,15 +169,11 @@
         self.replace(source, target, **options)
 
     def _ftruncate(self, descriptor, length):
-        if descriptor in self.path_by_descriptor:
-            self.meet("truncate", self.path_by_descriptor[descriptor])
+        self.meet_at(descriptor, "truncate")
         self.ftruncate(descriptor, length)
 
     def _open_file(self, file, mode="r", *args, **options):
-        is_ours = isinstance(file, (str, os.PathLike)) and (
-            self.is_on_disk(file)
-        )
-        if is_ours and set(mode) & set("wax+"):
+        if self.is_on_disk(file) and set(mode) & set("wax+"):
             # The content is written as the file is closed, if not before.
             self.meet("write", str(file))
         return self.open_file(file, mode, *args, **options)
