Control: a member that waited for its disk starts with the settings of now

Cause: settings were read before the wait for the disk, which has no limit. A member told to start a new group (`bootstrap`), whose disk got room after the platform had taken that back, started a second group. The other settings were read again by the timer once it served; `bootstrap` is used once, at the start.

test_settings_that_change_while_a_member_waits_for_its_disk_count: red before (`group-started` in the log), green now. Played for the first time, and held on the code before too: all members of a new group full at their first start.

--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -646,6 +646,18 @@
     )
 
 
+def read_settings_again(adapter: Adapter, settings) -> RoutingSettings:
+    """Return the settings as they are now, the old ones if unreadable."""
+    try:
+        return adapter.read_settings()
+    except (OSError, ValueError) as error:
+        LOGGER.error(
+            "settings cannot be read, keeping the old ones",
+            extra={"why": str(error)},
+        )
+        return settings
+
+
 def run(reactor, loop, clock, adapter: Adapter) -> int:
     """Run a process until it is stopped by a signal or a failure.
 
@@ -669,6 +681,8 @@
         if not wait_for_disk(settings, early):
             LOGGER.info("stopped before the start")
             return EXIT_OK
+        # The first start of the group may be over since.
+        settings = read_settings_again(adapter, settings)
         process = process_class(
             reactor, loop, clock, settings, adapter, stop_reactor
         )
@@ -677,14 +691,7 @@
         return EXIT_STORAGE
 
     def reload():
-        try:
-            new_settings = adapter.read_settings()
-        except (OSError, ValueError) as error:
-            LOGGER.error(
-                "settings cannot be read, keeping the old ones",
-                extra={"why": str(error)},
-            )
-            return
+        new_settings = read_settings_again(adapter, process.settings)
         if new_settings != process.settings:
             LOGGER.info(
                 "settings changed", extra={"seeds": new_settings.seeds}
--- a/chervilspindle/tools/disk_faults_test.py
+++ b/chervilspindle/tools/disk_faults_test.py
@@ -142,28 +142,82 @@
     return sum('"process ends", "code": 3' in row for row in rows)
 
 
-@pytest.mark.parametrize("kind", ("full", "read_only"))
-def test_a_member_that_waits_for_its_disk_obeys_signals(kind, tmp_path):
-    run = FailingDisksSoak(tmp_path, [])
+async def wait_until_logged(member, text):
+    """Wait until a member has logged a text."""
+    log = pathlib.Path(member.get_log_path())
+    while not log.exists() or text not in log.read_text():
+        await asyncio.sleep(0.05)
+
+
+def run_while_waiting(folder, kind, test):
+    """Call a test once a member waits for its disk at its first start."""
+    run = FailingDisksSoak(folder, [])
     member = run.members[0]
 
-    async def stop_while_waiting():
+    async def run_test():
         run._write_settings(True)
         member.disk.set_fault(kind)
         await member.start()
-        log = pathlib.Path(member.get_log_path())
-        while "disk refuses writes" not in log.read_text():
-            await asyncio.sleep(0.05)
+        await wait_until_logged(member, "disk refuses writes")
+        await test(run, member)
+
+    try:
+        run.loop.run_until_complete(asyncio.wait_for(run_test(), 15.0))
+    finally:
+        run.loop.run_until_complete(member.stop(signal.SIGKILL))
+        run.loop.close()
+
+
+@pytest.mark.parametrize("kind", ("full", "read_only"))
+def test_a_member_that_waits_for_its_disk_obeys_signals(kind, tmp_path):
+    async def test(run, member):
         member.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
         assert member.process.returncode is None
         member.send_signal(signal.SIGTERM)
-        return await asyncio.wait_for(member.process.wait(), 2.0)
+        assert await asyncio.wait_for(member.process.wait(), 2.0) == 0
+        assert not member.has_served()
+
+    run_while_waiting(tmp_path, kind, test)
+
+
+def test_settings_that_change_while_a_member_waits_for_its_disk_count(
+    tmp_path,
+):
+    """Guards against a second group by a member that waited for long."""
+
+    async def test(run, member):
+        run._write_settings(False)
+        member.disk.set_fault("")
+        await wait_until_logged(member, '"message": "serving"')
+        log = pathlib.Path(member.get_log_path()).read_text()
+        assert "group-started" not in log
+
+    run_while_waiting(tmp_path, "full", test)
+
+
+def test_a_group_forms_once_its_disks_that_were_full_have_room(tmp_path):
+    run = FailingDisksSoak(tmp_path, [soak.DiskFault("full", FAULT_S, "")])
+
+    async def make_room():
+        for member in run.members:
+            await wait_until_logged(member, "disk refuses writes")
+        for member in run.members:
+            await asyncio.sleep(1.0)
+            member.disk.set_fault("")
+
+    async def run_with_full_disks():
+        run._write_settings(True)
+        for member in run.members:
+            member.disk.set_fault("full")
+        making_room = asyncio.create_task(make_room())
+        findings = await asyncio.wait_for(run.run(), 60.0)
+        await making_room
+        return findings
 
     try:
-        limited = asyncio.wait_for(stop_while_waiting(), 15.0)
-        assert run.loop.run_until_complete(limited) == 0
+        assert run.loop.run_until_complete(run_with_full_disks()) == []
     finally:
-        run.loop.run_until_complete(member.stop(signal.SIGKILL))
         run.loop.close()
-    assert not member.has_served()
+    assert all(member.starts == 1 + member.ends for member in run.members)
+    assert len(run.ack_s) > 20
