Queries of a cut-off VM leave out relays of a group that failed lately

Cause: a query over 90 shards goes out in about ten groups, each through one of its usual relays: two a zone, the same for every query. A VM that is cut off tried these six for each group, refused by each in 1 to 2 ms, although it knew from its last queries that they were cut off too; then the limit of six relays was used up, the shards failed as `cut_off`, and the query was answered 502 `too_few_parts` after 64 ms (median) of 1,239. Relays that it knew to answer were asked only after the usual ones, so never. Single requests ask those first and were served: 664 of them, against 55 of 401 queries.

Ruled out: the load on the relays left (queries ended at 64 ms, with parts on their way); the deadline; the budget of retries (253 of them); a request lost (each part of the one shown came in time).

Now, while cut off, a group's relay that failed lately is not asked; any entry is, those first that reported lately, one for each group.

The test fails on the code before (relays asked that had failed).

--- a/chervilspindle/routing/cut_off_test.py
+++ b/chervilspindle/routing/cut_off_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import logging
 
 import pytest
 from twisted.internet import defer
@@ -110,6 +111,65 @@
     run_fleet(test)
 
 
+def list_ranked_vms(entry):
+    """Return the VMs that are relays of a query to all shards."""
+    table = entry.context.relays.table
+    return {
+        relay.vm_id
+        for group in table.get_groups(data_path_test.SHARDS)
+        for zone in "ab"
+        for relay in table._rank(group, zone)
+    }
+
+
+async def cut_off_nearly_all(fleet):
+    """Cut off all but three VMs that are no relays of a query to all shards.
+
+    Returns
+    -------
+    list of int, list of int
+        VMs cut off, and those in touch.
+    """
+    for entry in fleet.entries:
+        use_relays(entry)
+    ranked = set.union(*map(list_ranked_vms, fleet.entries))
+    everyone = range(len(fleet.entries))
+    others = [n for n in everyone if f"vm-{n}" not in ranked]
+    in_touch = others[:3]
+    numbers = [n for n in everyone if n not in in_touch]
+    await ask_all(fleet, everyone, rounds=1)
+    await cut_off(fleet, link_faults.Cut.HANG, numbers)
+    return numbers, in_touch
+
+
+def run_large_fleet(test, vms):
+    def build(loop):
+        return rate_limit_test.Fleet(loop, vms, SERVICES)
+
+    data_path_test.run_in_world(build, test, 30)
+
+
+def test_queries_leave_out_the_usual_relays_if_these_failed_lately(caplog):
+    async def test(fleet):
+        numbers, in_touch = await cut_off_nearly_all(fleet)
+        # VMs of the other zone have endpoints near, and use no group.
+        asked = next(n for n in numbers if fleet.entries[n].row.zone == "b")
+        table = fleet.entries[asked].context.relays.table
+        for number, entry in enumerate(fleet.entries):
+            if number in in_touch:
+                table.clear_failure(entry.peer_address)
+            else:
+                table.record_relay_failure(entry.peer_address, "test")
+        with caplog.at_level(logging.INFO):
+            caplog.clear()
+            assert (await fleet.ask(asked, "/all/x"))[0] == 200
+        lines = [r for r in caplog.records if r.getMessage() == "request"]
+        relays = {vm_id for line in lines for vm_id in line.relays}
+        assert relays.issubset({f"vm-{number}" for number in in_touch})
+
+    run_large_fleet(test, 12)
+
+
 def test_endpoints_that_are_down_are_told_apart_from_a_cut(run_fleet):
     async def test(fleet):
         await warm_up(fleet)
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -151,7 +151,10 @@
             grouped = [self.shard_by_service[s] for s in group.services]
             for shard in grouped:
                 shard.group = group
-            self._send_via_relay(relay, grouped, ())
+            if self._is_avoided(relay):
+                self._send_through_any(grouped)
+            else:
+                self._send_via_relay(relay, grouped, ())
         direct = [s for s in self.shard_by_service.values() if s.group is None]
         if direct and not self.done:
             self._send_ungrouped(direct, "first")
@@ -164,13 +167,28 @@
             shard.possible_runs += 1
 
     def _send_ungrouped(self, shards, cause):
-        """Send shards from this process, or through any entry if cut off.
-
-        Shards for which no entry is left fail.
-        """
+        """Send shards from this process, or through any entry if cut off."""
         if not self.is_sent_by_others():
             self._send_directly(shards, cause)
             return
+        shards_by_group = {}
+        for shard in shards:
+            shards_by_group.setdefault(shard.group, []).append(shard)
+        for grouped in shards_by_group.values():
+            if not self.done:
+                self._send_through_any(grouped)
+
+    def _is_avoided(self, relay) -> bool:
+        """Tell whether any other entry is better than a group's relay.
+
+        If this VM is cut off, the group's relays may be as well. There are
+        few of them, and they are the same for each query.
+        """
+        table = self.context.relays.table
+        return self.is_sent_by_others() and not table.is_available(relay)
+
+    def _send_through_any(self, shards):
+        """Send shards through an entry that may send; fail without one."""
         tried = {a for s in shards for a in s.relays_tried}
         relay = self.context.relays.table.pick_any(tried, self.context.random)
         if relay is None:
@@ -570,10 +588,14 @@
             return None
         table = self.context.relays.table
         tried = shard.relays_tried
-        if shard.tried:
-            return table.pick_from_other_zone(shard.group, tried)
-        near = table.pick(shard.group, tried)
-        return near or table.pick_from_other_zone(shard.group, tried)
+        relay = None
+        if not shard.tried:
+            relay = table.pick(shard.group, tried)
+        if relay is None:
+            relay = table.pick_from_other_zone(shard.group, tried)
+        if relay is not None and self._is_avoided(relay):
+            return None
+        return relay
 
     def _log_resends(self, shards, cause):
         elapsed = round(self.read_elapsed_ms(), 1)
--- a/chervilspindle/routing/relay_selection.py
+++ b/chervilspindle/routing/relay_selection.py
@@ -336,10 +336,10 @@
         preferred = self._pick_from_zone(
             group, self._get_preferred_zone(group), tried
         )
-        if preferred is None or self._is_available(preferred):
+        if preferred is None or self.is_available(preferred):
             return preferred
         other = self.pick_from_other_zone(group, tried)
-        if other is not None and self._is_available(other):
+        if other is not None and self.is_available(other):
             return other
         return preferred
 
@@ -388,11 +388,11 @@
             for r in self.relays
             if r.vm_id != self.vm_id and r.address not in tried
         ]
-        available = [r for r in candidates if self._is_available(r)]
+        available = [r for r in candidates if self.is_available(r)]
         if not available:
             return min(candidates, key=self._get_failed_s, default=None)
         failed_zones = {
-            r.zone for r in self.relays if not self._is_available(r)
+            r.zone for r in self.relays if not self.is_available(r)
         }
         good = [r for r in available if self._is_known_good(r)]
         good_near = [r for r in good if r.zone == self.zone]
@@ -481,11 +481,12 @@
         if not candidates:
             return None
         for relay in candidates:
-            if self._is_available(relay):
+            if self.is_available(relay):
                 return relay
         return min(candidates, key=self._get_failed_s)
 
-    def _is_available(self, relay) -> bool:
+    def is_available(self, relay) -> bool:
+        """Tell whether a relay has not failed lately."""
         backoff_start_s = self.read_clock() - FAILURE_BACKOFF_S
         return self._get_failed_s(relay) < backoff_start_s
 
