A request of a cut-off VM tries up to 16 relays, 6 if each failed lately

With 90 % of the entries cut off, six relays drawn at random contain one that is not with a chance of 47 %. A refusal takes 1 to 2 ms, of deadlines of 1,000 and more. If each other entry has failed in the last 8 s, six are still the limit, so that what can't be served is refused at once.

--- a/chervilspindle/routing/cut_off_test.py
+++ b/chervilspindle/routing/cut_off_test.py
@@ -149,6 +149,17 @@
     data_path_test.run_in_world(build, test, 30)
 
 
+def test_queries_are_served_where_nearly_all_vms_are_cut_off():
+    """Guards against a few relays tried, and others that answer left out."""
+
+    async def test(fleet):
+        numbers, _ = await cut_off_nearly_all(fleet)
+        statuses = await ask_all(fleet, numbers, ("/all/x",), 4)
+        assert statuses[200] >= 0.9 * statuses.total(), statuses
+
+    run_large_fleet(test, 30)
+
+
 def test_queries_leave_out_the_usual_relays_if_these_failed_lately(caplog):
     async def test(fleet):
         numbers, in_touch = await cut_off_nearly_all(fleet)
--- a/chervilspindle/routing/relay_selection.py
+++ b/chervilspindle/routing/relay_selection.py
@@ -32,7 +32,10 @@
 # have too few samples of its endpoints to tell which are slow; with a much
 # higher one it would be overloaded.
 QUERIES_PER_S_PER_RELAY = 10.0
-MAX_TRIED_RELAYS = 6  # for one request of a VM that is cut off
+# For one request of a VM that is cut off: relays tried in all, and if each
+# relay has failed lately.
+MAX_TRIED_RELAYS = 16
+MAX_FAILED_RELAYS = 6
 KNOWN_GOOD_S = 5.0  # after a relay's last report
 FAILURE_BACKOFF_S = 8.0  # longer than the time between an entry's queries
 
@@ -372,7 +375,8 @@
 
         Entries that have reported lately are preferred, then those of this
         zone, then those of zones in which none has failed: a whole zone may
-        be cut off. If all have failed, the one that did so first is returned.
+        be cut off. If all have failed, the one that did so first is returned,
+        unless as many as `MAX_FAILED_RELAYS` were tried.
 
         Parameters
         ----------
@@ -390,6 +394,8 @@
         ]
         available = [r for r in candidates if self.is_available(r)]
         if not available:
+            if len(tried) >= MAX_FAILED_RELAYS:
+                return None
             return min(candidates, key=self._get_failed_s, default=None)
         failed_zones = {
             r.zone for r in self.relays if not self.is_available(r)
