Settings: any value of a field is refused or replaced, and one seed holds up no other

Red before: a budget window of 0 or less (ZeroDivisionError at the first request), a negative or huge number of machines (no group ever forms), no usable seed at a first start (IndexError), ports above 65535.

Values of the policy that nothing can be computed with are replaced by their defaults, as those of the limits were; a seed that is no address is left out with a log line; what no process can start with is a ValueError that names the field, so that a start ends with code 2 and a running process keeps what it has.

--- a/chervilspindle/platform/settings.py
+++ b/chervilspindle/platform/settings.py
@@ -1,15 +1,23 @@
 """Converts the platform's settings file to `process.RoutingSettings`."""
 
+import logging
+
 import msgspec
 
+from chervilspindle.core import endpoint_checks
 from chervilspindle.core import json_limits
 from chervilspindle.routing import process
 from chervilspindle.routing import retry_budget
 
+LOGGER = logging.getLogger(__name__)
+
 # The platform provides no secret, so the key is fixed. It rejects stray
 # connections and processes of other deployments, but does not protect against
 # an attacker on the network.
 SHARED_KEY = "chervilspindle links"
+MAX_VOTERS = 101
+MAX_LOG_CHARS = 200
+MAY_BE_ZERO = ("grace_s", "budget_ratio", "budget_base")
 
 
 class Addresses(msgspec.Struct):
@@ -83,9 +91,10 @@
         raise ValueError("nested too deeply") from error
     port, metrics_port = file.ports[0], file.ports[0] + 1
     seeds = tuple(f"{s.rsplit(':', 1)[0]}:{port}" for s in file.seeds)
-    policy = file.policy
+    seeds = tuple(filter(_is_usable, seeds))
+    policy = _replace_unusable(file.policy)
     limits = _replace_unusable(file.limits)
-    return process.RoutingSettings(
+    settings = process.RoutingSettings(
         vm_id=file.node_name,
         zone=file.zone,
         peer_address=f"{file.ip}:{port}",
@@ -106,13 +115,44 @@
         link_mbps=limits.link_mbps,
         memory_mb=limits.memory_mb,
     )
+    _check(settings)
+    return settings
+
+
+def _check(settings):
+    """Raise a `ValueError` that names a field no process can start with."""
+    if settings.first_start and not settings.seeds:
+        raise ValueError("`bootstrap` is set without usable `seed-nodes`")
+    if not 1 <= settings.voters <= MAX_VOTERS:
+        raise ValueError("`machines` of `fault-tolerance` is out of range")
+    if not settings.entry_address and not settings.data_folder:
+        raise ValueError("neither `front` nor `data-dir` is set")
+    for address in (
+        settings.peer_address,
+        settings.metrics_address,
+        settings.entry_address,
+        settings.ready_address,
+        settings.control_address,
+    ):
+        if address:
+            endpoint_checks.parse_address(address)
+
+
+def _is_usable(seed) -> bool:
+    try:
+        endpoint_checks.parse_address(seed)
+    except ValueError as error:
+        LOGGER.warning("seed cannot be used: %s", str(error)[:MAX_LOG_CHARS])
+        return False
+    return True
 
 
-def _replace_unusable(limits: Limits) -> Limits:
-    """Replace limits that nothing can be computed with by their defaults."""
+def _replace_unusable(part):
+    """Replace values that nothing can be computed with by their defaults."""
     usable = {
         name: value
-        for name, value in msgspec.structs.asdict(limits).items()
-        if 0 < value <= json_limits.MAX_EXACT_INTEGER
+        for name, value in msgspec.structs.asdict(part).items()
+        if value <= json_limits.MAX_EXACT_INTEGER
+        and (value > 0 or value == 0 and name in MAY_BE_ZERO)
     }
-    return Limits(**usable)
+    return type(part)(**usable)
