Storage: a file that cannot be read is refused as such

Red before: msgspec's errors went through as a traceback for a damaged identity, and for records with a right checksum that are no records.

A log with a gap is refused; a member would have taken the entries after it for others.

--- a/chervilspindle/control/storage.py
+++ b/chervilspindle/control/storage.py
@@ -137,7 +137,8 @@
         path = os.path.join(self.folder, LOG_FILE)
         data = _read_file(path)
         records, valid = split_records(data)
-        hard, log = replay_records(records, snapshot.mark)
+        with _reject_unreadable(f"log in {self.folder}"):
+            hard, log = replay_records(records, snapshot.mark)
         torn_bytes = len(data) - valid
         if torn_bytes:
             LOGGER.warning(
@@ -208,7 +209,8 @@
         parts = tuple(records[1:-1])
         if records[-1] != _ENCODER.encode(SnapshotEnd(len(parts))):
             raise StorageError(f"snapshot in {self.folder} is truncated")
-        metadata = layouts.decode(_METADATA_DECODER, records[0])
+        with _reject_unreadable(f"snapshot in {self.folder}"):
+            metadata = layouts.decode(_METADATA_DECODER, records[0])
         return SnapshotFile(metadata, parts)
 
     def _open(self, path: str, size: int):
@@ -385,6 +387,8 @@
             f"log starts at index {kept[0].index}, "
             f"but the snapshot ends at {metadata.index}"
         )
+    if any(e.index != kept[0].index + i for i, e in enumerate(kept)):
+        raise StorageError("entries in the middle of the log are missing")
     return hard, kept
 
 
@@ -491,7 +495,8 @@
     data = _read_file(os.path.join(folder, IDENTITY_FILE))
     if not data:
         return None
-    return msgspec.json.decode(data, type=Identity)
+    with _reject_unreadable(f"identity in {folder}"):
+        return msgspec.json.decode(data, type=Identity)
 
 
 def create_identity(folder: str, group: str, vm_id: str) -> Identity:
@@ -539,6 +544,15 @@
     return HEADER.pack(len(body), zlib.crc32(body)) + body
 
 
+@contextlib.contextmanager
+def _reject_unreadable(what: str):
+    """Convert the errors of decoders to a `StorageError`."""
+    try:
+        yield
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise StorageError(f"{what} cannot be read: {error}") from error
+
+
 def _read_file(path: str) -> bytes:
     try:
         with open(path, "rb") as handle:
--- a/chervilspindle/control/storage_test.py
+++ b/chervilspindle/control/storage_test.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from chervilspindle.control import raft
@@ -269,6 +270,86 @@
         wait_for(FullDisk(99, errno.EACCES), tmp_path)
 
 
+FILES = (
+    storage_module.LOG_FILE,
+    storage_module.SNAPSHOT_FILE,
+    storage_module.IDENTITY_FILE,
+)
+ROWS = strategies.recursive(
+    strategies.one_of(
+        strategies.none(),
+        strategies.integers(-(2**63), 2**63),
+        strategies.binary(max_size=8),
+        strategies.sampled_from(("HardRecord", "AppendRecord", "SnapshotEnd")),
+    ),
+    lambda inner: strategies.lists(inner, max_size=6),
+    max_leaves=12,
+)
+FRAMED = strategies.lists(ROWS.map(msgspec.msgpack.encode), max_size=4).map(
+    lambda bodies: b"".join(map(storage_module._frame, bodies))
+)
+
+
+def open_folder(folder):
+    """Open a data folder as a start does; return its log."""
+    storage_module.load_identity(str(folder))
+    storage, recovered = open_storage(folder)
+    storage.close()
+    return recovered.log
+
+
+def assert_opens_or_is_refused(folder):
+    """Open a folder; nothing but a `StorageError` may be raised."""
+    try:
+        log = open_folder(folder)
+    except storage_module.StorageError:
+        return
+    first = log[0].index if log else 0
+    assert [e.index for e in log] == list(range(first, first + len(log)))
+
+
+@hypothesis.settings(max_examples=600, derandomize=True, deadline=None)
+@hypothesis.given(
+    strategies.sampled_from(FILES),
+    strategies.one_of(strategies.binary(max_size=64), FRAMED),
+)
+@hypothesis.example(storage_module.IDENTITY_FILE, b"\xff")
+@hypothesis.example(storage_module.LOG_FILE, storage_module._frame(b"\xff"))
+@hypothesis.example(storage_module.IDENTITY_FILE, b"[" * 100_000)
+def test_a_folder_with_any_file_opens_or_is_refused(
+    tmp_path_factory, name, content
+):
+    folder = tmp_path_factory.mktemp("any")
+    (folder / name).write_bytes(content)
+    assert_opens_or_is_refused(folder)
+
+
+@hypothesis.settings(max_examples=600, derandomize=True, deadline=None)
+@hypothesis.given(
+    strategies.sampled_from(FILES),
+    strategies.integers(0, 400),
+    strategies.integers(0, 40),
+    strategies.binary(max_size=12),
+)
+def test_a_folder_with_a_damaged_file_opens_or_is_refused(
+    tmp_path_factory, name, start, removed, added
+):
+    folder = tmp_path_factory.mktemp("damaged")
+    storage_module.create_identity(str(folder), "group", "vm")
+    storage, _ = open_storage(folder)
+    state = build_state(5)
+    storage.persist(build_state(term=0), state)
+    mark = messages.SnapshotMetadata(3, 1, ())
+    snapshot = storage_module.SnapshotFile(mark, (b"part", b"part"))
+    storage.save_snapshot(snapshot, state)
+    storage.close()
+    path = folder / name
+    content = path.read_bytes()
+    place = start % len(content)
+    path.write_bytes(content[:place] + added + content[place + removed :])
+    assert_opens_or_is_refused(folder)
+
+
 def test_short_writes_are_continued(tmp_path):
     storage, _ = open_storage(tmp_path)
     storage.write = lambda handle, data: os.write(handle, data[:3])
