--- a/chervilspindle/tools/disk_faults.py
+++ b/chervilspindle/tools/disk_faults.py
@@ -1,11 +1,12 @@
-"""Runs one process of the platform on a disk that fails when it is told to.
+"""Runs one process on a disk that fails when it is told to.
 
-    python -m chervilspindle.tools.disk_faults CONTROL-FILE FOLDER
+    python -m chervilspindle.tools.disk_faults CONTROL-FILE FOLDER [COMMAND...]
 
-Only files in FOLDER are affected. CONTROL-FILE holds the name of the present
-fault, nothing while the disk is sound, and is read at each operation, so that
-a fault also outlasts a restart. Each operation that meets a fault leaves a
-line in CONTROL-FILE.log.
+The process is one of the platform, or with a COMMAND such as ``serve
+--settings FILE`` one of the product's own deployments. Only files in FOLDER
+are affected. CONTROL-FILE holds the name of the present fault, nothing while
+the disk is sound, and is read at each operation, so that a fault also outlasts
+a restart. Each operation that meets a fault leaves a line in CONTROL-FILE.log.
 """
 
 import builtins
@@ -181,8 +182,13 @@
 
 def main() -> int:
     """Run the process; return its exit code."""
-    control, folder = sys.argv[1:]
+    control, folder, *command = sys.argv[1:]
     FaultyDisk(control, folder).install()
+    if command:
+        from chervilspindle import cli
+
+        sys.argv[1:] = command
+        return cli.main()
     from chervilspindle.platform import __main__ as program
 
     return program.main()
