Tests: how many entries a cut-off VM asks

One in ten entries is not cut off: of 50 first requests fewer than 15 find none (fails with the limit of six). If all are known to be cut off, six are asked.

--- a/chervilspindle/routing/relay_selection_test.py
+++ b/chervilspindle/routing/relay_selection_test.py
@@ -323,6 +323,29 @@
     assert len(chosen) > 20
 
 
+def test_most_first_requests_find_the_tenth_that_is_not_cut_off():
+    """Guards against requests that fail after six entries of a hundred."""
+    asked = []
+    for seed in range(50):
+        table = build_table()
+        rng = random.Random(seed)
+        cut_off = {r.vm_id for r in rng.sample(table.relays, 92)}
+        asked.append(find_sender(table, cut_off, rng))
+    assert asked.count(math.inf) < 15
+
+
+def test_if_all_entries_are_known_to_be_cut_off_few_are_asked():
+    table = build_table()
+    everyone = {r.vm_id for r in table.relays}
+    rng = random.Random(4)
+    for _ in range(20):
+        assert find_sender(table, everyone, rng) == math.inf
+    tried = []
+    while (relay := table.pick_any(tried, rng)) is not None:
+        tried.append(relay.address)
+    assert len(tried) == relay_selection.MAX_FAILED_RELAYS
+
+
 def test_if_all_entries_are_cut_off_the_first_one_to_fail_is_asked():
     clock = [0.0]
     table = build_table(clock=clock, count=4)
