Queries: nothing is sent of a query that ended while it was being sent

Read, not seen: a group for which no entry is left fails at once since the change for cut-off VMs, which can end the query, even as not run; the loop went on. Not reachable today, since some entry is always left at the first send.

--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -145,6 +145,8 @@
     def _send_all(self):
         relays = self.context.relays
         for group in relays.table.get_groups(self.incoming.route.shards):
+            if self.done:
+                return
             relay = relays.table.pick(group)
             if relay is None:
                 continue
