Tests of the drain: an entry may end once it is idle after the notice

The last request was served 2.649 and 2.414 s after the stop, asked for after 2.747 and 2.813; the slowest answers took 0.25 and 0.23 s. Traced: the callers answer-to-send in step, and from NOTICE_S (2.6 s) on an entry ends as soon as it has nothing in progress, which it had not at 2.64 and 2.87 s, between two answers of all callers.

The bound now ends at the notice.

--- a/chervilspindle/routing/drain_test.py
+++ b/chervilspindle/routing/drain_test.py
@@ -273,11 +273,12 @@
         """Return until when requests are served, by the slowest answer seen.
 
         Callers send as the answer before is there, so the last that is served
-        may come by that time earlier.
+        may come by that time earlier. After the notice for the balancer an
+        entry ends once it is idle, as between two answers of all callers.
         """
         slowest_s = max(s.took_s for s in self.sent if s.status == 200)
-        end_s = drain.compute_end_s(GRACE_S)
-        return end_s - (UNSAFE_FACTOR + 1.0) * slowest_s - 0.1
+        end_s = drain.compute_end_s(GRACE_S) - UNSAFE_FACTOR * slowest_s
+        return min(end_s, drain.NOTICE_S) - slowest_s - 0.1
 
     def fix_times(self):
         """Let the entry know how long requests take, whatever they take."""
