Start: entries do not read their settings a second time

Settings are read again after the wait for the disk, which only control members have; entries read the file once more for nothing at each start.

--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -639,8 +639,6 @@
     OSError
         If the data folder cannot be used.
     """
-    if settings.entry_address:
-        return True
     return storage_module.wait_until_writable(
         settings.data_folder, lambda: signals.intersection(STOP_SIGNALS)
     )
@@ -678,11 +676,12 @@
     settings = adapter.read_settings()
     process_class = EntryProcess if settings.entry_address else ControlProcess
     try:
-        if not wait_for_disk(settings, early):
-            LOGGER.info("stopped before the start")
-            return EXIT_OK
-        # The first start of the group may be over since.
-        settings = read_settings_again(adapter, settings)
+        if process_class is ControlProcess:
+            if not wait_for_disk(settings, early):
+                LOGGER.info("stopped before the start")
+                return EXIT_OK
+            # The first start of the group may be over since.
+            settings = read_settings_again(adapter, settings)
         process = process_class(
             reactor, loop, clock, settings, adapter, stop_reactor
         )
