--- a/features/full_disk_test.py
+++ b/features/full_disk_test.py
@@ -33,7 +33,6 @@
                 stdout=log,
                 stderr=log,
             )
-        self.wait_until_logged("disk refuses writes, waiting before the start")
 
     def wait_until_logged(self, text):
         self.deployment.wait_until(
@@ -48,8 +47,13 @@
 @pytest.fixture
 def start(tmp_path):
     started = FullDiskStart(pathlib.Path(tmp_path))
-    yield started
-    started.stop()
+    try:
+        started.wait_until_logged(
+            "disk refuses writes, waiting before the start"
+        )
+        yield started
+    finally:
+        started.stop()
 
 
 def test_a_control_vm_leads_once_its_disk_that_was_full_has_room(start):
