--- a/chervilspindle/platform/documents.py
+++ b/chervilspindle/platform/documents.py
@@ -30,6 +30,7 @@
     max_attempts: int = msgspec.field(default=1, name="max-attempts")
     top_k: int = msgspec.field(default=0, name="top-k")
     min_coverage: float = msgspec.field(default=0.0, name="min-coverage")
+    exempt: bool = msgspec.field(default=False, name="auth-exempt")
 
 
 class Service(msgspec.Struct):
@@ -38,6 +39,18 @@
     name: str
     health_path: str = msgspec.field(default="/health", name="health-path")
     connections: int = msgspec.field(default=0, name="max-connections")
+    cold_start_s: float = msgspec.field(default=0.0, name="cold-start-s")
+    cold_per_s: float = msgspec.field(default=0.0, name="warmup-per-s")
+
+
+class Account(msgspec.Struct):
+    """A client account in the operator's configuration."""
+
+    name: str
+    keys: tuple[str, ...] = msgspec.field(default=(), name="api-keys")
+    priority: int | None = None
+    rate_per_s: float = msgspec.field(default=0.0, name="rate-per-s")
+    burst: float = msgspec.field(default=0.0, name="burst-size")
 
 
 class Limits(msgspec.Struct):
@@ -56,6 +69,7 @@
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits = msgspec.field(default_factory=Limits)
+    accounts: tuple[Account, ...] = msgspec.field(default=(), name="tenants")
 
 
 _DECODER = msgspec.json.Decoder(Configuration)
@@ -88,7 +102,7 @@
         configuration.version,
         tuple(_convert_route(route) for route in configuration.routes),
         {
-            s.name: documents.Service(s.name, s.health_path, s.connections)
+            s.name: documents.Service(*msgspec.structs.astuple(s))
             for s in configuration.services
         },
         documents.Limits(
@@ -97,6 +111,10 @@
             limits.header_ms,
             limits.idle_ms,
         ),
+        tuple(
+            documents.Account(*msgspec.structs.astuple(account))
+            for account in configuration.accounts
+        ),
     )
 
 
@@ -142,4 +160,5 @@
         shards=route.shards,
         top_k=route.top_k,
         min_coverage=route.min_coverage,
+        needs_key=not route.exempt,
     )
--- a/chervilspindle/platform/names.py
+++ b/chervilspindle/platform/names.py
@@ -13,10 +13,13 @@
     not_run="Chervilspindle-Not-Executed",
     part_stamps="Chervilspindle-Part-Stamps",
     missing_parts="Chervilspindle-Missing-Parts",
+    account="Chervilspindle-Tenant-Id",
+    cold_left_ms="Chervilspindle-Warmup-Remaining-Ms",
 )
 READY_PATH = b"/api/ready"
 DOCUMENT_PATH = b"/api/config"
 ENDPOINT_PREFIX = b"/api/instances/"
+EVACUATION_PREFIX = b"/api/evacuation/"
 # Where an endpoint is to send its next announcements.
 ANNOUNCEMENT_ADDRESS_FIELD = "heartbeat-url"
 SETTINGS_VARIABLE = "CHERVILSPINDLE_BOOT"
--- a/chervilspindle/platform/settings.py
+++ b/chervilspindle/platform/settings.py
@@ -6,6 +6,7 @@
 
 from chervilspindle.core import endpoint_checks
 from chervilspindle.core import json_limits
+from chervilspindle.policy import shared_limits
 from chervilspindle.routing import process
 from chervilspindle.routing import retry_budget
 
@@ -17,7 +18,14 @@
 SHARED_KEY = "chervilspindle links"
 MAX_VOTERS = 101
 MAX_LOG_CHARS = 200
-MAY_BE_ZERO = ("grace_s", "budget_ratio", "budget_base")
+MAY_BE_ZERO = (
+    "grace_s",
+    "budget_ratio",
+    "budget_base",
+    "quota_overage",
+    "quota_slack",
+    "cold_slack",
+)
 
 
 class Addresses(msgspec.Struct):
@@ -53,6 +61,16 @@
     budget_window_s: float = msgspec.field(
         default=10.0, name="budget-window-s"
     )
+    # Absent where the rule is not in force.
+    quota_window_s: float | None = msgspec.field(
+        default=None, name="quota-window-s"
+    )
+    quota_overage: float = msgspec.field(default=0.0, name="quota-overage")
+    quota_slack: float = msgspec.field(default=0.0, name="quota-slack")
+    cold_overload: float | None = msgspec.field(
+        default=None, name="warmup-overload"
+    )
+    cold_slack: float = msgspec.field(default=0.0, name="warmup-slack")
 
 
 class SettingsFile(msgspec.Struct):
@@ -114,11 +132,27 @@
         core_share=limits.core_share * limits.speed,
         link_mbps=limits.link_mbps,
         memory_mb=limits.memory_mb,
+        quota_rule=_build_quota_rule(policy),
+        cold_rule=_build_cold_rule(policy),
     )
     _check(settings)
     return settings
 
 
+def _build_quota_rule(policy):
+    if policy.quota_window_s is None:
+        return None
+    return shared_limits.QuotaRule(
+        policy.quota_window_s, policy.quota_overage, policy.quota_slack
+    )
+
+
+def _build_cold_rule(policy):
+    if policy.cold_overload is None:
+        return None
+    return shared_limits.ColdRule(policy.cold_overload, policy.cold_slack)
+
+
 def _check(settings):
     """Raise a `ValueError` that names a field no process can start with."""
     if settings.first_start and not settings.seeds:
@@ -152,7 +186,8 @@
     usable = {
         name: value
         for name, value in msgspec.structs.asdict(part).items()
-        if value <= json_limits.MAX_EXACT_INTEGER
+        if value is not None
+        and value <= json_limits.MAX_EXACT_INTEGER
         and (value > 0 or value == 0 and name in MAY_BE_ZERO)
     }
     return type(part)(**usable)
--- a/chervilspindle/routing/documents.py
+++ b/chervilspindle/routing/documents.py
@@ -36,11 +36,18 @@
     health_path : str
     connections : int
         Connections that each endpoint accepts from all clients together.
+    cold_start_s : float
+        How long an endpoint is cold after it starts; 0 if not stated.
+    cold_requests_per_s : float
+        Requests per second that a cold endpoint takes from all VMs together;
+        0 for no limit.
     """
 
     name: str
     health_path: str
     connections: int
+    cold_start_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 class WeightedService(typing.NamedTuple):
@@ -75,6 +82,9 @@
         Number of records in the answer to a fan-out request.
     min_coverage : float
         Minimum share of the shards that an answer covers, in [0, 1].
+    needs_key : bool
+        Whether requests need the key of a client account, if the document
+        has accounts.
     """
 
     name: str
@@ -89,6 +99,30 @@
     shards: tuple[str, ...] = ()
     top_k: int = 0
     min_coverage: float = 0.0
+    needs_key: bool = True
+
+
+class Account(typing.NamedTuple):
+    """A client account: who may call, how often, and with which priority.
+
+    Parameters
+    ----------
+    name : str
+    keys : tuple of str
+        Secrets; any of them identifies the account.
+    priority : int or None
+        Goes before the priority of the route; None if not stated.
+    rate_per_s : float
+        Requests per second over all VMs together; 0 for no limit.
+    burst : float
+        Requests that may be made on top of the rate.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 class Document(typing.NamedTuple):
@@ -98,6 +132,7 @@
     routes: tuple[Route, ...]
     service_by_name: dict[str, Service]
     limits: Limits
+    accounts: tuple[Account, ...] = ()
 
 
 class DocumentError(typing.NamedTuple):
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -86,6 +86,10 @@
         Signatures of the parts in an answer.
     missing_parts : str
         Number of shards that an answer does not cover.
+    account : str
+        Name of the client account; set by the entry, never by callers.
+    cold_left_ms : str
+        How long an endpoint stays cold, in its health answers.
     """
 
     request_id: str
@@ -98,6 +102,8 @@
     not_run: str
     part_stamps: str
     missing_parts: str
+    account: str
+    cold_left_ms: str
 
 
 class EncodedHeaderNames(typing.NamedTuple):
@@ -195,6 +201,9 @@
     request_id : bytes
     caller_ms : float or None
         How long the caller waits.
+    account : documents.Account or None
+        Client account of the caller; None on routes that need no key, and
+        where the document has no accounts.
     """
 
     exchange: http_server.Exchange
@@ -202,6 +211,14 @@
     version: int
     request_id: bytes
     caller_ms: float | None
+    account: documents.Account | None = None
+
+    def get_priority(self) -> int:
+        """Return the rank of the request; 0 is the most urgent."""
+        account = self.account
+        if account is not None and account.priority is not None:
+            return account.priority
+        return self.route.priority
 
     def get_longest_ms(self) -> float:
         """Return the longest time until the answer."""
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -21,6 +21,7 @@
 from chervilspindle.core import logs
 from chervilspindle.core import loops
 from chervilspindle.core import timers as timers_module
+from chervilspindle.policy import shared_limits
 from chervilspindle.routing import connection_prewarmer
 from chervilspindle.routing import contexts
 from chervilspindle.routing import drain
@@ -89,6 +90,10 @@
         Bandwidth of the VM's link, in Mbit/s.
     memory_mb : float
         Memory that the process may use, in MB.
+    quota_rule : shared_limits.QuotaRule or None
+        None where quotas of client accounts are not in force.
+    cold_rule : shared_limits.ColdRule or None
+        None where endpoints that are cold have no limit.
     """
 
     vm_id: str
@@ -108,6 +113,8 @@
     core_share: float
     link_mbps: float
     memory_mb: float
+    quota_rule: shared_limits.QuotaRule | None = None
+    cold_rule: shared_limits.ColdRule | None = None
 
 
 class Adapter(typing.NamedTuple):
--- a/chervilspindle/wire/versions.py
+++ b/chervilspindle/wire/versions.py
@@ -10,10 +10,11 @@
 
 # A version per change of messages, in the order in which builds had them:
 # 1 the oldest that is still understood, 2 members by zone, 3 permits and crash
-# records, 4 forwarded requests and probes, 5 stated versions.
+# records, 4 forwarded requests and probes, 5 stated versions, 6 permits of
+# client accounts and zones that are taken out.
 OLDEST = 1
 CRASH_RECORDS = 3
-CURRENT = 5
+CURRENT = 6
 
 NONCE_BYTES = 16
 RANDOM_BYTES = 9
