Accounts: documents with mistakes of client accounts are refused

Two accounts with the same key or name, empty keys, names that no header can hold, negative rates and bursts. The errors name accounts, never keys.

--- a/chervilspindle/platform/platform_test.py
+++ b/chervilspindle/platform/platform_test.py
@@ -124,6 +124,43 @@
     assert decoded.limits.idle_ms == 15000.0
 
 
+ACCOUNT = {
+    "name": "north",
+    "api-keys": ["sesame-1", "sesame-2"],
+    "priority": 0,
+    "rate-per-s": 12.5,
+    "burst-size": 20,
+}
+
+
+def test_accounts_and_exempt_routes_are_decoded():
+    exempt = {**ROUTE, "name": "r-2", "path-prefix": "/s/"}
+    value = {
+        **CONFIGURATION,
+        "routes": [ROUTE, {**exempt, "auth-exempt": True}],
+        "tenants": [ACCOUNT, {"name": "bare"}],
+    }
+    decoded = documents.decode_document(encode(value))
+    assert [r.needs_key for r in decoded.routes] == [True, False]
+    keys = ("sesame-1", "sesame-2")
+    assert decoded.accounts == (
+        ("north", keys, 0, 12.5, 20.0),
+        ("bare", (), None, 0.0, 0.0),
+    )
+
+
+def test_a_refusal_of_accounts_names_no_key():
+    """Responses and logs of control are read by more than key holders."""
+    frontend = FakeFrontend()
+    tenants = [ACCOUNT, {**ACCOUNT, "name": "south"}]
+    for wrong in (tenants, [{**ACCOUNT, "rate-per-s": -1}]):
+        value = {**CONFIGURATION, "tenants": wrong}
+        status, body = call(frontend, b"PUT", b"/api/config", value)
+        assert status == 400 and b"north" in body
+        assert b"sesame" not in body
+    assert frontend.calls == []
+
+
 def test_weights_and_types_are_decoded():
     split = [{"service": "a", "weight": 3}, {"service": "b", "weight": 1}]
     route = {**ROUTE, "route-type": "unsafe", "traffic-split": split}
--- a/chervilspindle/routing/documents.py
+++ b/chervilspindle/routing/documents.py
@@ -4,10 +4,15 @@
 any error is never applied.
 """
 
+import re
 import typing
 
 from chervilspindle.core import json_limits
 
+# Endpoints limit the size of a request's header, of which a name is a part.
+MAX_ACCOUNT_NAME_CHARACTERS = 1000
+ACCOUNT_NAME_PATTERN = re.compile(r"[!-~](?:[ -~\t]*[!-~])?")
+
 
 class Limits(typing.NamedTuple):
     """Limits on the size and timing of callers' requests.
@@ -159,6 +164,7 @@
             errors.append(DocumentError(route.name, text))
         route_name_by_key[key] = route.name
         errors.extend(_check_route(route, document.service_by_name))
+    errors.extend(_check_accounts(document.accounts))
     return tuple(errors)
 
 
@@ -170,6 +176,8 @@
         yield route.name, route
         for alternative in route.alternatives:
             yield route.name, alternative
+    for account in document.accounts:
+        yield account.name, account
 
 
 def _is_number(value):
@@ -208,6 +216,39 @@
         )
 
 
+def _check_accounts(accounts):
+    """Yield the errors of accounts, which never name a key."""
+    names = set()
+    name_by_key = {}
+    for number, account in enumerate(accounts):
+        place = account.name
+        if not is_account_name(account.name):
+            place = f"account {number + 1}"
+            yield DocumentError(place, "name is empty or invalid in a header")
+        elif account.name in names:
+            yield DocumentError(place, "two accounts have this name")
+        names.add(account.name)
+        for key in account.keys:
+            if not key:
+                yield DocumentError(place, "account has an empty key")
+                continue
+            holder = name_by_key.setdefault(key, place)
+            if holder != place:
+                text = f"account has the same key as {holder}"
+                yield DocumentError(place, text)
+        if account.rate_per_s < 0:
+            yield DocumentError(place, "rate must not be negative")
+        if account.burst < 0:
+            yield DocumentError(place, "burst must not be negative")
+
+
+def is_account_name(name: str) -> bool:
+    """Tell whether a name can be sent as the value of a header."""
+    if len(name) > MAX_ACCOUNT_NAME_CHARACTERS:
+        return False
+    return ACCOUNT_NAME_PATTERN.fullmatch(name) is not None
+
+
 class RouteTable:
     """Index of the routes of a document by host.
 
--- a/chervilspindle/routing/documents_test.py
+++ b/chervilspindle/routing/documents_test.py
@@ -1,5 +1,8 @@
 """Tests of routing documents."""
 
+import pytest
+
+from chervilspindle.core import json_limits
 from chervilspindle.routing import documents
 
 SERVICES = {n: documents.Service(n, "/health", 56) for n in ("a", "b", "c")}
@@ -81,3 +84,57 @@
     assert list_messages(build_route(prefix="r")) == [
         "prefix must start and end with a slash"
     ]
+
+
+def check_accounts(*accounts):
+    document = build_document(build_route())._replace(accounts=accounts)
+    return documents.check_document(document)
+
+
+def test_valid_accounts_have_no_errors():
+    accounts = (
+        documents.Account("north", ("k-1", "k-2"), 0, 5.0, 10.0),
+        documents.Account("South & sons", ()),
+        documents.Account("a", ("k-3", "k-3", "\xfc", "k" * 10_000)),
+    )
+    assert check_accounts(*accounts) == ()
+
+
+@pytest.mark.parametrize(
+    "accounts,expected",
+    (
+        (
+            (("north", ("secret",)), ("south", ("x", "secret"))),
+            ("south", "account has the same key as north"),
+        ),
+        (
+            (("north", ("a",)), ("north", ("b",))),
+            ("north", "two accounts have this name"),
+        ),
+        ((("north", ("",)),), ("north", "account has an empty key")),
+        (
+            (("north", (), None, -0.1),),
+            ("north", "rate must not be negative"),
+        ),
+        (
+            (("north", (), None, 1.0, -1.0),),
+            ("north", "burst must not be negative"),
+        ),
+        (
+            (("north", (), json_limits.MAX_EXACT_INTEGER + 1),),
+            ("north", "a number is out of range"),
+        ),
+        *(
+            (
+                ((name, ("secret",)),),
+                ("account 1", "name is empty or invalid in a header"),
+            )
+            for name in ("", " ", "a ", "a\r\nb", "\x00", "\xfc", "a" * 1001)
+        ),
+    ),
+)
+def test_invalid_accounts_have_errors_that_name_no_key(accounts, expected):
+    rows = [documents.Account(*fields) for fields in accounts]
+    errors = check_accounts(*rows)
+    assert errors == (expected,)
+    assert "secret" not in str(errors)
