Accounts: requests need the key of a client account

Each entry looks the key up in the document in force, removes it from its copy of the request before anything is built from that, and states the account to endpoints. Documents without accounts are served as before.

--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -263,10 +263,17 @@
     """Build the template for sending a caller's request to endpoints."""
     request = incoming.exchange.request
     forwarded = select_headers(request.headers, names.lower)
+    account = incoming.account
+    if account is not None:
+        replaced = (b"authorization", names.lower.account)
+        forwarded = tuple(h for h in forwarded if h[0] not in replaced)
     lines = [b"%s %s HTTP/1.1\r\n" % (request.method, request.target)]
     lines += [b"%s: %s\r\n" % header for header in forwarded]
     if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
         lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    if account is not None:
+        name = account.name.encode()
+        lines.append(b"%s: %s\r\n" % (names.sent.account, name))
     lines.append(b"%s: %s\r\n" % (names.sent.request_id, incoming.request_id))
     tail = b"\r\n\r\n" + request.body
     return RequestTemplate(b"".join(lines), tail, names.sent)
--- a/chervilspindle/routing/entry.py
+++ b/chervilspindle/routing/entry.py
@@ -8,6 +8,7 @@
 import logging
 import math
 
+from chervilspindle.accounts import directory
 from chervilspindle.core import logs
 from chervilspindle.routing import documents
 from chervilspindle.routing import drain
@@ -23,6 +24,8 @@
 # Typical time from the start of an entry to its first document.
 FIRST_DOCUMENT_S = 0.8
 MIN_RETRY_AFTER_S = 0.1
+MAX_LOGGED_ACCOUNTS = 8
+CHALLENGE_HEADERS = ((b"WWW-Authenticate", b"Bearer"),)
 
 
 class RoutingEntry:
@@ -37,6 +40,7 @@
         self.context = context
         self.document = None
         self.routes = None
+        self.accounts = None
         self.draining = False
         self.request_by_exchange = {}  # those in progress
         self.started_s = context.loop.time()
@@ -52,12 +56,22 @@
         if self.document is not None:
             if document.version <= self.document.version:
                 return False
+        self.accounts = directory.AccountDirectory(document, self.accounts)
         self.routes = documents.RouteTable(document)
         self.document = document
+        if self.accounts.unusable_names:
+            names = self.accounts.unusable_names
+            logs.log_decision(
+                "accounts-ignored",
+                version=document.version,
+                count=len(names),
+                accounts=[n[:40] for n in names[:MAX_LOGGED_ACCOUNTS]],
+            )
         logs.log_decision(
             "document-in-force",
             version=document.version,
             routes=len(document.routes),
+            accounts=len(document.accounts),
         )
         return True
 
@@ -93,6 +107,11 @@
         if route is None:
             self._reject(exchange, 404, (), "no_route")
             return
+        verdict = self.accounts.authenticate(request.headers, route)
+        if not verdict.allowed:
+            self._reject(exchange, 401, CHALLENGE_HEADERS, verdict.reason)
+            return
+        request = self._remove_key(exchange, verdict.account)
         lower = self.context.names.lower
         request_id = request.get_header(lower.request_id)
         if not request_id:
@@ -111,12 +130,33 @@
         if caller_ms is None and deadline is not None:
             self._record_malformed_deadline(request_id, deadline)
         incoming = endpoint_calls.IncomingRequest(
-            exchange, route, self.document.version, request_id, caller_ms
+            exchange,
+            route,
+            self.document.version,
+            request_id,
+            caller_ms,
+            verdict.account,
         )
         if self.draining and self._refuse_late(incoming):
             return
         self._start(incoming)
 
+    def _remove_key(self, exchange, account):
+        """Remove the key, and what the caller states as its account.
+
+        Nothing that is built from the request later on has the key.
+        """
+        if self.accounts.in_force:
+            exchange.request = exchange.request._replace(
+                headers=self.accounts.select_headers(
+                    exchange.request.headers,
+                    account,
+                    self.context.names.lower.account,
+                ),
+                account=account.name if account is not None else "",
+            )
+        return exchange.request
+
     def _record_malformed_deadline(self, request_id, value):
         self.context.metrics.count_event("malformed-deadline")
         logs.log_decision(
@@ -187,6 +227,8 @@
         self.request_by_exchange.pop(incoming.exchange, None)
         now = self.context.loop.time()
         request = incoming.exchange.request
+        if request.account:
+            fields = {**fields, "account": request.account}
         seconds = now - request.received_s
         if status == 200:
             self.context.drain.record(incoming.route.name, seconds)
@@ -209,6 +251,7 @@
         request_id = exchange.request.get_header(lower.request_id) or b""
         exchange.respond(status, headers, reason.encode())
         self.context.metrics.count_request("", status, 0.0)
+        self.context.metrics.count_refused(reason)
         logs.log_decision(
             "request",
             request_id=request_id.decode("latin-1"),
--- a/chervilspindle/routing/metrics.py
+++ b/chervilspindle/routing/metrics.py
@@ -35,6 +35,11 @@
             "drain_refusals_total",
             "Requests that a planned stop refused or ended, by how.",
         )
+        self.refused = self._counter(
+            "refused_requests_total",
+            "Requests that an entry refused before a route ran them, by "
+            "reason.",
+        )
         self.cut_off = aioprometheus.Gauge(
             "chervilspindle_cut_off",
             "1 while this VM reaches no endpoint, else 0.",
@@ -80,6 +85,10 @@
         """Count a request that a planned stop refused or ended."""
         self.drained.inc({"how": how})
 
+    def count_refused(self, reason):
+        """Count a request that was refused before it was started."""
+        self.refused.inc({"reason": reason})
+
     def count_event(self, event):
         """Count a connection event."""
         self.events.inc({"event": event})
--- a/chervilspindle/routing/request_content.py
+++ b/chervilspindle/routing/request_content.py
@@ -17,6 +17,9 @@
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     parts = [request.method, request.target, request.body]
     parts += [request.get_header(name) or b"" for name in CALLER_HEADERS]
+    if request.account:
+        # In place of the key, which is removed from the headers by then.
+        parts.append(request.account.encode())
     for part in parts:
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -61,6 +61,9 @@
         Whether it is the first request on its connection.
     round_trip_ms : float or None
         Network round trip to the caller when it connected, if known.
+    account : str
+        Name of the client account whose key it had; the key is then removed
+        from the headers. Empty if there is none.
     """
 
     method: bytes
@@ -70,6 +73,7 @@
     received_s: float
     is_first: bool
     round_trip_ms: float | None = None
+    account: str = ""
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, None without one."""
