Endpoint load: further fields after the first three are accepted

The whole header was dropped as malformed, and with it the load of every endpoint that states a speed.

--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -44,8 +44,11 @@
 # without one: the answer is to arrive in time.
 MAX_PERMIT_WAIT_SHARE = 0.5
 STAMP_PATTERN = re.compile(rb"[!-+\--~]+")  # visible ASCII but the comma
-# Three numbers, bounded so that one endpoint can't state an absurd load.
-LOAD_PATTERN = re.compile(rb"\s*(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})\s*")
+# Three numbers, bounded so that one endpoint can't state an absurd load. Later
+# versions of endpoints add further fields, so anything may follow.
+LOAD_PATTERN = re.compile(
+    rb"\s*(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})(?:[,;\s].*)?", re.DOTALL
+)
 PERMIT_LIFETIME_S = 0.5  # of a permit that waits for a connection
 # Reasons of outcomes.
 HELD_BACK = endpoint_http.Ending.HELD_BACK.value
@@ -508,7 +511,10 @@
 
 
 def parse_load(value: bytes) -> tuple[int, int, int] | None:
-    """Parse running, waiting and slots; None if malformed."""
+    """Parse running, waiting and slots; None if malformed.
+
+    Fields after these three are ignored.
+    """
     match = LOAD_PATTERN.fullmatch(value)
     if match is None:
         return None
