Endpoints: stated speed in the choice of endpoints and in hedges

An endpoint that states that its work takes longer now is avoided, hedged only once it is late for itself, and not hedged to if it would be too late. How fast a figure fades is learned from how fast figures are seen to change.

The first load or speed of an endpoint that cannot be read is logged; it was each one.

--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -8,6 +8,7 @@
 import typing
 
 from chervilspindle.core import logs
+from chervilspindle.policy import stated_speed
 from chervilspindle.routing import documents
 from chervilspindle.routing import endpoints
 from chervilspindle.routing import permission
@@ -47,7 +48,9 @@
 # Three numbers, bounded so that one endpoint can't state an absurd load. Later
 # versions of endpoints add further fields, so anything may follow.
 LOAD_PATTERN = re.compile(
-    rb"\s*(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})(?:[,;\s].*)?", re.DOTALL
+    rb"\s*(\d{1,6})\s*,\s*(\d{1,6})\s*,\s*(\d{1,6})"
+    rb"(?:\s*,([^,]*)(?:,.*)?|[;\s].*)?",
+    re.DOTALL,
 )
 PERMIT_LIFETIME_S = 0.5  # of a permit that waits for a connection
 # Reasons of outcomes.
@@ -453,16 +456,7 @@
     lower = context.names.lower
     load = answer.get_header(lower.load) if answer.headers else None
     if load is not None:
-        parsed = parse_load(load)
-        if parsed is not None:
-            selection.record_load(health, *parsed, now)
-        else:
-            context.metrics.count_event("malformed-load")
-            logs.log_decision(
-                "endpoint-load-malformed",
-                endpoint=target.endpoint.endpoint_id,
-                value=logs.clip_header(load),
-            )
+        _record_load(target, load, now, context)
     if answer.ending is endpoint_http.Ending.ANSWERED:
         if outcome.reason != "other_endpoint":
             permission.record_limit(
@@ -481,6 +475,33 @@
     return outcome
 
 
+def _record_load(target, value, now, context):
+    """Record the load and the speed that an endpoint states."""
+    health = target.health
+    stated = parse_load(value)
+    if stated is not None:
+        selection.record_load(
+            health, stated.running, stated.waiting, stated.slots, now
+        )
+        if stated.slowness is not None:
+            selection.record_slowness(
+                health, stated.slowness, context.table.persistence, now
+            )
+        if stated.slowness is not None or stated.speed is None:
+            return
+    context.metrics.count_event(
+        "malformed-load" if stated is None else "malformed-speed"
+    )
+    # An endpoint that states a bad value does so with each answer.
+    if not health.has_misstated:
+        health.has_misstated = True
+        logs.log_decision(
+            "endpoint-load-malformed",
+            endpoint=target.endpoint.endpoint_id,
+            value=logs.clip_header(value),
+        )
+
+
 def is_link_failure(reason: str, context: Context) -> bool:
     """Tell whether a send did not leave this VM or another, cut off."""
     if reason == CUT_OFF:
@@ -510,13 +531,40 @@
             context.metrics.count_held_back(verdict.reason)
 
 
-def parse_load(value: bytes) -> tuple[int, int, int] | None:
-    """Parse running, waiting and slots; None if malformed.
+class StatedLoad(typing.NamedTuple):
+    """What an endpoint states of its load.
+
+    Parameters
+    ----------
+    running, waiting, slots : int
+    speed : bytes or None
+        As stated; None if there is no such field.
+    slowness : float or None
+        Time that work takes, 1 if usual; None if not stated or malformed.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    speed: bytes | None = None
+    slowness: float | None = None
+
+
+def parse_load(value: bytes) -> StatedLoad | None:
+    """Parse what an endpoint states of its load.
+
+    The speed is not needed, and fields after it are ignored.
 
-    Fields after these three are ignored.
+    Returns
+    -------
+    StatedLoad or None
+        None if one of the first three figures is malformed.
     """
     match = LOAD_PATTERN.fullmatch(value)
     if match is None:
         return None
-    running, waiting, slots = map(int, match.groups())
-    return running, waiting, slots
+    running, waiting, slots, speed = match.groups()
+    slowness = None
+    if speed is not None:
+        slowness = stated_speed.parse_slowness(speed)
+    return StatedLoad(int(running), int(waiting), int(slots), speed, slowness)
--- a/chervilspindle/routing/endpoint_headers_test.py
+++ b/chervilspindle/routing/endpoint_headers_test.py
@@ -9,6 +9,7 @@
 import pytest
 
 from chervilspindle.platform import names as platform_names
+from chervilspindle.policy import stated_speed
 from chervilspindle.routing import data_path_test
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import overload
@@ -68,7 +69,8 @@
     ),
 )
 def test_a_load_in_range_is_read(value, load):
-    assert endpoint_calls.parse_load(value) == load
+    stated = endpoint_calls.parse_load(value)
+    assert stated == endpoint_calls.StatedLoad(*load)
 
 
 @pytest.mark.parametrize(
@@ -95,7 +97,58 @@
 def test_the_first_three_figures_are_read_whatever_follows(rest):
     """A new field of the header must not cost the load of all endpoints."""
     value = f"1,4,2{rest}".encode()
-    assert endpoint_calls.parse_load(value) == (1, 4, 2)
+    assert endpoint_calls.parse_load(value)[:3] == (1, 4, 2)
+
+
+@pytest.mark.parametrize(
+    "rest,slowness",
+    (
+        (b",100", 1.0),
+        (b" , 250 ", 2.5),
+        (b",130.5,7", 1.305),
+        (b",80,", 0.8),
+        (b",1", stated_speed.MIN_SLOWNESS),
+        (b",999999", stated_speed.MAX_SLOWNESS),
+    ),
+)
+def test_a_stated_speed_is_read_within_bounds(rest, slowness):
+    stated = endpoint_calls.parse_load(b"1,4,2" + rest)
+    assert stated.slowness == slowness
+
+
+@pytest.mark.parametrize(
+    "speed",
+    ("", "0", "0.0", "-1", "fast", "nan", "inf", "1e3", "1_0", HUGE, TOO_LONG),
+)
+def test_a_malformed_speed_is_told_from_none(speed):
+    stated = endpoint_calls.parse_load(f"1,4,2,{speed}".encode())
+    assert stated.speed is not None and stated.slowness is None
+    assert endpoint_calls.parse_load(b"1,4,2").speed is None
+
+
+def test_a_malformed_speed_is_counted_and_logged_once(run_test, caplog):
+    """A line for each answer would fill the disk of the log."""
+    caplog.set_level(logging.INFO, "chervilspindle.decision")
+
+    async def test(world):
+        for backend in world.backend_by_id.values():
+            backend.load = b"1,0,2,fast"
+        for number in range(4):
+            status, _, body = await world.ask("/all/x", f"id-{number}")
+            assert status == 200 and body
+        assert "malformed-speed" in read_events(world)
+        answered = [
+            t
+            for t in world.table.target_by_id.values()
+            if t.health.recent_ms is not None
+        ]
+        assert all(t.health.load_s > 0.0 for t in answered)
+        assert all(t.health.slowness_s is None for t in answered)
+
+    run_test(test)
+    logged = [r for r in caplog.records if "load-malformed" in r.message]
+    endpoints = [r.endpoint for r in logged]
+    assert endpoints and len(endpoints) == len(set(endpoints))
 
 
 def read_events(world):
@@ -188,6 +241,9 @@
 ).map(str)
 COUNTS = strategies.sampled_from(("0", "1", "7", "-3", HUGE, TOO_LONG))
 HEADER_VALUES = strategies.one_of(
+    strategies.tuples(COUNTS, COUNTS, COUNTS, NUMBERS).map(
+        lambda items: ",".join(items).encode()
+    ),
     strategies.tuples(COUNTS, COUNTS, COUNTS).map(
         lambda items: ",".join(items).encode()
     ),
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -8,6 +8,7 @@
 from chervilspindle.core import endpoint_checks
 from chervilspindle.core import logs
 from chervilspindle.core import rows
+from chervilspindle.policy import stated_speed
 from chervilspindle.routing import overload
 from chervilspindle.routing import permission
 from chervilspindle.routing import selection
@@ -60,6 +61,7 @@
         self.on_event = on_event
         self.receive_budget = receive_budget
         self.link_observer = endpoint_http.LinkObserver()
+        self.persistence = stated_speed.Persistence()  # of stated speeds
         self.vms = 1
         self.revision = 0  # incremented when an endpoint is put or dropped
         self.connections_by_service = {}
@@ -169,20 +171,49 @@
         targets = self.targets_by_service.get(service, {})
         return [t.health for t in targets.values()]
 
-    def can_hedge(self, service: str, excluded) -> bool:
-        """Tell whether a hedge would be answered by an unused slot.
+    def can_hedge(
+        self, service: str, excluded, left_ms: float = math.inf
+    ) -> bool:
+        """Tell whether a hedge would be answered by an unused slot in time.
 
-        An endpoint outside `excluded` has a free slot and no limit.
+        An endpoint outside `excluded` has a free slot and no limit, and does
+        not state that it is too slow.
+
+        Parameters
+        ----------
+        service : str
+        excluded : collection of str
+            Ids of endpoints.
+        left_ms : float
+            Time until the answer is due.
         """
         now = self.loop.time()
         targets = self.targets_by_service.get(service, {})
         return any(
             overload.has_free_slot(target.health, now)
+            and not self._is_too_slow(target.health, left_ms, now)
             for endpoint_id, target in targets.items()
             if endpoint_id not in excluded
             and not permission.evaluate(target.restrictions, now).reason
         )
 
+    def _is_too_slow(self, health, left_ms, now) -> bool:
+        """Tell whether an endpoint states that it takes too long."""
+        if health.slowness_s is None or health.recent_ms is None:
+            return False
+        slowness = selection.estimate_slowness(health, self.persistence, now)
+        return slowness > 1.0 and health.recent_ms * slowness > left_ms
+
+    def read_slowness(self, endpoint_id: str) -> float:
+        """Return the expected time of work at an endpoint, 1 if usual."""
+        target = self.target_by_id.get(endpoint_id)
+        if target is None or target.health.slowness_s is None:
+            return 1.0
+        now = self.loop.time()
+        return selection.estimate_slowness(
+            target.health, self.persistence, now
+        )
+
     def is_open(self, service: str, excluded, by_s: float) -> bool:
         """Tell whether an endpoint may be sent to at a loop time."""
         return any(
@@ -266,8 +297,14 @@
             target.endpoint.state == "warming",
             pool.has_room(),
         )
+        health = target.health
+        slowness = 1.0
+        if health.slowness_s is not None:
+            slowness = selection.estimate_slowness(
+                health, self.persistence, now
+            )
         return selection.compute_cost(
-            target.health, view, now, best_ms, other_zone_ms
+            health, view, now, best_ms, other_zone_ms, slowness
         )
 
     def _build(self, endpoint):
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -495,9 +495,16 @@
         evidence = self._get_evidence()
         to_hedge = []
         recheck = False
+        next_ms = math.inf
         for shard in self.shard_by_service.values():
             if self._is_settled(shard) or len(shard.open_dispatches) != 1:
                 continue
+            slowness = self._read_slowness(shard)
+            if slowness > 1.0:
+                due_ms = request_timing.delay_hedge_ms(self.timing, slowness)
+                if elapsed < due_ms:
+                    next_ms = min(next_ms, due_ms)
+                    continue
             dispatch = shard.open_dispatches[0]
             if not crash_caution.may_hedge(
                 evidence, shards, dispatch.awaits_report()
@@ -509,7 +516,8 @@
                     recheck = True
                     continue
                 self._presume_relay_lost(dispatch)
-            if table.can_hedge(shard.service, shard.tried):
+            left_ms = self.timing.answer_ms - elapsed
+            if table.can_hedge(shard.service, shard.tried, left_ms):
                 to_hedge.append(shard)
         sent_before = len(self.dispatches)
         hedged = self._resend(to_hedge, "hedge")
@@ -517,8 +525,16 @@
         self.hedges += len(hedged)
         for _ in hedged:
             self.context.metrics.count_extra_send("hedge")
-        if recheck and not self.done:
-            self.schedule_at_ms(elapsed + HEDGE_RECHECK_MS, self._hedge)
+        if recheck:
+            next_ms = min(next_ms, elapsed + HEDGE_RECHECK_MS)
+        if not self.done and math.isfinite(next_ms):
+            self.schedule_at_ms(next_ms, self._hedge)
+
+    def _read_slowness(self, shard) -> float:
+        """Return the expected time of work where a shard was last sent."""
+        if not shard.tried:
+            return 1.0
+        return self.context.table.read_slowness(shard.tried[-1])
 
     def _presume_relay_lost(self, dispatch):
         if not dispatch.presumed_lost:
--- a/chervilspindle/routing/request_timing.py
+++ b/chervilspindle/routing/request_timing.py
@@ -103,6 +103,24 @@
     return Timing(min(hedge, answer * MAX_HEDGE_SHARE), answer, deadline)
 
 
+def delay_hedge_ms(timing: Timing, slowness: float) -> float:
+    """Return when a shard is hedged whose endpoint states that it is slow.
+
+    It is late only against its own expected time. The hedge is still sent
+    early enough to be answered within the objective.
+
+    Parameters
+    ----------
+    timing : Timing
+    slowness : float
+        Time that work takes at the endpoint, 1 if usual.
+    """
+    if slowness <= 1.0:
+        return timing.hedge_ms
+    latest_ms = max(timing.hedge_ms, timing.answer_ms * MAX_HEDGE_SHARE)
+    return min(timing.hedge_ms * slowness, latest_ms)
+
+
 def estimate_answer_send_ms(
     shards: int, core_share: float, link_mbps: float
 ) -> float:
--- a/chervilspindle/routing/request_timing_test.py
+++ b/chervilspindle/routing/request_timing_test.py
@@ -1,5 +1,6 @@
 """Tests of timing, endpoint selection, merging and retry budgets."""
 
+import math
 import random
 import typing
 
@@ -298,3 +299,15 @@
     budget.count_requests(("s",))
     budget.update_totals(102, 600)
     assert sum(budget.try_withdraw("s") for _ in range(9)) <= 2
+
+
+def test_a_hedge_waits_for_an_endpoint_that_states_that_it_is_slow():
+    """Hedges of parts that are in time use up the budget of the others."""
+    timing = request_timing.Timing(20.0, 120.0, 1000.0)
+    assert request_timing.delay_hedge_ms(timing, 1.0) == 20.0
+    assert request_timing.delay_hedge_ms(timing, 0.5) == 20.0
+    assert request_timing.delay_hedge_ms(timing, 1.5) == 30.0
+    latest_ms = 120.0 * request_timing.MAX_HEDGE_SHARE
+    assert request_timing.delay_hedge_ms(timing, 8.0) == latest_ms
+    unlimited = request_timing.Timing(50.0, math.inf, 1000.0)
+    assert request_timing.delay_hedge_ms(unlimited, 2.0) == 100.0
--- a/chervilspindle/routing/selection.py
+++ b/chervilspindle/routing/selection.py
@@ -4,6 +4,10 @@
 without coordination. It estimates the state of an endpoint from its own
 observations: response times, its own outstanding requests, and the load the
 endpoint reported with its last answer, which is weighted down with age.
+
+Endpoints may also state how slow they are; see `stated_speed`. Response times
+are then kept as they would be at the usual speed of the endpoint, so that a
+slow phase counts once, for as long as its figure says something.
 """
 
 import math
@@ -25,6 +29,10 @@
 # For an endpoint that answered as another one or as shutting down.
 MISDIRECTED_PENALTY_MS = 500.0
 COLD_PENALTY_MS = 8.0
+# The usual speed of an endpoint is smoothed over a time that is long against
+# slow phases; one answer alone has little weight.
+USUAL_TIME_CONSTANT_S = 60.0
+MAX_USUAL_WEIGHT = 0.1
 NO_CONNECTION_PENALTY_MS = 30.0
 # Traffic between zones costs more than the added latency: within this share
 # of the objective, an answer from the same zone is preferred.
@@ -55,6 +63,14 @@
         Loop time of the last failure.
     misdirected : bool
         Whether it answered that it is another endpoint or shutting down.
+    slowness : float
+        Time that work takes there, as last stated; 1 if usual.
+    slowness_s : float or None
+        Loop time at which it was stated; None if it never was.
+    usual_slowness : float
+        Smoothed over a minute; 1 for most endpoints.
+    has_misstated : bool
+        Whether it has stated a load or a speed that cannot be read.
     """
 
     __slots__ = (
@@ -67,6 +83,10 @@
         "failures",
         "failed_s",
         "misdirected",
+        "slowness",
+        "slowness_s",
+        "usual_slowness",
+        "has_misstated",
     )
 
     def __init__(self, slots: int):
@@ -79,6 +99,10 @@
         self.failures = 0
         self.failed_s = 0.0
         self.misdirected = False
+        self.slowness = 1.0
+        self.slowness_s = None
+        self.usual_slowness = 1.0
+        self.has_misstated = False
 
 
 class CandidateState(typing.NamedTuple):
@@ -111,6 +135,8 @@
     The weight of a sample grows with the time since the last one, so that an
     entry that seldom sends to an endpoint also detects that it became slow.
     """
+    if health.slowness_s == now:  # stated with this answer
+        took_ms *= health.usual_slowness / health.slowness
     recent = health.recent_ms
     if recent is None:
         health.recent_ms = took_ms
@@ -163,6 +189,41 @@
     return health.load * remaining if remaining > 0.0 else 0.0
 
 
+def record_slowness(health: Health, slowness: float, persistence, now: float):
+    """Record how slow an endpoint says that it is.
+
+    Parameters
+    ----------
+    health : Health
+    slowness : float
+        See `stated_speed.parse_slowness`.
+    persistence : stated_speed.Persistence
+        Learns from it.
+    now : float
+        Loop time.
+    """
+    if health.slowness_s is not None:
+        elapsed = now - health.slowness_s
+        persistence.observe(health.slowness, slowness, elapsed)
+        weight = min(MAX_USUAL_WEIGHT, elapsed / USUAL_TIME_CONSTANT_S)
+        health.usual_slowness += weight * (slowness - health.usual_slowness)
+    health.slowness = slowness
+    health.slowness_s = now
+
+
+def estimate_slowness(health: Health, persistence, now: float) -> float:
+    """Return the expected time of work now, 1 if usual for the endpoint.
+
+    A stated deviation fades as `persistence` says. Response times contain
+    what is usual for the endpoint.
+    """
+    if health.slowness_s is None:
+        return 1.0
+    ratio = health.slowness / health.usual_slowness
+    share = persistence.get_share(now - health.slowness_s)
+    return 1.0 + (ratio - 1.0) * share
+
+
 def record_failure(health: Health, now: float):
     """Count a request without a successful answer."""
     health.failures = min(MAX_FAILURES, health.failures + 1)
@@ -182,6 +243,7 @@
     now: float,
     best_ms: float = INITIAL_ANSWER_MS,
     other_zone_ms: float = OTHER_ZONE_PENALTY_MS,
+    slowness: float = 1.0,
 ) -> float:
     """Return the expected time to an answer plus penalties, in ms.
 
@@ -189,8 +251,10 @@
     ----------
     other_zone_ms : float
         Penalty of an endpoint in another zone.
+    slowness : float
+        See `estimate_slowness`.
     """
-    answer_ms = estimate_answer_ms(health, best_ms, now)
+    answer_ms = estimate_answer_ms(health, best_ms, now) * slowness
     reported = decay_load(health, now, LOAD_DECAY_S)
     load = max(reported, candidate.outstanding)
     cost = answer_ms * (1.0 + max(0.0, load - health.slots + 1))
--- a/chervilspindle/routing/single_endpoint.py
+++ b/chervilspindle/routing/single_endpoint.py
@@ -2,6 +2,7 @@
 
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
+from chervilspindle.routing import request_timing
 from chervilspindle.routing import routed_request
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import http_server
@@ -41,7 +42,7 @@
         if self.done:
             return
         if self.incoming.route.idempotent:
-            self.schedule_at_ms(self.timing.hedge_ms, self._hedge)
+            self.schedule_at_ms(self.timing.hedge_ms, self._on_hedge_time)
         self.schedule_at_ms(self.timing.deadline_ms, self.on_deadline)
         self.watch_caller()
         self.watch_reachability()
@@ -208,6 +209,19 @@
         self._send(target, cause)
         return True
 
+    def _on_hedge_time(self):
+        """Hedge, or wait for an endpoint that states that it is slow."""
+        if self.calls:
+            target, _ = self.calls[-1].context
+            slowness = self.context.table.read_slowness(
+                target.endpoint.endpoint_id
+            )
+            due_ms = request_timing.delay_hedge_ms(self.timing, slowness)
+            if slowness > 1.0 and self.read_elapsed_ms() < due_ms:
+                self.schedule_at_ms(due_ms, self._hedge)
+                return
+        self._hedge()
+
     def _hedge(self):
         if not self.done and self.calls and self._may_resend():
             self._resend("hedge")
