Zones are evacuated: no endpoint of such a zone gets a request

An operator's POST of /api/evacuation/ZONE is kept in the replicated tables of control until DELETE takes it back. Entries, relays and entries that send for a cut-off VM close the endpoints of the zone in permission.evaluate; requests that wait for a connection or a permit there are chosen anew. A zone that returns gets a share of the choices that grows over 10 s, since its endpoints may be cold. Older members do not get the new commands; the call is refused until all members read version 6.

The test of the layouts of deltas expects the two new fields at version 6.

--- a/chervilspindle/control/changes.py
+++ b/chervilspindle/control/changes.py
@@ -21,8 +21,9 @@
     "ownership",
     "document",
     "crash",
+    "evacuation",
 )
-URGENT_KINDS = ("crash",)
+URGENT_KINDS = ("crash", "evacuation")
 
 
 class ChangeFeed:
@@ -114,6 +115,7 @@
         gone_endpoints=(),
         document=state.document,
         crashes=tuple(state.crash_by_content.values()),
+        evacuations=tuple(state.evacuation_by_zone.values()),
     )
 
 
@@ -129,6 +131,9 @@
     crashes, gone_crashes = _partition_keys(
         state.crash_by_content, keys_by_kind["crash"]
     )
+    evacuations, gone_evacuations = _partition_keys(
+        state.evacuation_by_zone, keys_by_kind["evacuation"]
+    )
     return messages.Delta(
         version=state.version,
         full=False,
@@ -141,6 +146,8 @@
         document=state.document if keys_by_kind["document"] else None,
         crashes=crashes,
         gone_crashes=gone_crashes,
+        evacuations=evacuations,
+        gone_evacuations=gone_evacuations,
     )
 
 
--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -195,6 +195,39 @@
 
         return deferred.addCallback(choose)
 
+    def set_evacuated(self, zone: str, evacuated: bool) -> defer.Deferred:
+        """Begin or end the evacuation of a zone.
+
+        Returns
+        -------
+        Deferred
+            Fires with `EvacuationReply` once it is committed.
+        """
+        return self.call_leader(messages.EvacuationCall(zone, evacuated))
+
+    def list_evacuations(self) -> defer.Deferred:
+        """Read the evacuated zones from the leader.
+
+        Returns
+        -------
+        Deferred
+            Fires with `ListEvacuationsReply`.
+        """
+        return self.call_leader(messages.ListEvacuationsCall())
+
+    def is_zone_known(self, zone: str) -> bool:
+        """Tell whether an endpoint, a member or a relay is in a zone."""
+        tables = self.node.tables
+        places = list(self.place_table.places)
+        if self.place is not None:
+            places.append(self.place)
+        return (
+            zone in tables.evacuation_by_zone
+            or any(e.zone == zone for e in tables.endpoint_by_id.values())
+            or any(place.zone == zone for place in places)
+            or any(r.zone == zone for r in self.relay_list.relays)
+        )
+
     def call_leader(self, message) -> defer.Deferred:
         """Send a call to the leader, which may be this member."""
         if self.node.is_leader():
@@ -546,6 +579,80 @@
     return deferred.addCallback(lambda _: messages.Done())
 
 
+@handle_leader_call.register
+def _handle_evacuation(
+    message: messages.EvacuationCall, frontend: ControlFrontend
+):
+    zone = message.zone
+    node = frontend.node
+    if message.evacuated and not frontend.is_zone_known(zone):
+        return messages.EvacuationReply(False)
+    if not frontend.can_members_read(versions.EVACUATIONS):
+        if not message.evacuated and not node.tables.evacuation_by_zone:
+            return messages.EvacuationReply(True)
+        raise errors.build_error(
+            errors.ErrorKind.INTERNAL,
+            "a control member runs a build without zone evacuation",
+            not_run=True,
+        )
+    if not node.is_formed():
+        # Loss of the disk of the only member would lose the command.
+        raise errors.build_error(
+            errors.ErrorKind.NO_LEADER, "the control group is still forming"
+        )
+    if message.evacuated:
+        evacuation = rows.ZoneEvacuation(zone, logs.read_wall_ms())
+        command = state_module.EvacuateZone(evacuation)
+    else:
+        command = state_module.ReturnZone(zone)
+
+    def confirm(result):
+        if result.changed:
+            _log_evacuation(message, frontend)
+        return messages.EvacuationReply(True)
+
+    return node.propose(command).addCallback(confirm)
+
+
+def _log_evacuation(message, frontend):
+    evacuated = frontend.node.tables.evacuation_by_zone
+    zones = list_zones_in_use(frontend.node.tables)
+    remaining = [zone for zone in zones if zone not in evacuated]
+    logs.log_decision(
+        "zone-evacuated" if message.evacuated else "zone-returned",
+        zone=message.zone,
+        evacuated=sorted(evacuated),
+        remaining=remaining,
+    )
+    if zones and not remaining:
+        logs.log_decision("all-zones-evacuated", zones=zones)
+
+
+@handle_leader_call.register
+def _handle_list_evacuations(
+    message: messages.ListEvacuationsCall, frontend: ControlFrontend
+):
+    tables = frontend.node.tables
+    return messages.ListEvacuationsReply(
+        tuple(
+            tables.evacuation_by_zone[z]
+            for z in sorted(tables.evacuation_by_zone)
+        ),
+        tuple(list_zones_in_use(tables)),
+    )
+
+
+def list_zones_in_use(tables) -> list[str]:
+    """Return the zones of the endpoints that are neither lost nor gone."""
+    return sorted(
+        {
+            endpoint.zone
+            for endpoint in tables.endpoint_by_id.values()
+            if endpoint.state not in ("lost", "gone")
+        }
+    )
+
+
 @handle_leader_call.register
 def _handle_document(
     message: messages.DocumentCall, frontend: ControlFrontend
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -639,7 +639,9 @@
     return len(messages.msgspec.msgpack.decode(delta[1:]))
 
 
-@pytest.mark.parametrize("version, fields", ((1, 9), (2, 9), (3, 11), (5, 11)))
+@pytest.mark.parametrize(
+    "version, fields", ((1, 9), (2, 9), (3, 11), (5, 11), (6, 13))
+)
 def test_entries_get_deltas_in_the_layout_that_they_read(
     control, version, fields
 ):
@@ -653,7 +655,7 @@
     deltas = []
     for deferred in (waiting, current):
         deferred.addCallback(lambda reply: deltas.append(reply.delta))
-    assert [read_field_count(delta) for delta in deltas] == [fields, 11]
+    assert [read_field_count(delta) for delta in deltas] == [fields, 13]
     assert messages.decode_delta(deltas[0]).endpoints
 
 
--- a/chervilspindle/control/state.py
+++ b/chervilspindle/control/state.py
@@ -136,6 +136,18 @@
     content: str
 
 
+class EvacuateZone(typing.NamedTuple):
+    """Begins the evacuation of a zone; one that has begun keeps its row."""
+
+    evacuation: rows.ZoneEvacuation
+
+
+class ReturnZone(typing.NamedTuple):
+    """Ends the evacuation of a zone."""
+
+    zone: str
+
+
 class UnreadableCommand(Exception):
     """A log entry has a command that this build does not know."""
 
@@ -146,6 +158,12 @@
     current_version: int
 
 
+class EvacuationResult(typing.NamedTuple):
+    """Whether a command changed whether a zone is evacuated."""
+
+    changed: bool
+
+
 class Batch(typing.NamedTuple):
     """Several commands in one log entry."""
 
@@ -193,6 +211,7 @@
     claim_by_id: immutables.Map
     document: rows.StoredDocument = rows.NO_DOCUMENT
     crash_by_content: immutables.Map = immutables.Map()
+    evacuation_by_zone: immutables.Map = immutables.Map()
     unknown_parts: tuple[bytes, ...] = ()
 
 
@@ -245,6 +264,8 @@
         ApplyDocument,
         ReportCrashes,
         ClearCrashes,
+        EvacuateZone,
+        ReturnZone,
     )
 }
 
@@ -318,6 +339,7 @@
         ("claims", state.claim_by_id.values()),
         ("documents", (state.document,)),
         ("crashes", state.crash_by_content.values()),
+        ("evacuations", state.evacuation_by_zone.values()),
     ):
         remaining = iter(table_rows)
         while part := tuple(itertools.islice(remaining, MAX_ROWS_PER_PART)):
@@ -394,6 +416,9 @@
         crash_by_content=immutables.Map(
             (c.content, c) for c in rows_by_table["crashes"]
         ),
+        evacuation_by_zone=immutables.Map(
+            (e.zone, e) for e in rows_by_table["evacuations"]
+        ),
     )
 
 
@@ -422,6 +447,7 @@
         ("claims", rows.Claim),
         ("documents", rows.StoredDocument),
         ("crashes", rows.CrashRecord),
+        ("evacuations", rows.ZoneEvacuation),
     )
 }
 
@@ -507,6 +533,30 @@
     return Outcome(state, None, (Change("crash", command.content),))
 
 
+@apply_command.register
+def _evacuate_zone(command: EvacuateZone, state: ControlState) -> Outcome:
+    zone = command.evacuation.zone
+    if zone in state.evacuation_by_zone:
+        return Outcome(state, EvacuationResult(False))
+    table = state.evacuation_by_zone.set(zone, command.evacuation)
+    state = state._replace(evacuation_by_zone=table)
+    return Outcome(
+        state, EvacuationResult(True), (Change("evacuation", zone),)
+    )
+
+
+@apply_command.register
+def _return_zone(command: ReturnZone, state: ControlState) -> Outcome:
+    zone = command.zone
+    if zone not in state.evacuation_by_zone:
+        return Outcome(state, EvacuationResult(False))
+    table = state.evacuation_by_zone.delete(zone)
+    state = state._replace(evacuation_by_zone=table)
+    return Outcome(
+        state, EvacuationResult(True), (Change("evacuation", zone),)
+    )
+
+
 def _drop_expired_crashes(table, now_ms):
     """Return the crash records whose retention period is not over."""
     for record in list(table.values()):
--- a/chervilspindle/core/rows.py
+++ b/chervilspindle/core/rows.py
@@ -169,6 +169,20 @@
     last_ms: int
 
 
+class ZoneEvacuation(typing.NamedTuple):
+    """A zone to whose endpoints nothing is sent, as an operator asked.
+
+    Parameters
+    ----------
+    zone : str
+    since_ms : int
+        Wall-clock time at which the evacuation was proposed.
+    """
+
+    zone: str
+    since_ms: int
+
+
 class StoredDocument(typing.NamedTuple):
     """A routing document as an operator sent it; version -1 means none."""
 
--- a/chervilspindle/platform/control_api.py
+++ b/chervilspindle/platform/control_api.py
@@ -13,6 +13,7 @@
 from chervilspindle.platform import documents as platform_documents
 from chervilspindle.platform import names
 from chervilspindle.routing import documents
+from chervilspindle.wire import messages
 
 LOGGER = logging.getLogger(__name__)
 
@@ -97,6 +98,10 @@
             handler = {b"PUT": self._put_document, b"GET": self._get_document}
         elif path.startswith(names.ENDPOINT_PREFIX):
             handler = {b"PUT": self._announce, b"DELETE": self._withdraw}
+        elif path == names.EVACUATION_LIST_PATH:
+            handler = {b"GET": self._list_evacuations}
+        elif path.startswith(names.EVACUATION_PREFIX):
+            handler = {b"POST": self._evacuate, b"DELETE": self._return}
         else:
             exchange.respond(404)
             return
@@ -163,6 +168,31 @@
         deferred.addCallback(_respond_ok, exchange)
         deferred.addErrback(_respond_unavailable, exchange, "withdrawal")
 
+    def _evacuate(self, exchange):
+        self._set_evacuated(exchange, True)
+
+    def _return(self, exchange):
+        self._set_evacuated(exchange, False)
+
+    def _set_evacuated(self, exchange, evacuated):
+        if exchange.request.body:
+            reason = "a call for a zone has no body"
+            _respond_bad_request(exchange, "evacuation", reason)
+            return
+        zone = _parse_zone(exchange)
+        if not zone or len(zone) > endpoint_checks.MAX_NAME_CHARACTERS:
+            reply = messages.EvacuationReply(not evacuated)
+            _respond_evacuation(reply, exchange, zone)
+            return
+        deferred = self.frontend.set_evacuated(zone, evacuated)
+        deferred.addCallback(_respond_evacuation, exchange, zone)
+        deferred.addErrback(_respond_unavailable, exchange, "evacuation")
+
+    def _list_evacuations(self, exchange):
+        deferred = self.frontend.list_evacuations()
+        deferred.addCallback(_respond_evacuations, exchange)
+        deferred.addErrback(_respond_unavailable, exchange, "evacuations")
+
 
 def build_handler(frontend):
     """Build the request handler of a control member's HTTP address."""
@@ -182,6 +212,32 @@
     return endpoint_id
 
 
+def _parse_zone(exchange) -> str:
+    path = exchange.request.target.partition(b"?")[0]
+    encoded = path[len(names.EVACUATION_PREFIX) :]
+    return urllib.parse.unquote(encoded.decode("utf-8", "replace"))
+
+
+def _respond_evacuation(reply, exchange, zone):
+    if reply.known:
+        exchange.respond(200, JSON_HEADERS, b"{}")
+        return
+    shown = zone[: endpoint_checks.MAX_NAME_CHARACTERS]
+    logs.log_decision("call-refused", call="evacuation", status=404, why=shown)
+    body = msgspec.json.encode({"error": "unknown zone"})
+    exchange.respond(404, JSON_HEADERS, body)
+
+
+def _respond_evacuations(reply, exchange):
+    content = {
+        "evacuated": [
+            {"zone": e.zone, "since-ms": e.since_ms} for e in reply.evacuations
+        ],
+        "zones": reply.zones,
+    }
+    exchange.respond(200, JSON_HEADERS, msgspec.json.encode(content))
+
+
 def _respond_ok(_, exchange):
     exchange.respond(200, JSON_HEADERS, b"{}")
 
--- a/chervilspindle/platform/names.py
+++ b/chervilspindle/platform/names.py
@@ -20,6 +20,7 @@
 DOCUMENT_PATH = b"/api/config"
 ENDPOINT_PREFIX = b"/api/instances/"
 EVACUATION_PREFIX = b"/api/evacuation/"
+EVACUATION_LIST_PATH = b"/api/evacuation"
 # Where an endpoint is to send its next announcements.
 ANNOUNCEMENT_ADDRESS_FIELD = "heartbeat-url"
 SETTINGS_VARIABLE = "CHERVILSPINDLE_BOOT"
--- a/chervilspindle/platform/platform_test.py
+++ b/chervilspindle/platform/platform_test.py
@@ -196,6 +196,13 @@
     def read_document(self):
         return self.result
 
+    def set_evacuated(self, zone, evacuated):
+        self.calls.append((zone, evacuated))
+        return self.result
+
+    def list_evacuations(self):
+        return self.result
+
 
 class FakeExchange:
     """One request and its response."""
@@ -391,3 +398,59 @@
     assert files.list_mistakes(doubled) == ["r-2: same host and prefix as r-1"]
     wrong = {**SETTINGS, "zone": 3}
     assert "$.zone" in files.list_mistakes(wrong)[0]
+
+
+EVACUATION = b"/api/evacuation/"
+
+
+def test_a_zone_is_evacuated_and_returned_once_that_is_committed():
+    """Guards against an acknowledgement before the command is durable."""
+    frontend = FakeFrontend()
+    for method, evacuated in ((b"POST", True), (b"DELETE", False)):
+        frontend.result = defer.Deferred()
+        exchange = FakeExchange(method, EVACUATION + b"zone%2Da")
+        control_api.build_handler(frontend)(exchange)
+        assert exchange.response is None
+        frontend.result.callback(messages.EvacuationReply(True))
+        assert exchange.response[0] == 200
+        assert frontend.calls.pop() == ("zone-a", evacuated)
+
+
+def test_calls_for_zones_that_are_mistaken_change_nothing():
+    """Guards against mistakes of operators that are acknowledged."""
+    frontend = FakeFrontend()
+    frontend.result = defer.succeed(messages.EvacuationReply(False))
+    assert call(frontend, b"POST", EVACUATION + b"nowhere")[0] == 404
+    frontend.calls.clear()
+    for target in (EVACUATION, EVACUATION + b"a" * 201):
+        assert call(frontend, b"POST", target)[0] == 404
+    for method in (b"GET", b"PUT", b"PATCH", b"HEAD"):
+        assert call(frontend, method, EVACUATION + b"zone-a")[0] == 405
+    for method in (b"POST", b"DELETE"):
+        assert call(frontend, method, EVACUATION + b"zone-a", {})[0] == 400
+    assert call(frontend, b"POST", EVACUATION[:-1])[0] == 405
+    assert frontend.calls == []
+
+
+def test_calls_for_zones_without_a_leader_are_refused_for_now():
+    """Guards against calls that hang or that operators don't resend."""
+    frontend = FakeFrontend()
+    failed = errors.build_error(errors.ErrorKind.NO_LEADER, "no leader")
+    for method in (b"POST", b"DELETE"):
+        frontend.result = defer.fail(failed)
+        assert call(frontend, method, EVACUATION + b"zone-a")[0] == 503
+    frontend.result = defer.fail(failed)
+    assert call(frontend, b"GET", EVACUATION[:-1])[0] == 503
+
+
+def test_evacuated_zones_are_listed():
+    frontend = FakeFrontend()
+    row = rows.ZoneEvacuation("zone-a", 7)
+    reply = messages.ListEvacuationsReply((row,), ("zone-a", "zone-b"))
+    frontend.result = defer.succeed(reply)
+    status, body = call(frontend, b"GET", EVACUATION[:-1])
+    assert status == 200
+    assert json.loads(body) == {
+        "evacuated": [{"zone": "zone-a", "since-ms": 7}],
+        "zones": ["zone-a", "zone-b"],
+    }
--- a/chervilspindle/routing/connection_prewarmer.py
+++ b/chervilspindle/routing/connection_prewarmer.py
@@ -132,15 +132,21 @@
     def _choose_pool(self, table, service):
         """Return the pool to prewarm for a service, None without endpoints.
 
+        Endpoints of evacuated zones don't count.
+
         Chosen by rendezvous hashing among the endpoints of this zone, which
         queries from this VM prefer, or among all if this zone has none.
         """
-        targets = table.targets_by_service.get(service)
+        targets = [
+            target
+            for target in table.targets_by_service.get(service, {}).values()
+            if not target.restrictions.zone_out
+        ]
         if not targets:
             return None
-        local = [t for t in targets.values() if t.same_zone]
+        local = [t for t in targets if t.same_zone]
         chosen = min(
-            local or targets.values(),
+            local or targets,
             key=lambda t: zlib.crc32(
                 f"{self.vm_id} {t.endpoint.endpoint_id}".encode()
             ),
--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -76,6 +76,7 @@
         loop, table, generator, metrics.set_cut_off
     )
     table.link_observer = reachability
+    table.on_held_back = metrics.count_held_back
     relay_table = relay_selection.RelayTable(
         profile.vm_id,
         profile.zone,
--- a/chervilspindle/routing/direct_dispatch.py
+++ b/chervilspindle/routing/direct_dispatch.py
@@ -67,7 +67,8 @@
                 return
             excluded = tried_by_service.get(service, ())
             if not self._send(service, excluded):
-                loss = messages.Loss(service, "", "no_endpoint", False)
+                reason = self.context.table.explain_absence(service)
+                loss = messages.Loss(service, "", reason, False)
                 self.listener.on_part_lost(self, loss)
 
     def _send(self, service, excluded) -> bool:
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -8,6 +8,7 @@
 from chervilspindle.core import endpoint_checks
 from chervilspindle.core import logs
 from chervilspindle.core import rows
+from chervilspindle.routing import evacuations
 from chervilspindle.routing import overload
 from chervilspindle.routing import permission
 from chervilspindle.routing import selection
@@ -21,6 +22,7 @@
 CONNECTION_SHARE = 0.8  # the rest is for VMs that control has not counted
 MAX_LEAVING_PROCESSES = 1024  # that are remembered after they were dropped
 USABLE_STATES = ("ready", "warming")
+NO_ENDPOINT = "no_endpoint"  # reason of a request without an endpoint
 
 
 class Target(typing.NamedTuple):
@@ -48,6 +50,13 @@
         ``on_event(name)``, called to count connection events.
     receive_budget : receive_limits.ReceiveBudget
         For the answers of all endpoints together.
+
+    Attributes
+    ----------
+    evacuations : evacuations.Evacuations
+    on_held_back : callable
+        ``on_held_back(reason)``, called for each request that is chosen anew
+        because the zone of its endpoint is evacuated.
     """
 
     def __init__(
@@ -67,6 +76,8 @@
         # Ids and incarnations of dropped endpoints that said they are leaving.
         self.leaving_processes = collections.OrderedDict()
         self.targets_by_service = {}
+        self.evacuations = evacuations.Evacuations()
+        self.on_held_back = _ignore
 
     def put(self, endpoint: rows.Endpoint):
         """Add or update an endpoint; drop it if its state is not usable.
@@ -87,6 +98,7 @@
             current.endpoint, endpoint
         ):
             target = current._replace(endpoint=endpoint)
+            target.restrictions.zone_out = self._is_zone_out(endpoint)
         elif mistake := endpoint_checks.find_mistake(endpoint):
             self.drop(endpoint.endpoint_id, "unusable")
             raise ValueError(mistake)
@@ -103,6 +115,65 @@
         self.target_by_id[endpoint.endpoint_id] = target
         targets = self.targets_by_service.setdefault(endpoint.service, {})
         targets[endpoint.endpoint_id] = target
+        # Its zone may have changed.
+        self._hold_back_evacuated(target)
+
+    def apply_evacuations(self, changed, gone, full: bool):
+        """Apply changed evacuations of zones to all endpoints.
+
+        Requests that wait for a connection to an endpoint of such a zone are
+        chosen anew.
+
+        Parameters
+        ----------
+        changed : sequence of rows.ZoneEvacuation
+        gone : sequence of str
+        full : bool
+            See `evacuations.Evacuations.apply`.
+
+        Returns
+        -------
+        evacuations.EvacuationChange
+        """
+        now = self.loop.time()
+        change = self.evacuations.apply(changed, gone, full, now)
+        if change == evacuations.NO_CHANGE:
+            return change
+        self.revision += 1
+        targets = list(self.target_by_id.values())
+        # All are closed before the first request is chosen anew.
+        for target in targets:
+            target.restrictions.zone_out = self._is_zone_out(target.endpoint)
+        for target in targets:
+            self._hold_back_evacuated(target)
+        return change
+
+    def _is_zone_out(self, endpoint) -> bool:
+        return endpoint.zone in self.evacuations.row_by_zone
+
+    def _hold_back_evacuated(self, target):
+        if target.restrictions.zone_out:
+            for _ in range(target.pool.hold_back_waiting()):
+                self.on_held_back(permission.ZONE_OUT)
+
+    def has_evacuated(self, service: str) -> bool:
+        """Tell whether a service has an endpoint that only its zone closes."""
+        return bool(self.evacuations.row_by_zone) and any(
+            target.restrictions.closed_reason == permission.ZONE_OUT
+            for _, target in self._list_targets(service)
+        )
+
+    def explain_absence(self, service: str) -> str:
+        """Return why no endpoint of a service can be chosen."""
+        if self.has_evacuated(service):
+            return permission.ZONE_OUT
+        return NO_ENDPOINT
+
+    def is_all_evacuated(self) -> bool:
+        """Tell whether all endpoints are in evacuated zones."""
+        if not self.evacuations.row_by_zone or not self.target_by_id:
+            return False
+        return all(t.restrictions.zone_out for t in self.target_by_id.values())
 
     def drop(self, endpoint_id: str, reason: str):
         """Remove an endpoint; requests in progress there may complete."""
@@ -154,8 +225,11 @@
             target.pool.max_connections = limit
 
     def count_endpoints(self, service: str) -> int:
-        """Return the number of usable endpoints of a service."""
-        return len(self.targets_by_service.get(service, ()))
+        """Return the number of usable endpoints of a service.
+
+        Those of evacuated zones don't count.
+        """
+        return len(self._list_in_use(service))
 
     def list_zones(self) -> dict[str, set[str]]:
         """Return the zones in which each service has usable endpoints."""
@@ -165,9 +239,18 @@
         }
 
     def list_healths(self, service: str) -> list:
-        """Return the health of each endpoint of a service."""
-        targets = self.targets_by_service.get(service, {})
-        return [t.health for t in targets.values()]
+        """Return the health of each endpoint of a service.
+
+        Those of evacuated zones are left out: their load tells nothing of the
+        load of the others.
+        """
+        return [t.health for t in self._list_in_use(service)]
+
+    def _list_in_use(self, service):
+        targets = self.targets_by_service.get(service, {}).values()
+        if not self.evacuations.row_by_zone:
+            return targets
+        return [t for t in targets if not t.restrictions.zone_out]
 
     def can_hedge(self, service: str, excluded) -> bool:
         """Tell whether a hedge would be answered by an unused slot.
@@ -238,6 +321,8 @@
         targets = self.targets_by_service.get(service)
         if not targets:
             return None
+        if self.evacuations.returned_s_by_zone:
+            excluded = self._exclude_returning(service, excluded, now)
         best_ms = find_best_ms(targets.values())
         other_zone_ms = selection.compute_other_zone_penalty(objective_ms)
         for target in targets.values():
@@ -256,6 +341,21 @@
                 best, best_cost = target, cost
         return best or first_opening
 
+    def _exclude_returning(self, service, excluded, now):
+        """Exclude endpoints of returning zones as well, if others are open."""
+        avoided = self.evacuations.draw_avoided(now, self.random)
+        if not avoided:
+            return excluded
+        extended = (
+            *excluded,
+            *(
+                endpoint_id
+                for endpoint_id, target in self._list_targets(service)
+                if target.endpoint.zone in avoided
+            ),
+        )
+        return extended if self.is_open(service, extended, now) else excluded
+
     def compute_cost(self, target, now, best_ms, other_zone_ms) -> float:
         """Return the cost of sending to an endpoint; see `selection`."""
         pool = target.pool
@@ -283,6 +383,7 @@
         restrictions = permission.Restrictions(endpoint.endpoint_id)
         process_key = _get_process_key(endpoint)
         restrictions.leaving = process_key in self.leaving_processes
+        restrictions.zone_out = self._is_zone_out(endpoint)
         return Target(
             endpoint,
             pool,
@@ -299,6 +400,10 @@
         return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS, share))
 
 
+def _ignore(reason):
+    """Count nothing."""
+
+
 def find_best_ms(targets) -> float:
     """Return the lowest typical response time of some endpoints, in ms."""
     best = math.inf
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -15,14 +15,17 @@
 from chervilspindle.routing import crash_caution
 from chervilspindle.routing import direct_dispatch
 from chervilspindle.routing import endpoint_calls
+from chervilspindle.routing import endpoints
 from chervilspindle.routing import overload
 from chervilspindle.routing import part_merging
+from chervilspindle.routing import permission
 from chervilspindle.routing import request_timing
 from chervilspindle.routing import routed_request
 from chervilspindle.wire import messages
 
 HEDGE_RECHECK_MS = 2.0  # well below `request_timing.MIN_HEDGE_MS`
 MAX_LOGGED_RESENDS = 8  # per request
+CLOSED_REASONS = (endpoint_calls.HELD_BACK, permission.ZONE_OUT)
 
 
 class ShardState:
@@ -119,7 +122,9 @@
         if wait_s > max_wait_s:
             has_endpoints = math.isfinite(wait_s)
             reason = (
-                endpoint_calls.HELD_BACK if has_endpoints else "no_endpoint"
+                endpoint_calls.HELD_BACK
+                if has_endpoints
+                else self._explain_absence()
             )
             self.refuse(reason, wait_s)
             return
@@ -142,6 +147,21 @@
         self.watch_caller()
         self.watch_reachability()
 
+    def _explain_absence(self) -> str:
+        """Return why the required coverage cannot be reached.
+
+        Evacuations are the reason if it could be reached without them.
+        """
+        table = self.context.table
+        possible = sum(
+            math.isfinite(table.find_opening_s(service))
+            or table.has_evacuated(service)
+            for service in self.incoming.route.shards
+        )
+        if possible >= self.required:
+            return permission.ZONE_OUT
+        return endpoints.NO_ENDPOINT
+
     def _send_all(self):
         relays = self.context.relays
         for group in relays.table.get_groups(self.incoming.route.shards):
@@ -299,7 +319,7 @@
         if self.done or not lost:
             return
         # Where all endpoints of a shard are held back, a resend would be too.
-        to_resend = [s for s in lost if s.reason != endpoint_calls.HELD_BACK]
+        to_resend = [s for s in lost if s.reason not in CLOSED_REASONS]
         if self._decide_caution() is not crash_caution.Caution.SEND:
             self.withheld += [s for s in to_resend if s not in self.withheld]
             lost = [s for s in lost if s not in to_resend]
@@ -449,7 +469,18 @@
             ):
                 self._answer("partial")
         elif shards - self.failed_shards < self.required:
-            self._fail(502, "too_few_parts")
+            self._fail(502, self._explain_too_few_parts())
+
+    def _explain_too_few_parts(self) -> str:
+        """Name evacuations as the reason if they make the difference."""
+        kept_back = sum(
+            shard.failed and shard.reason == permission.ZONE_OUT
+            for shard in self.shard_by_service.values()
+        )
+        failed = self.failed_shards - kept_back
+        if len(self.shard_by_service) - failed >= self.required:
+            return permission.ZONE_OUT
+        return "too_few_parts"
 
     def _on_answer_time(self):
         self.past_answer_time = True
--- a/chervilspindle/routing/metrics.py
+++ b/chervilspindle/routing/metrics.py
@@ -41,6 +41,18 @@
             registry=self.registry,
         )
         self.cut_off.set({}, 0)
+        self.evacuated_zones = aioprometheus.Gauge(
+            "chervilspindle_evacuated_zones",
+            "1 for a zone to whose endpoints nothing is sent, else 0.",
+            registry=self.registry,
+        )
+        self.all_evacuated = aioprometheus.Gauge(
+            "chervilspindle_all_zones_evacuated",
+            "1 while all endpoints are in evacuated zones, else 0.",
+            registry=self.registry,
+        )
+        self.all_evacuated.set({}, 0)
+        self.shown_zones = set()
         self.peer_links = aioprometheus.Gauge(
             "chervilspindle_peer_links",
             "Links to other processes, by the protocol version they read.",
@@ -92,6 +104,16 @@
         """Set whether this VM reaches no endpoint."""
         self.cut_off.set({}, int(is_cut_off))
 
+    def set_evacuated_zones(self, zones):
+        """Set which zones are evacuated."""
+        self.shown_zones.update(zones)
+        for zone in self.shown_zones:
+            self.evacuated_zones.set({"zone": zone}, int(zone in zones))
+
+    def set_all_evacuated(self, all_evacuated):
+        """Set whether all endpoints are in evacuated zones."""
+        self.all_evacuated.set({}, int(all_evacuated))
+
     def set_peer_links(self, links_by_version):
         """Set the number of links by the version that peers read."""
         self.peer_versions.update(links_by_version)
--- a/chervilspindle/routing/permission.py
+++ b/chervilspindle/routing/permission.py
@@ -4,7 +4,8 @@
 each of its answers for as long as that holds. A send to it needs a permit;
 see `rate_permits`. One that turns a request away may ask for a pause, and one
 that is leaving says so; neither is sent anything by this VM from then on, the
-one until the pause ends, the other for good.
+one until the pause ends, the other for good. Nothing is sent to an endpoint in
+an evacuated zone either, whatever it has said.
 """
 
 import collections
@@ -18,6 +19,9 @@
 MAX_PAUSE_S = 600.0
 # Pauses end later by up to this share, so that VMs don't return together.
 PAUSE_SPREAD = 0.1
+# Reasons of verdicts that hold until further notice.
+LEAVING = "leaving"
+ZONE_OUT = "zone_out"
 
 
 class Restrictions:
@@ -37,6 +41,11 @@
         Loop time until which the endpoint asked to be sent nothing.
     leaving : bool
         Whether the endpoint said that it is leaving.
+    zone_out : bool
+        Whether the endpoint's zone is evacuated.
+    closed_reason : str
+        `LEAVING`, else `ZONE_OUT` or empty; kept up to date with the two, so
+        that one test covers both.
     sends_by_cause : collections.Counter
         Sends since `logged_s`, while there is a limit.
     logged_s : float
@@ -49,7 +58,9 @@
         "named_s",
         "closed_until_s",
         "paused_until_s",
-        "leaving",
+        "_leaving",
+        "_zone_out",
+        "closed_reason",
         "sends_by_cause",
         "logged_s",
     )
@@ -60,10 +71,36 @@
         self.named_s = -math.inf
         self.closed_until_s = -math.inf
         self.paused_until_s = -math.inf
-        self.leaving = False
+        self._leaving = False
+        self._zone_out = False
+        self.closed_reason = ""
         self.sends_by_cause = collections.Counter()
         self.logged_s = -math.inf
 
+    @property
+    def leaving(self) -> bool:
+        return self._leaving
+
+    @leaving.setter
+    def leaving(self, leaving: bool):
+        self._leaving = leaving
+        self._update_closed_reason()
+
+    @property
+    def zone_out(self) -> bool:
+        return self._zone_out
+
+    @zone_out.setter
+    def zone_out(self, zone_out: bool):
+        self._zone_out = zone_out
+        self._update_closed_reason()
+
+    def _update_closed_reason(self):
+        if self._leaving:
+            self.closed_reason = LEAVING
+        else:
+            self.closed_reason = ZONE_OUT if self._zone_out else ""
+
 
 class Verdict(typing.NamedTuple):
     """Whether an endpoint may be sent to.
@@ -77,7 +114,8 @@
         If not allowed, the loop time from which it may be, infinite if never;
         otherwise now.
     reason : str
-        For metrics: what the endpoint said; empty without restrictions.
+        For metrics: what the endpoint said, or `ZONE_OUT`; empty without
+        restrictions.
     """
 
     allowed: bool
@@ -88,8 +126,8 @@
 
 def evaluate(restrictions: Restrictions, now: float) -> Verdict:
     """Decide whether an endpoint may be sent to at a loop time."""
-    if restrictions.leaving:
-        return Verdict(False, False, math.inf, "leaving")
+    if restrictions.closed_reason:
+        return Verdict(False, False, math.inf, restrictions.closed_reason)
     if restrictions.paused_until_s > now:
         return Verdict(False, False, restrictions.paused_until_s, "pause")
     if restrictions.limit_per_s is None:
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -27,6 +27,7 @@
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import entry as entry_module
+from chervilspindle.routing import evacuation_monitor
 from chervilspindle.routing import metrics as metrics_module
 from chervilspindle.routing import peer_messages
 from chervilspindle.routing import retry_budget
@@ -295,6 +296,7 @@
             context.relays.table.set_relays,
         )
         context.quarantine.send_report = self._send_crash_report
+        self.evacuation_monitor = evacuation_monitor.EntryMonitor(context)
         self.caller_server = None
 
     def _send_crash_report(self, report):
@@ -391,6 +393,8 @@
 
     def _apply_delta(self, delta):
         table = self.context.table
+        # Before the endpoints: to those of evacuated zones nothing is sent.
+        self.evacuation_monitor.apply(delta)
         for endpoint in delta.endpoints:
             self._put_endpoint(endpoint)
         for endpoint_id in delta.gone_endpoints:
@@ -401,6 +405,7 @@
         self.context.quarantine.apply(
             delta.crashes, delta.gone_crashes, delta.full
         )
+        self.evacuation_monitor.check_all_evacuated()
         self.context.relays.table.add_endpoint_zones(table.list_zones())
         if delta.document is not None and delta.document.version >= 0:
             self._apply_document(delta.document)
@@ -493,6 +498,9 @@
         self.watch = watch_module.WatchServer(
             self.node, self.frontend, self.timers, read_clock
         )
+        self.evacuation_monitor = evacuation_monitor.MemberMonitor(
+            self.node, self.metrics
+        )
         self.drain_started_s = None
 
     async def start(self):
--- a/chervilspindle/routing/process_test.py
+++ b/chervilspindle/routing/process_test.py
@@ -186,3 +186,52 @@
     table.put(build_endpoint("sound"))
     assert set(table.targets_by_service) == {"desk"}
     assert set(table.list_zones()) == {"desk"}
+
+
+def read_gauge(entry, name):
+    body, _ = entry.metrics.render([])
+    lines = body.decode().splitlines()
+    return {line for line in lines if line.startswith(name)}
+
+
+def evacuate(entry, version, zones, gone=(), full=False, endpoints=()):
+    delta = messages.Delta(
+        version,
+        full,
+        None,
+        (),
+        endpoints,
+        (),
+        (),
+        (),
+        evacuations=tuple(rows.ZoneEvacuation(z, 7) for z in zones),
+        gone_evacuations=gone,
+    )
+    entry._apply_delta(delta)
+
+
+def test_evacuations_are_in_force_before_the_endpoints_beside_them(
+    entry, caplog
+):
+    """Guards against an entry that has started and does not know of them."""
+    endpoints_ = tuple(
+        build_endpoint(f"e-{zone}", zone=zone) for zone in ("z1", "z2")
+    )
+    table = entry.context.table
+    with caplog.at_level("INFO"):
+        evacuate(entry, 1, ("z1",), full=True, endpoints=endpoints_)
+        assert table.choose("desk").endpoint.endpoint_id == "e-z2"
+        gauge = "chervilspindle_evacuated_zones{"
+        assert read_gauge(entry, gauge) == {f'{gauge}zone="z1"}} 1'}
+        evacuate(entry, 2, ("z2",))
+        assert table.choose("desk") is None
+        gauge_all = "chervilspindle_all_zones_evacuated"
+        assert read_gauge(entry, gauge_all) == {f"{gauge_all} 1"}
+        evacuate(entry, 3, (), ("z1",))
+        assert table.choose("desk").endpoint.endpoint_id == "e-z1"
+        assert read_gauge(entry, gauge_all) == {f"{gauge_all} 0"}
+        assert f'{gauge}zone="z1"}} 0' in read_gauge(entry, gauge)
+    logged = [r.getMessage() for r in caplog.records]
+    assert logged.count("zone-evacuated") == 2
+    assert logged.count("zone-returned") == 1
+    assert logged.count("all-zones-evacuated") == 2
--- a/chervilspindle/routing/reachability.py
+++ b/chervilspindle/routing/reachability.py
@@ -237,8 +237,16 @@
             self.loop.call_later(RECOVERY_INTERVAL_S, self._start_recovery)
             self.loop.create_task(self._recover())
 
-    async def _recover(self):
+    def _list_preferred(self):
+        """Return the endpoints outside evacuated zones, or all if none is.
+
+        Those of an evacuated zone may be out of reach themselves.
+        """
         targets = list(self.table.target_by_id.values())
+        return [t for t in targets if not t.restrictions.zone_out] or targets
+
+    async def _recover(self):
+        targets = self._list_preferred()
         count = min(RECOVERY_PROBES, len(targets))
         if not await self._probe(self.random.sample(targets, count)):
             return
@@ -253,4 +261,5 @@
 def _rank_target(target):
     """Order targets by how likely they accept a connection."""
     pool = target.pool
-    return pool.lost_s > pool.heard_s, -pool.heard_s
+    zone_out = target.restrictions.zone_out
+    return zone_out, pool.lost_s > pool.heard_s, -pool.heard_s
--- a/chervilspindle/routing/relay_selection.py
+++ b/chervilspindle/routing/relay_selection.py
@@ -211,6 +211,7 @@
         self.failed_s_by_address = {}
         self.reported_s_by_address = {}
         self.queries_per_s = 0.0
+        self.evacuated_zones = frozenset()
 
     def set_relays(self, fingerprint: int, relays):
         """Replace the list of relays by the one that control sent.
@@ -233,6 +234,23 @@
         self.revision += 1
         logs.log_decision("relays-known", mark=fingerprint, relays=len(relays))
 
+    def set_evacuated_zones(self, zones):
+        """Set the zones to whose endpoints nothing is sent.
+
+        Their relays would have to open connections to other zones, whose own
+        relays have them already.
+        """
+        self.evacuated_zones = frozenset(zones)
+        self.ranked_by_group = {}
+        self.revision += 1
+
+    def _list_zones_in_use(self, group):
+        """Return the zones of a group that are not evacuated, or else all."""
+        if not self.evacuated_zones:
+            return group.zones
+        zones = [z for z in group.zones if z not in self.evacuated_zones]
+        return tuple(zones) or group.zones
+
     def set_query_rate(self, queries_per_s: float | None):
         """Set the query rate of the whole system.
 
@@ -356,7 +374,7 @@
         """
         preferred = self._get_preferred_zone(group)
         zones = {r.zone for r in self.relays} - {preferred}
-        zones = zones.intersection(group.zones) or zones
+        zones = zones.intersection(self._list_zones_in_use(group)) or zones
         candidates = [
             self._pick_from_zone(group, zone, tried) for zone in sorted(zones)
         ]
@@ -419,7 +437,8 @@
             if shards in self.direct_shards:
                 continue
             for group in groups:
-                if group.zones and self.zone not in group.zones:
+                zones = self._list_zones_in_use(group)
+                if zones and self.zone not in zones:
                     continue
                 ranked = self._rank(group, self.zone)
                 if any(r.vm_id == self.vm_id for r in ranked):
@@ -454,10 +473,11 @@
 
     def _get_preferred_zone(self, group) -> str:
         """Return this zone, or for shards without endpoints here another."""
-        if not group.zones or self.zone in group.zones:
+        zones = self._list_zones_in_use(group)
+        if not zones or self.zone in zones:
             return self.zone
         return min(
-            group.zones, key=lambda z: _hash(self.vm_id, z, group.services[0])
+            zones, key=lambda z: _hash(self.vm_id, z, group.services[0])
         )
 
     def _count_relay_zones(self) -> int:
@@ -465,7 +485,7 @@
 
     def _get_rate_factor(self, group) -> float:
         """Return a relay zone's query rate over the mean rate of a zone."""
-        zones = len(group.zones)
+        zones = len(self._list_zones_in_use(group))
         return self._count_relay_zones() / zones if zones else 1.0
 
     def _count_relays_by_zones(self) -> list[int]:
--- a/chervilspindle/routing/single_endpoint.py
+++ b/chervilspindle/routing/single_endpoint.py
@@ -1,7 +1,10 @@
 """Requests that are forwarded unchanged to one endpoint of a service."""
 
+import math
+
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
+from chervilspindle.routing import permission
 from chervilspindle.routing import routed_request
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import http_server
@@ -35,7 +38,10 @@
         self.context.budget.count_requests((self.service,))
         target = self._choose()
         if target is None:
-            self.refuse(self.last_reason or "no_endpoint")
+            table = self.context.table
+            self.refuse(
+                self.last_reason or table.explain_absence(self.service)
+            )
             return
         self._send(target, "first")
         if self.done:
@@ -225,8 +231,12 @@
 
     def _answer_failure(self):
         if self.possible_runs == 0:
-            opening_s = self.context.table.find_opening_s(self.service)
-            self.refuse(self.last_reason, opening_s - self.loop.time())
+            table = self.context.table
+            opening_s = table.find_opening_s(self.service)
+            reason = self.last_reason
+            if math.isinf(opening_s) and table.has_evacuated(self.service):
+                reason = permission.ZONE_OUT
+            self.refuse(reason, opening_s - self.loop.time())
         elif self.last_failure is not None:
             self._forward_answer(self.last_failure, self.last_reason)
         else:
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -55,6 +55,10 @@
         Records that were added or changed.
     gone_crashes : tuple of str
         Contents whose records were removed.
+    evacuations : tuple of ZoneEvacuation
+        Zones whose evacuation began.
+    gone_evacuations : tuple of str
+        Zones whose evacuation ended.
     """
 
     version: int
@@ -68,6 +72,8 @@
     document: rows.StoredDocument | None = None
     crashes: tuple[rows.CrashRecord, ...] = ()
     gone_crashes: tuple[str, ...] = ()
+    evacuations: tuple[rows.ZoneEvacuation, ...] = ()
+    gone_evacuations: tuple[str, ...] = ()
 
 
 class Heartbeat(typing.NamedTuple):
@@ -685,6 +691,33 @@
     report: CrashReport
 
 
+class EvacuationCall(typing.NamedTuple):
+    """Asks the leader to begin or to end the evacuation of a zone."""
+
+    zone: str
+    evacuated: bool
+
+
+class EvacuationReply(typing.NamedTuple):
+    """Confirms that the state of a zone is committed.
+
+    `known` is False if the zone does not exist, so that nothing was changed.
+    """
+
+    known: bool
+
+
+class ListEvacuationsCall(typing.NamedTuple):
+    """Asks the leader for the evacuated zones."""
+
+
+class ListEvacuationsReply(typing.NamedTuple):
+    """The evacuated zones, and the zones of the endpoints in use."""
+
+    evacuations: tuple[rows.ZoneEvacuation, ...]
+    zones: tuple[str, ...]
+
+
 class MemberPlace(typing.NamedTuple):
     """Where a control member serves."""
 
@@ -824,6 +857,10 @@
         AnnounceCall,
         CrashReport,
         CrashCall,
+        EvacuationCall,
+        EvacuationReply,
+        ListEvacuationsCall,
+        ListEvacuationsReply,
         MemberReport,
         MemberReportReply,
         DocumentCall,
@@ -840,7 +877,7 @@
     MemberReport: {1: 6, 2: 8},
     MemberReportReply: {1: 3, 2: 4, 5: 5},
     ReadDocumentCall: {1: 0, 2: 1},
-    Delta: {1: 9, 3: 11},
+    Delta: {1: 9, 3: 11, 6: 13},
 }
 
 # Version that had a kind first; all other kinds are in each version.
@@ -854,6 +891,10 @@
     RelayRefusal: 4,
     ProbeCall: 4,
     ProbeReply: 4,
+    EvacuationCall: 6,
+    EvacuationReply: 6,
+    ListEvacuationsCall: 6,
+    ListEvacuationsReply: 6,
 }
 
 # Replies that nobody waits for, newest version first. A build that knows the
