--- a/chervilspindle/routing/connection_prewarmer_test.py
+++ b/chervilspindle/routing/connection_prewarmer_test.py
@@ -7,6 +7,7 @@
 from chervilspindle.core import timers as timers_module
 from chervilspindle.routing import connection_prewarmer
 from chervilspindle.routing import documents
+from chervilspindle.routing import permission
 from chervilspindle.routing import relay_selection as relays_module
 from chervilspindle.wire import messages
 
@@ -37,6 +38,7 @@
     endpoint: Row
     pool: Pool
     same_zone: bool
+    restrictions: permission.Restrictions
 
 
 class Loop:
@@ -74,7 +76,10 @@
     targets = {
         name: {
             f"{name}-{zone}": Target(
-                Row(f"{name}-{zone}"), Pool(), zone == "a"
+                Row(f"{name}-{zone}"),
+                Pool(),
+                zone == "a",
+                permission.Restrictions(f"{name}-{zone}"),
             )
             for zone in "ab"
         }
@@ -198,3 +203,14 @@
         for service in group.services
         if relay.vm_id == table.vm_id
     }
+
+
+def test_no_connection_is_opened_to_an_evacuated_zone():
+    """Guards against prewarmed connections to endpoints that get nothing."""
+    clock, targets = build(shards=90, core_share=0.361)
+    for by_id in targets.values():
+        for target in by_id.values():
+            target.restrictions.zone_out = target.same_zone
+    clock.pump([connection_prewarmer.INTERVAL_S] * 12)
+    assert list_opened(targets, True) == [0] * 90
+    assert list_opened(targets, False) == [1] * 90
