A leaving voter hands its vote over to members of version 5 as well

Leave and its reply were of the current version, which was 5 when they were added. With version 6 they were no longer sent to members of version 5.

--- a/chervilspindle/control/raft_messages.py
+++ b/chervilspindle/control/raft_messages.py
@@ -157,7 +157,7 @@
 
 # As in `wire.messages`; no row has been changed so far.
 FIELD_COUNTS = {}
-FIRST_VERSION_BY_KIND = {Leave: versions.CURRENT, LeaveReply: versions.CURRENT}
+FIRST_VERSION_BY_KIND = {Leave: 5, LeaveReply: 5}
 
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
--- a/chervilspindle/tools/record_build.py
+++ b/chervilspindle/tools/record_build.py
@@ -75,6 +75,9 @@
     if hasattr(state_module, "ReportCrashes"):
         record = rows.CrashRecord("content", ("e@5",), 3000)
         commands.append(state_module.ReportCrashes(record))
+    if hasattr(state_module, "EvacuateZone"):
+        evacuation = rows.ZoneEvacuation("z1", 4000)
+        commands.append(state_module.EvacuateZone(evacuation))
     return commands
 
 
--- a/chervilspindle/wire/recorded_builds_test.py
+++ b/chervilspindle/wire/recorded_builds_test.py
@@ -15,7 +15,13 @@
 from chervilspindle.control import storage as storage_module
 from chervilspindle.wire import messages
 
-VERSION_BY_BUILD = {"b842c94": 1, "1e4cc41": 2, "c5bc040": 3, "a2516e4": 4}
+VERSION_BY_BUILD = {
+    "b842c94": 1,
+    "1e4cc41": 2,
+    "c5bc040": 3,
+    "a2516e4": 4,
+    "f5cca99": 5,
+}
 FOLDER = pathlib.Path(__file__).with_name("recorded_builds")
 
 
@@ -63,6 +69,7 @@
         data = bytes.fromhex(recorded)
         group, sender, message = raft_messages.decode_envelope(data)
         assert type(message) is raft_messages.MESSAGE_BY_NAME[name]
+        assert raft_messages.is_known(type(message), record["version"]), name
         assert raft_messages.encode_envelope(group, sender, message) == data
 
 
