--- a/chervilspindle/routing/rate_permits.py
+++ b/chervilspindle/routing/rate_permits.py
@@ -12,11 +12,11 @@
 from the issuer.
 """
 
-import hashlib
 import math
 import typing
 
 from chervilspindle.core import logs
+from chervilspindle.policy import rendezvous
 from chervilspindle.wire import messages
 
 # An endpoint that names less is still asked now and then, since only an
@@ -304,13 +304,5 @@
         None without entries.
     """
     candidates = [r for r in relays if r.zone == zone] or relays
-    return max(
-        candidates,
-        key=lambda relay: _compute_weight(relay.vm_id, endpoint_id),
-        default=None,
-    )
-
-
-def _compute_weight(vm_id, endpoint_id) -> bytes:
-    key = f"{vm_id} {endpoint_id}".encode()
-    return hashlib.blake2b(key, digest_size=8).digest()
+    ranked = rendezvous.rank_entries(candidates, endpoint_id, 1)
+    return ranked[0] if ranked else None
