--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -602,6 +602,76 @@
     wait_s: float
 
 
+class QuotaCall(typing.NamedTuple):
+    """Asks an entry to admit one request of a client account.
+
+    Parameters
+    ----------
+    account : str
+    as_substitute : bool
+        Whether the issuer of the account did not reply, or replied that it
+        is not the issuer.
+    """
+
+    account: str
+    as_substitute: bool
+
+
+class QuotaReply(typing.NamedTuple):
+    """Answer to `QuotaCall`.
+
+    Parameters
+    ----------
+    is_issuer : bool
+        Whether the entry that answers may admit requests of the account.
+    is_full : bool
+        Whether it has decided by the whole limit of the account, not as a
+        substitute.
+    granted : bool
+    wait_s : float
+        If refused, the time until there is room again.
+    limit : float
+        Requests that it admits in a window.
+    count : int
+        Requests that it counts in the window, with this one if granted.
+    age_s : float
+        Age of the oldest of them.
+    successor : Relay or None
+        If it is not the issuer, the entry to which it has handed over the
+        account.
+    """
+
+    is_issuer: bool
+    is_full: bool = False
+    granted: bool = False
+    wait_s: float = 0.0
+    limit: float = 0.0
+    count: int = 0
+    age_s: float = 0.0
+    successor: Relay | None = None
+
+
+class QuotaHandover(typing.NamedTuple):
+    """Tells an entry that it is the issuer of a client account from now on.
+
+    Parameters
+    ----------
+    account : str
+    vm_id : str
+        The entry that was the issuer, and sends this.
+    ages_s : tuple of float
+        Ages of the admissions that still count, the oldest first.
+    complete_age_s : float
+        Age of the time since which no other entry admitted the full limit;
+        negative if that time is yet to come.
+    """
+
+    account: str
+    vm_id: str
+    ages_s: tuple[float, ...]
+    complete_age_s: float
+
+
 class WatchCall(typing.NamedTuple):
     """Long poll: asks a control member for rows as soon as any change.
 
@@ -819,6 +889,9 @@
         ProbeReply,
         PermitCall,
         PermitReply,
+        QuotaCall,
+        QuotaReply,
+        QuotaHandover,
         WatchCall,
         WatchReply,
         AnnounceCall,
@@ -854,6 +927,9 @@
     RelayRefusal: 4,
     ProbeCall: 4,
     ProbeReply: 4,
+    QuotaCall: 6,
+    QuotaReply: 6,
+    QuotaHandover: 6,
 }
 
 # Replies that nobody waits for, newest version first. A build that knows the
