--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -3,6 +3,9 @@
 import random
 import typing
 
+from chervilspindle.accounts import quota_permits
+from chervilspindle.core import timers
+from chervilspindle.policy import shared_limits
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import endpoints
@@ -45,6 +48,7 @@
     network,
     metrics,
     seed,
+    quota_rule: shared_limits.QuotaRule | None = None,
 ) -> endpoint_calls.Context:
     """Build the context of an entry.
 
@@ -59,6 +63,8 @@
     metrics : RoutingMetrics
     seed : str
         Seed of the random number generator.
+    quota_rule : shared_limits.QuotaRule or None
+        None where quotas of client accounts are not in force.
     """
     names = endpoint_calls.encode_header_names(header_names)
     generator = random.Random(seed)
@@ -89,6 +95,21 @@
     quarantined = quarantine.Quarantine(loop, table, reachability)
     quarantined.ask_other = relays.call_any
     reachability.ask_other = relays.call_any
+    quotas = None
+    if quota_rule is not None:
+        quotas = quota_permits.QuotaClient(
+            loop,
+            network,
+            quota_permits.QuotaIssuer(
+                profile.vm_id,
+                quota_rule,
+                relay_table,
+                lambda: timers.read_monotonic_ms() / 1000.0,
+                network.send,
+            ),
+            generator,
+            metrics.count_quota,
+        )
     return endpoint_calls.Context(
         loop,
         names,
@@ -103,4 +124,5 @@
         quarantined,
         reachability,
         drain.Drain(loop),
+        quotas,
     )
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -172,6 +172,8 @@
     quarantine : quarantine.Quarantine
     reachability : reachability.Reachability
     drain : drain.Drain
+    quotas : quota_permits.QuotaClient or None
+        None where quotas of client accounts are not in force.
     """
 
     loop: object
@@ -187,6 +189,7 @@
     quarantine: object
     reachability: object
     drain: object
+    quotas: object = None
 
 
 class IncomingRequest(typing.NamedTuple):
--- a/chervilspindle/routing/metrics.py
+++ b/chervilspindle/routing/metrics.py
@@ -1,10 +1,15 @@
 """Counters and latency histograms of routed requests."""
 
+import collections
+import heapq
+
 import aioprometheus
 from aioprometheus import renderer
 
 from chervilspindle.core import metrics as core_metrics
 
+MAX_ACCOUNTS = 20  # that have series of their own
+
 
 class RoutingMetrics:
     """Metrics of one entry."""
@@ -35,6 +40,12 @@
             "drain_refusals_total",
             "Requests that a planned stop refused or ended, by how.",
         )
+        self.quota_requests = self._counter(
+            "quota_requests_total",
+            "Requests of accounts with a quota, by result; the accounts with"
+            " most requests by name, the others together without one.",
+        )
+        self.quota_counts_by_account = {}
         self.cut_off = aioprometheus.Gauge(
             "chervilspindle_cut_off",
             "1 while this VM reaches no endpoint, else 0.",
@@ -88,6 +99,33 @@
         """Count a row from control that this entry could not use."""
         self.unusable.inc({"kind": kind})
 
+    def count_quota(self, account, result):
+        """Count a request of an account with a quota, by result."""
+        counts = self.quota_counts_by_account.get(account)
+        if counts is None:
+            counts = collections.Counter()
+            self.quota_counts_by_account[account] = counts
+        counts[result] += 1
+
+    def _sum_quota_requests(self):
+        """Name the `MAX_ACCOUNTS` largest accounts, and sum the others."""
+        largest = heapq.nlargest(
+            MAX_ACCOUNTS,
+            self.quota_counts_by_account.items(),
+            key=lambda item: item[1].total(),
+        )
+        named = {account for account, _ in largest}
+        sums = collections.Counter()
+        for account, counts in self.quota_counts_by_account.items():
+            label = account if account in named else ""
+            for result, count in counts.items():
+                sums[label, result] += count
+        # An account that is no longer among the largest loses its series.
+        self.quota_requests.values.clear()
+        for (account, result), count in sums.items():
+            labels = {"account": account, "result": result}
+            self.quota_requests.set(labels, count)
+
     def set_cut_off(self, is_cut_off):
         """Set whether this VM reaches no endpoint."""
         self.cut_off.set({}, int(is_cut_off))
@@ -106,4 +144,5 @@
         -------
         body, headers : bytes, dict
         """
+        self._sum_quota_requests()
         return renderer.render(self.registry, accept)
--- a/chervilspindle/routing/peer_messages.py
+++ b/chervilspindle/routing/peer_messages.py
@@ -4,6 +4,7 @@
 
 from twisted.internet import defer
 
+from chervilspindle.accounts import quota_permits
 from chervilspindle.core import errors
 from chervilspindle.routing import relayed_query
 from chervilspindle.wire import messages
@@ -74,3 +75,20 @@
 @_handle_message.register
 def _handle_permit(message: messages.PermitCall, entry_peer: EntryPeer, link):
     return entry_peer.context.permits.issuer.issue(message)
+
+
+@_handle_message.register
+def _handle_quota(message: messages.QuotaCall, entry_peer: EntryPeer, link):
+    quotas = entry_peer.context.quotas
+    if quotas is None:
+        return quota_permits.NOT_ISSUER
+    return quotas.issuer.decide(message)
+
+
+@_handle_message.register
+def _handle_quota_handover(
+    message: messages.QuotaHandover, entry_peer: EntryPeer, link
+):
+    quotas = entry_peer.context.quotas
+    if quotas is not None:
+        quotas.issuer.take_over(message)
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -275,6 +275,7 @@
             self.network,
             self.metrics,
             f"{settings.vm_id} {os.getpid()}",
+            settings.quota_rule,
         )
         self.context = context
         self.entry_peer = peer_messages.EntryPeer(context)
@@ -292,8 +293,10 @@
             self._apply_delta,
             self._update_totals,
             self.context.budget.read_peak_requests,
-            context.relays.table.set_relays,
+            self._apply_relays,
         )
+        if context.quotas is not None:
+            self.watch_client.on_contact = context.quotas.issuer.record_contact
         context.quarantine.send_report = self._send_crash_report
         self.caller_server = None
 
@@ -350,6 +353,8 @@
         self.drain_started_s = self.loop.time()
         self.entry.start_draining(self.settings.grace_s)
         self.watch_client.stop_relaying()
+        if self.context.quotas is not None:
+            self.context.quotas.issuer.start_draining()
         self.caller_server.start_closing()
         self.timers.subscribe("stop", STOP_CHECK_INTERVAL_S, self._check_stop)
         LOGGER.info(
@@ -405,6 +410,11 @@
         if delta.document is not None and delta.document.version >= 0:
             self._apply_document(delta.document)
 
+    def _apply_relays(self, fingerprint, relays):
+        self.context.relays.table.set_relays(fingerprint, relays)
+        if self.context.quotas is not None:
+            self.context.quotas.issuer.update_entries()
+
     def _put_endpoint(self, endpoint):
         """Apply one row; a row that fails must not hold up the others."""
         try:
--- a/chervilspindle/routing/watch_client.py
+++ b/chervilspindle/routing/watch_client.py
@@ -15,6 +15,7 @@
 
 from chervilspindle.core import errors
 from chervilspindle.core import logs
+from chervilspindle.core import timers as timers_module
 from chervilspindle.wire import messages
 
 LOGGER = logging.getLogger(__name__)
@@ -67,6 +68,13 @@
     seed : str
         Seed of the random choice of members, which spreads entries over
         them.
+
+    Attributes
+    ----------
+    on_contact : callable
+        ``on_contact(heard_s)`` is called before what a reply tells is
+        passed on, with the time at which the member had heard of the leader
+        at the latest, by `timers_module.read_monotonic_ms` in s.
     """
 
     def __init__(
@@ -97,6 +105,8 @@
         self.version = 0
         self.is_connected = False
         self.totals = []
+        self.on_contact = None
+        self.called_s = 0.0
         self.stopped = False
 
     def start(self):
@@ -129,6 +139,7 @@
             entry_info.relay_address,
             self.relays_fingerprint,
         )
+        self.called_s = timers_module.read_monotonic_ms() / 1000.0
         deferred = defer.maybeDeferred(
             self.call, self.member_address, message, WATCH_TIMEOUT_S
         )
@@ -180,6 +191,8 @@
             self._switch_member("reply cannot be applied")
             return
         self.version = delta.version
+        if self.on_contact is not None:
+            self.on_contact(self.called_s - reply.age_ms / 1000.0)
         self._record_totals(reply.watchers, reply.requests)
         if reply.relays is not None:
             self.relays_fingerprint = reply.relays.mark
