--- a/chervilspindle/routing/entry.py
+++ b/chervilspindle/routing/entry.py
@@ -14,6 +14,7 @@
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import fanout
+from chervilspindle.routing import quota_wait
 from chervilspindle.routing import request_content
 from chervilspindle.routing import request_timing
 from chervilspindle.routing import single_endpoint
@@ -59,6 +60,8 @@
         self.accounts = directory.AccountDirectory(document, self.accounts)
         self.routes = documents.RouteTable(document)
         self.document = document
+        if self.context.quotas is not None:
+            self.context.quotas.update_document(document)
         if self.accounts.unusable_names:
             names = self.accounts.unusable_names
             logs.log_decision(
@@ -139,7 +142,15 @@
         )
         if self.draining and self._refuse_late(incoming):
             return
-        self._start(incoming)
+        account = incoming.account
+        if (
+            self.context.quotas is not None
+            and account is not None
+            and account.rate_per_s > 0.0
+        ):
+            self._wait_for_admission(incoming)
+        else:
+            self._start(incoming)
 
     def _remove_key(self, exchange, account):
         """Remove the key, and what the caller states as its account.
@@ -209,6 +220,19 @@
         )
         return True
 
+    def _wait_for_admission(self, incoming):
+        wait = quota_wait.QuotaWait(
+            incoming, self.context, self._start_admitted, self._finish
+        )
+        self.request_by_exchange[incoming.exchange] = wait
+        wait.start()
+
+    def _start_admitted(self, incoming):
+        del self.request_by_exchange[incoming.exchange]
+        # The stop may have begun while the request waited.
+        if not (self.draining and self._refuse_late(incoming)):
+            self._start(incoming)
+
     def _start(self, incoming):
         request = self._build(incoming)
         self.request_by_exchange[incoming.exchange] = request
--- a/chervilspindle/routing/rate_limit_test.py
+++ b/chervilspindle/routing/rate_limit_test.py
@@ -28,7 +28,7 @@
 class Entry:
     """An entry with its server for callers and its links to the others."""
 
-    def __init__(self, loop, clock, name, zone):
+    def __init__(self, loop, clock, name, zone, quota_rule=None):
         self.links = link_faults.FaultyLinks(loop)
         self.timers = timers_module.TimerService(clock)
         self.peer_address = data_path_test.find_address()
@@ -48,6 +48,7 @@
             self.network,
             metrics_module.RoutingMetrics(),
             name,
+            quota_rule,
         )
         self.context.latency_estimates.lag_ms = 0.0
         self.entry_peer = peer_messages.EntryPeer(self.context)
@@ -64,12 +65,13 @@
     Has what `data_path_test.run_in_world` needs.
     """
 
-    def __init__(self, loop, entries=4, services=("desk",)):
+    def __init__(self, loop, entries=4, services=("desk",), quota_rule=None):
         self.loop = loop
         self.services = services
         clock = loops.LoopClock(loop)
         self.entries = [
-            Entry(loop, clock, f"vm-{i}", "ab"[i % 2]) for i in range(entries)
+            Entry(loop, clock, f"vm-{i}", "ab"[i % 2], quota_rule)
+            for i in range(entries)
         ]
         self.backend_by_id = {
             f"{service}-{zone}": backends.Backend(
--- a/chervilspindle/routing/watch_client_test.py
+++ b/chervilspindle/routing/watch_client_test.py
@@ -250,3 +250,32 @@
     )
     control.clock.pump([0.1] * 10)
     assert len(control.calls) == 2
+
+
+def test_contact_is_known_by_the_time_of_the_call_before_the_list():
+    """A reply that was read late, after a freeze, is no fresh contact."""
+    control = Control()
+    heard = []
+    control.answer = lambda address, message: replies.pop(0)
+    control.client.on_contact = lambda at_s: heard.append(
+        (at_s, list(control.relays))
+    )
+    reply = build_reply(5, age_ms=400.0)
+    late = defer.Deferred()
+    replies = [late, defer.Deferred()]
+    control.client.start()
+    called_s = control.client.called_s
+    late.callback(reply._replace(relays=messages.RelayList(9, ())))
+    assert heard == [(called_s - 0.4, [])]
+    assert control.relays == [9]
+
+
+def test_a_member_without_a_leader_is_no_contact():
+    control = Control()
+    heard = []
+    control.client.on_contact = heard.append
+    control.answer = lambda address, message: defer.succeed(
+        build_reply(5, age_ms=1600.0)
+    )
+    control.client.start()
+    assert not heard
