Quotas: a limit that is spread evenly over its window is not refused

The issuer admits the limit in each window, and a fifth of the slack more in a window and the time of use together. The shares of substitutes are smaller by that much, so that the sum is as before.

--- a/chervilspindle/accounts/quota_permits.py
+++ b/chervilspindle/accounts/quota_permits.py
@@ -169,11 +169,11 @@
         is_full = quotas.is_full(standing, self.rule, now)
         self._log_mode(call.account, issued, standing, is_full, now)
         if is_full:
-            decision = quotas.decide_full(issued.log, limit, self.span_s, now)
+            decision = quotas.decide_full(issued.log, limit, self.rule, now)
         else:
             share = quotas.compute_share(standing, self.rule, now)
             decision = quotas.decide_as_substitute(
-                issued.log, limit, share, self.span_s, now
+                issued.log, limit, share, self.rule, now
             )
             if standing.rank == 0 and not decision.granted:
                 # The previous issuer may not have the list yet, and the
--- a/chervilspindle/policy/quotas.py
+++ b/chervilspindle/policy/quotas.py
@@ -25,12 +25,15 @@
 # different ages: up to 2 s, by two reports to the leader and a held call.
 MAX_CONTACT_AGE_S = CONTROL_SILENCE_S - 2.0
 
-# Shares of the slack that substitutes admit. The first two entries of an
-# account use 0.8 of the slack together. An entry that has just become the
-# second, or that control does not reach, gets less, since with entries that
-# have another list up to four may be in use.
-SUBSTITUTE_SHARE = 0.4
-REDUCED_SHARE = 0.2
+# Shares of the slack. An issuer admits the limit in each window, and this much
+# more in a window and the time of use together: without it, a caller that
+# spreads its limit evenly over each window would be refused.
+EDGE_SHARE = 0.2
+# What substitutes admit. An entry that has just become the second, or that
+# control does not reach, gets less, since with entries that have another list
+# up to four may be in use: together 0.8 of the slack at most.
+SUBSTITUTE_SHARE = 0.32
+REDUCED_SHARE = 0.16
 
 # Callers return within this time after there is room.
 RETURN_SPREAD_S = 0.5
@@ -189,35 +192,60 @@
 
 
 def decide_full(
-    log: AdmissionLog, limit: Limit, span_s: float, now: float
+    log: AdmissionLog, limit: Limit, rule: shared_limits.QuotaRule, now: float
 ) -> Decision:
     """Decide on a request by the whole limit, and record an admission."""
-    return _decide(log, log.times, limit.full, span_s, now)
+    span_s = compute_span_s(rule)
+    log.expire(now - span_s)
+    times = log.times
+    most = limit.full + EDGE_SHARE * limit.slack
+    wait_s = max(
+        _find_wait_s(times, limit.full, rule.window_s, now),
+        _find_wait_s(times, most, span_s, now),
+    )
+    start_s = now - rule.window_s
+    if wait_s <= 0.0:
+        log.record(now)
+    elif times:
+        # Only a refusal is logged with them.
+        recent = [t for t in times if t >= start_s]
+        age_s = now - recent[0] if recent else 0.0
+        return Decision(False, wait_s, limit.full, len(recent), age_s)
+    return Decision(wait_s <= 0.0, wait_s, limit.full, len(times), 0.0)
 
 
 def decide_as_substitute(
-    log: AdmissionLog, limit: Limit, share: float, span_s: float, now: float
+    log: AdmissionLog,
+    limit: Limit,
+    share: float,
+    rule: shared_limits.QuotaRule,
+    now: float,
 ) -> Decision:
     """Decide on a request by a share of the slack.
 
     All admissions of this entry count, also those that it made as issuer.
     """
+    span_s = compute_span_s(rule)
+    log.expire(now - span_s)
+    times = log.own_times
     allowed = min(limit.full, share * limit.slack)
-    return _decide(log, log.own_times, allowed, span_s, now)
+    wait_s = _find_wait_s(times, allowed, span_s, now)
+    if wait_s <= 0.0:
+        log.record(now)
+    age_s = now - times[0] if times else 0.0
+    return Decision(wait_s <= 0.0, wait_s, allowed, len(times), age_s)
 
 
-def _decide(log, times, allowed, span_s, now):
-    log.expire(now - span_s)
-    if len(times) + 1 <= allowed:
-        log.record(now)
-        return Decision(True, 0.0, allowed, len(times), now - times[0])
-    count = len(times)
+def _find_wait_s(times, allowed, length_s, now) -> float:
+    """Return the time until one more fits into a window; 0 if it does now."""
     room = math.floor(allowed)
-    # The limit may have been lowered below what counts. Without room for
-    # one request, the caller is to come back after a window.
-    wait_s = times[count - room] + span_s - now if room > 0 else span_s
-    age_s = now - times[0] if times else 0.0
-    return Decision(False, max(0.0, wait_s), allowed, count, age_s)
+    if len(times) < room:
+        return 0.0
+    if room == 0:
+        # There is never room, and the caller may ask for a raised limit.
+        return length_s
+    # The limit may have been lowered below what counts.
+    return max(0.0, times[len(times) - room] + length_s - now)
 
 
 def spread_wait_s(wait_s: float, random) -> float:
