Zones are evacuated by a command, and in the product's own deployments

Owners refuse what is queued for endpoints of an evacuated zone and take no more; gatherers plan without them and name the zone as the reason. Heartbeats are answered in the layout that the entry's link states. A control member polls the others for what they read, since the leader proposes the commands only if all of them read version 6, also those that were lost with the zone.

The test world answers heartbeats for current entries, as processes do.

--- a/chervilspindle/cli.py
+++ b/chervilspindle/cli.py
@@ -5,6 +5,8 @@
 import random
 import sys
 import time
+import typing
+import urllib.parse
 import uuid
 
 import defopt
@@ -23,6 +25,25 @@
 TOKEN_VARIABLE = "CHERVILSPINDLE_TOKEN"
 DEFAULT_SERVER = "http://127.0.0.1:8080"
 ANSWER_TIMEOUT_S = 10.0
+RESEND_S = 6.0  # for a command to any member, until it is acknowledged
+RESEND_PAUSE_S = 0.2
+RESENT_STATUSES = (408, 429)
+MEMBER_TIMEOUT_S = 1.0  # a control member that is slower is passed over
+
+
+class RequestError(RuntimeError):
+    """A request was answered with another status than 200.
+
+    Parameters
+    ----------
+    status : int
+    text : str
+        Body of the answer.
+    """
+
+    def __init__(self, status: int, text: str):
+        super().__init__(text or f"status {status}")
+        self.status = status
 
 
 def serve(*, settings: str):
@@ -151,6 +172,41 @@
     _print_body("GET", f"{server}/v1/explain/{request_id}")
 
 
+def zone(
+    action: typing.Literal["out", "back", "list"],
+    name: str = "",
+    *,
+    server: str = DEFAULT_SERVER,
+    control: str = "",
+):
+    """Evacuate a zone, take that back, or list the evacuated zones.
+
+    Nothing is sent to the endpoints of an evacuated zone.
+
+    :param action: out, back or list
+    :param name: name of the zone
+    :param server: URL of any entry
+    :param control: comma-separated URLs of control members, for a routed
+        deployment
+    """
+    if bool(name) == (action == "list"):
+        _exit(EXIT_INVALID_INPUT, f"zone {action}: a name is for out and back")
+    method = {"out": "POST", "back": "DELETE", "list": "GET"}[action]
+    path = f"/{urllib.parse.quote(name, safe='')}" if name else ""
+    urls = [f"{server}/v1/evacuations{path}"]
+    timeout_s = ANSWER_TIMEOUT_S
+    if control:
+        urls = [f"{url}/api/evacuation{path}" for url in control.split(",")]
+        timeout_s = MEMBER_TIMEOUT_S
+
+    @defer.inlineCallbacks
+    def run():
+        body = yield _request_any(method, urls, timeout_s)
+        print(json.dumps(body, indent=2))
+
+    _run(run)
+
+
 def token(name: str):
     """Create a token and print it with its digest for the lists file.
 
@@ -295,6 +351,7 @@
             show,
             status,
             explain,
+            zone,
             token,
             settings_reference,
             endpoint,
@@ -324,7 +381,7 @@
 
 
 @defer.inlineCallbacks
-def _request(method, url, headers=None, data=None):
+def _request(method, url, headers=None, data=None, timeout_s=ANSWER_TIMEOUT_S):
     import treq
 
     response = yield treq.request(
@@ -336,14 +393,40 @@
         },
         data=data,
         persistent=False,
-        timeout=ANSWER_TIMEOUT_S,
+        timeout=timeout_s,
     )
     body = yield treq.content(response)
     if response.code != 200:
-        raise RuntimeError(body.decode())
+        raise RequestError(response.code, body.decode(errors="replace"))
     return json.loads(body)
 
 
+@defer.inlineCallbacks
+def _request_any(method, urls, timeout_s):
+    """Send a command to one URL after the other until it is acknowledged.
+
+    It may be sent again: each copy has the same effect.
+    """
+    from twisted.internet import reactor
+    from twisted.internet import task
+
+    due = time.monotonic() + RESEND_S
+    while True:
+        for url in urls:
+            try:
+                return (yield _request(method, url, timeout_s=timeout_s))
+            except RequestError as error:
+                failure = error
+                is_final = 400 <= error.status < 500
+                if is_final and error.status not in RESENT_STATUSES:
+                    raise
+            except Exception as error:  # whatever keeps a member from reach
+                failure = error
+        if time.monotonic() > due:
+            raise failure
+        yield task.deferLater(reactor, RESEND_PAUSE_S)
+
+
 @defer.inlineCallbacks
 def _await_revision(server, revision):
     """Wait until every VM has confirmed a revision; return the time in ms."""
--- a/chervilspindle/cli_test.py
+++ b/chervilspindle/cli_test.py
@@ -1,6 +1,10 @@
 """Tests of the command line."""
 
+import http.server
 import json
+import subprocess
+import sys
+import threading
 
 import pytest
 
@@ -60,3 +64,65 @@
         cli.main(["init", "--settings", path])
     assert caught.value.code == cli.EXIT_FAILED
     assert "in use already" in capsys.readouterr().err
+
+
+class FakeMember(http.server.BaseHTTPRequestHandler):
+    """Answers with the statuses that a test lists, in turn."""
+
+    statuses = []
+    calls = []
+
+    def _answer(self):
+        self.calls.append((self.command, self.path))
+        self.send_response(self.statuses.pop(0))
+        self.send_header("Content-Length", "2")
+        self.end_headers()
+        self.wfile.write(b"{}")
+
+    do_POST = do_DELETE = do_GET = _answer
+
+    def log_message(self, *arguments):
+        """Print nothing."""
+
+
+@pytest.fixture(name="member")
+def serve_member():
+    server = http.server.HTTPServer(("127.0.0.1", 0), FakeMember)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    FakeMember.calls.clear()
+    yield f"http://127.0.0.1:{server.server_port}"
+    server.shutdown()
+    thread.join()
+    server.server_close()
+
+
+@pytest.mark.parametrize(
+    "arguments, statuses, calls, code",
+    (
+        (["out", "zone a"], [503, 200], [("POST", "/zone%20a")] * 2, 0),
+        (["back", "z"], [200], [("DELETE", "/z")], 0),
+        (["list"], [429, 200], [("GET", "")] * 2, 0),
+        (["out", "z"], [404], [("POST", "/z")], 1),
+        (["out"], [], [], 2),
+        (["list", "z"], [], [], 2),
+    ),
+)
+def test_zones_of_a_routed_deployment_are_evacuated_at_any_member(
+    member, arguments, statuses, calls, code
+):
+    """Guards against a command that gives up where it may be resent."""
+    FakeMember.statuses[:] = statuses
+    # Nothing listens at the first address.
+    control = f"http://127.0.0.1:9,{member}"
+    done = subprocess.run(
+        [sys.executable, "-m", "chervilspindle", "zone", *arguments]
+        + ["--control", control],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert done.returncode == code, done.stderr
+    prefix = "/api/evacuation"
+    assert FakeMember.calls == [(m, prefix + path) for m, path in calls]
+    assert "Traceback" not in done.stderr
--- a/chervilspindle/control/evacuation_test.py
+++ b/chervilspindle/control/evacuation_test.py
@@ -1,10 +1,13 @@
 """Tests of evacuated zones in the replicated state and at the leader."""
 
 import pytest
+from twisted.internet import defer
 
 from chervilspindle.control import changes
-from chervilspindle.control import frontend as frontend_module
+from chervilspindle.control import evacuations
 from chervilspindle.control import frontend_test
+from chervilspindle.control import leader as leader_module
+from chervilspindle.control import member_poll
 from chervilspindle.control import node_test
 from chervilspindle.control import raft
 from chervilspindle.control import state as state_module
@@ -12,6 +15,7 @@
 from chervilspindle.core import errors
 from chervilspindle.core import logs
 from chervilspindle.core import rows
+from chervilspindle.core import timers as timers_module
 from chervilspindle.wire import messages
 from chervilspindle.wire import versions
 
@@ -244,4 +248,82 @@
     }
     endpoints["lost"] = endpoints["lost"]._replace(zone="b")
     tables = state_module.EMPTY_STATE._replace(endpoint_by_id=endpoints)
-    assert frontend_module.list_zones_in_use(tables) == ["a"]
+    assert evacuations.list_zones_in_use(tables) == ["a"]
+
+
+class PollNetwork:
+    """Links that open if their other end is up."""
+
+    def __init__(self, **version_by_address):
+        self.up = version_by_address
+        self.version_by_address = {}
+
+    def call(self, address, message, timeout_s):
+        if address in self.up:
+            self.version_by_address[address] = self.up[address]
+        return defer.fail(errors.build_error(errors.ErrorKind.NO_LEADER, ""))
+
+    def read_version(self, address):
+        return self.version_by_address.get(address, versions.OLDEST)
+
+    def record_versions(self, versions_by_address):
+        self.version_by_address.update(versions_by_address)
+
+
+def test_members_that_are_down_are_known_from_before(control, tmp_path):
+    """Guards against zones that can't be evacuated once a VM is lost."""
+    clock, node, _, _ = control
+    node.raft = node.raft._replace(
+        members=tuple(raft.Member(f"{v}#1", v, True) for v in "abc")
+    )
+    addresses = {vm: f"at-{vm}" for vm in "abc"}
+
+    def build(network):
+        return member_poll.MemberPoll(
+            node,
+            network,
+            addresses,
+            "a",
+            str(tmp_path),
+            timers_module.TimerService(clock),
+        )
+
+    poll = build(PollNetwork(**{"at-b": 6}))
+    assert not poll.can_members_read(6)
+    clock.advance(0)
+    assert not poll.can_members_read(6)
+    poll.network.up["at-c"] = 6
+    clock.advance(member_poll.POLL_PERIOD_S)
+    assert poll.can_members_read(6)
+    clock.advance(member_poll.POLL_PERIOD_S)
+    restarted = build(PollNetwork(**{"at-b": 6}))
+    assert restarted.can_members_read(6)
+    restarted.network.up["at-c"] = 5
+    clock.advance(0)
+    assert not restarted.can_members_read(6)
+
+
+def test_owners_get_evacuations_in_the_layout_that_they_read(control):
+    """Guards against heartbeats that older entries can't read."""
+    clock, node, frontend, _ = control
+    announce(frontend)
+    timers = timers_module.TimerService(clock)
+    leader = leader_module.Leader(node, timers, clock.seconds)
+    for evacuated in (True, False, True):
+        outcomes = []
+        call = messages.EvacuationCall("a", evacuated)
+        leader.handle(call).addCallback(outcomes.append)
+        assert outcomes[0].known
+    assert not leader.handle(messages.EvacuationCall("b", True)).known
+    for version, zones in ((6, ["a"]), (5, []), (1, [])):
+        vm = rows.Vm(f"v{version}@1", "v", "z", "127.0.0.1:1", 1, "ready")
+        heartbeat = messages.Heartbeat(vm, 0, 0, ())
+        replies = []
+        leader.handle(heartbeat, version).addCallback(replies.append)
+        delta = messages.decode_delta(replies[0].delta)
+        assert [e.zone for e in delta.evacuations] == zones
+    reply = leader.handle(messages.ListEvacuationsCall())
+    assert [e.zone for e in reply.evacuations] == ["a"]
+    leader.can_members_read = lambda version: version < 6
+    with pytest.raises(errors.ProblemError):
+        leader.handle(messages.EvacuationCall("a", True))
--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -16,6 +16,7 @@
 
 from twisted.internet import defer
 
+from chervilspindle.control import evacuations
 from chervilspindle.control import locality
 from chervilspindle.control import member_versions
 from chervilspindle.control import state as state_module
@@ -217,13 +218,11 @@
 
     def is_zone_known(self, zone: str) -> bool:
         """Tell whether an endpoint, a member or a relay is in a zone."""
-        tables = self.node.tables
         places = list(self.place_table.places)
         if self.place is not None:
             places.append(self.place)
         return (
-            zone in tables.evacuation_by_zone
-            or any(e.zone == zone for e in tables.endpoint_by_id.values())
+            evacuations.is_known(self.node.tables, zone)
             or any(place.zone == zone for place in places)
             or any(r.zone == zone for r in self.relay_list.relays)
         )
@@ -583,74 +582,19 @@
 def _handle_evacuation(
     message: messages.EvacuationCall, frontend: ControlFrontend
 ):
-    zone = message.zone
-    node = frontend.node
-    if message.evacuated and not frontend.is_zone_known(zone):
-        return messages.EvacuationReply(False)
-    if not frontend.can_members_read(versions.EVACUATIONS):
-        if not message.evacuated and not node.tables.evacuation_by_zone:
-            return messages.EvacuationReply(True)
-        raise errors.build_error(
-            errors.ErrorKind.INTERNAL,
-            "a control member runs a build without zone evacuation",
-            not_run=True,
-        )
-    if not node.is_formed():
-        # Loss of the disk of the only member would lose the command.
-        raise errors.build_error(
-            errors.ErrorKind.NO_LEADER, "the control group is still forming"
-        )
-    if message.evacuated:
-        evacuation = rows.ZoneEvacuation(zone, logs.read_wall_ms())
-        command = state_module.EvacuateZone(evacuation)
-    else:
-        command = state_module.ReturnZone(zone)
-
-    def confirm(result):
-        if result.changed:
-            _log_evacuation(message, frontend)
-        return messages.EvacuationReply(True)
-
-    return node.propose(command).addCallback(confirm)
-
-
-def _log_evacuation(message, frontend):
-    evacuated = frontend.node.tables.evacuation_by_zone
-    zones = list_zones_in_use(frontend.node.tables)
-    remaining = [zone for zone in zones if zone not in evacuated]
-    logs.log_decision(
-        "zone-evacuated" if message.evacuated else "zone-returned",
-        zone=message.zone,
-        evacuated=sorted(evacuated),
-        remaining=remaining,
+    return evacuations.handle_call(
+        message,
+        frontend.node,
+        frontend.is_zone_known(message.zone),
+        frontend.can_members_read,
     )
-    if zones and not remaining:
-        logs.log_decision("all-zones-evacuated", zones=zones)
 
 
 @handle_leader_call.register
 def _handle_list_evacuations(
     message: messages.ListEvacuationsCall, frontend: ControlFrontend
 ):
-    tables = frontend.node.tables
-    return messages.ListEvacuationsReply(
-        tuple(
-            tables.evacuation_by_zone[z]
-            for z in sorted(tables.evacuation_by_zone)
-        ),
-        tuple(list_zones_in_use(tables)),
-    )
-
-
-def list_zones_in_use(tables) -> list[str]:
-    """Return the zones of the endpoints that are neither lost nor gone."""
-    return sorted(
-        {
-            endpoint.zone
-            for endpoint in tables.endpoint_by_id.values()
-            if endpoint.state not in ("lost", "gone")
-        }
-    )
+    return evacuations.build_list(frontend.node.tables)
 
 
 @handle_leader_call.register
--- a/chervilspindle/control/leader.py
+++ b/chervilspindle/control/leader.py
@@ -11,6 +11,7 @@
 import json
 import math
 
+from chervilspindle.control import evacuations
 from chervilspindle.control import placement
 from chervilspindle.control import raft
 from chervilspindle.control import state as state_module
@@ -34,6 +35,12 @@
     timers : TimerService
     read_clock : callable
         Monotonic milliseconds.
+
+    Attributes
+    ----------
+    can_members_read : callable
+        ``can_members_read(version)`` tells whether all members are known to
+        read a version of the peer protocol.
     """
 
     def __init__(self, node, timers, read_clock):
@@ -41,6 +48,8 @@
         self.read_clock = read_clock
         self.last_renewal_ms_by_session = {}
         self.revision_by_session = {}
+        self.peer_version_by_session = {}
+        self.can_members_read = lambda version: True
         self.assignment_pending = False
         self.next_rebalance_ms = -math.inf
         # Placement index and its change count when no moves were needed.
@@ -49,10 +58,20 @@
         node.leader_listeners.append(self._on_elected)
         timers.subscribe("leader-tick", TICK_PERIOD_S, self.tick)
 
-    def handle(self, message):
-        """Answer a call of an entry; if not the leader, name its VM."""
+    def handle(self, message, peer_version: int = versions.OLDEST):
+        """Answer a call of an entry; if not the leader, name its VM.
+
+        Parameters
+        ----------
+        message : typing.NamedTuple
+        peer_version : int
+            Version of the protocol that the caller reads.
+        """
         if not self.node.is_leader():
             return messages.NotLeader(self.node.get_leader_vm())
+        if isinstance(message, messages.Heartbeat):
+            session = message.vm.session
+            self.peer_version_by_session[session] = peer_version
         return handle_call(message, self)
 
     def tick(self):
@@ -95,6 +114,7 @@
         for table in (
             self.last_renewal_ms_by_session,
             self.revision_by_session,
+            self.peer_version_by_session,
         ):
             for session in list(table):
                 if session not in self.node.tables.vm_by_session:
@@ -147,9 +167,10 @@
             lease_ms = LEASE_MS
             self.last_renewal_ms_by_session[session] = self.read_clock()
         self.revision_by_session[session] = heartbeat.known_revision
-        # These entries use no rows that later versions added.
         delta = self.node.feed.get_delta(
-            tables, heartbeat.known_version, versions.OLDEST
+            tables,
+            heartbeat.known_version,
+            self.peer_version_by_session.get(session, versions.OLDEST),
         )
         return messages.HeartbeatReply(lease_ms, delta)
 
@@ -281,6 +302,25 @@
     return deferred
 
 
+@handle_call.register
+def _handle_evacuation(message: messages.EvacuationCall, leader: Leader):
+    tables = leader.node.tables
+    zones = {vm.zone for vm in tables.vm_by_session.values()}
+    return evacuations.handle_call(
+        message,
+        leader.node,
+        message.zone in zones or evacuations.is_known(tables, message.zone),
+        leader.can_members_read,
+    )
+
+
+@handle_call.register
+def _handle_list_evacuations(
+    message: messages.ListEvacuationsCall, leader: Leader
+):
+    return evacuations.build_list(leader.node.tables)
+
+
 @handle_call.register
 def _handle_status(message: messages.StatusCall, leader: Leader):
     body = json.dumps(leader.build_status()).encode()
--- a/chervilspindle/core/errors.py
+++ b/chervilspindle/core/errors.py
@@ -28,6 +28,8 @@
     NO_LEADER = "no_leader"
     DRAINING = "draining"
     NO_ENDPOINT = "no_endpoint"
+    ZONE_OUT = "zone_out"
+    UNKNOWN_ZONE = "unknown_zone"
     NOT_OWNER = "not_owner"
     SNAPSHOT_GONE = "snapshot_gone"
     DEADLINE = "deadline"
@@ -78,6 +80,8 @@
     ErrorKind.NO_LEADER: Answer(503, True, True, "No control leader"),
     ErrorKind.DRAINING: Answer(503, True, True, "Shutting down"),
     ErrorKind.NO_ENDPOINT: Answer(503, True, True, "No endpoint"),
+    ErrorKind.ZONE_OUT: Answer(503, True, True, "Zone evacuated"),
+    ErrorKind.UNKNOWN_ZONE: Answer(404, True, False, "Unknown zone"),
     ErrorKind.NOT_OWNER: Answer(503, True, True, "Not the owner"),
     ErrorKind.SNAPSHOT_GONE: Answer(503, True, True, "Snapshot gone"),
     ErrorKind.DEADLINE: Answer(504, False, True, "Deadline exceeded"),
--- a/chervilspindle/query/commands.py
+++ b/chervilspindle/query/commands.py
@@ -128,9 +128,17 @@
     def _choose_endpoint(self, request):
         endpoint_id = self.choose_endpoint(self._list_replicas(request))
         if endpoint_id is None:
-            raise self._build_not_run(request, errors.ErrorKind.NO_ENDPOINT)
+            raise self._build_not_run(request, self._explain_absence(request))
         return endpoint_id
 
+    def _explain_absence(self, request):
+        """Return the kind of error of a request without an endpoint."""
+        slot = directory_module.hash_key(request.key)
+        plan = self.directory.plan_query((request.service,), slot)
+        if plan.missing:
+            return errors.ErrorKind(plan.missing[0].reason)
+        return errors.ErrorKind.NO_ENDPOINT
+
     def _list_replicas(self, request):
         slot = directory_module.hash_key(request.key)
         plan = self.directory.plan_query((request.service,), slot)
--- a/chervilspindle/query/coverage.py
+++ b/chervilspindle/query/coverage.py
@@ -48,6 +48,7 @@
     is_usable,
     key_slot: int | None = None,
     excluded=frozenset(),
+    evacuated_zones=frozenset(),
 ) -> SnapshotPlan:
     """Choose the snapshot of a query and list its shards.
 
@@ -62,6 +63,8 @@
         Restricts the query to the shards that contain this slot.
     excluded : frozenset of int
         Snapshots that endpoints no longer have.
+    evacuated_zones : collection of str
+        Zones whose endpoints are not usable for that reason.
 
     Returns
     -------
@@ -79,7 +82,11 @@
     best_covered = -1
     for snapshot in sorted(snapshots - excluded, reverse=True):
         plan = _plan_snapshot(
-            snapshot, endpoints_by_service, is_usable, key_slot
+            snapshot,
+            endpoints_by_service,
+            is_usable,
+            key_slot,
+            evacuated_zones,
         )
         covered = sum(s.high - s.low for s in plan.shards)
         if covered > best_covered:
@@ -122,7 +129,9 @@
     )
 
 
-def _plan_snapshot(snapshot, endpoints_by_service, is_usable, key_slot):
+def _plan_snapshot(
+    snapshot, endpoints_by_service, is_usable, key_slot, evacuated_zones
+):
     shards = []
     missing = []
     for service in sorted(endpoints_by_service):
@@ -140,8 +149,16 @@
             if replica_ids:
                 shards.append(Shard(service, low, high, tuple(replica_ids)))
             else:
-                reason = errors.ErrorKind.NO_ENDPOINT.value
-                missing.append(MissingRange(service, low, high, reason))
+                kind = errors.ErrorKind.NO_ENDPOINT
+                holding = rows.Holding(snapshot, low, high)
+                if evacuated_zones and any(
+                    holding in endpoint.holdings
+                    and endpoint.zone in evacuated_zones
+                    and endpoint.state == "ready"
+                    for endpoint in endpoints_by_service[service]
+                ):
+                    kind = errors.ErrorKind.ZONE_OUT
+                missing.append(MissingRange(service, low, high, kind.value))
     return SnapshotPlan(snapshot, tuple(shards), tuple(missing))
 
 
--- a/chervilspindle/query/directory.py
+++ b/chervilspindle/query/directory.py
@@ -4,6 +4,7 @@
 import typing
 import zlib
 
+from chervilspindle.core import logs
 from chervilspindle.core import rows
 from chervilspindle.query import coverage
 
@@ -42,6 +43,7 @@
         self.ids_by_service = {}
         self.plan_by_query = {}
         self.handed_over_epoch_by_id = {}
+        self.evacuated_zones = frozenset()
         self.listeners = []
         self.sole_owner = ""
 
@@ -69,6 +71,7 @@
         if delta.lists is not None:
             self.lists = merge_lists(self.lists, delta.lists)
         self._apply_rows(delta, changed_ids)
+        self._apply_evacuations(delta, changed_ids)
         if changed_ids or delta.vms or delta.gone_vms or delta.lists:
             self.plan_by_query.clear()
         for listener in self.listeners:
@@ -121,6 +124,8 @@
         """Tell whether an endpoint is ready and has a known owner."""
         if endpoint.state != "ready":
             return False
+        if endpoint.zone in self.evacuated_zones:
+            return False
         return self.get_route(endpoint.endpoint_id) is not None
 
     def plan_query(self, services, key_slot=None, excluded=frozenset()):
@@ -137,7 +142,11 @@
             for service in services
         }
         plan = coverage.plan_query(
-            endpoints_by_service, self.is_usable, key_slot, excluded
+            endpoints_by_service,
+            self.is_usable,
+            key_slot,
+            excluded,
+            self.evacuated_zones,
         )
         if len(self.plan_by_query) >= MAX_CACHED_PLANS:
             self.plan_by_query.clear()
@@ -175,6 +184,31 @@
             if not self.sole_owner:
                 self.ownership_by_id[ownership.endpoint_id] = ownership
 
+    def _apply_evacuations(self, delta, changed_ids):
+        """Apply evacuated zones; add their endpoints to `changed_ids`."""
+        before = self.evacuated_zones
+        after = set() if delta.full else set(before)
+        after.update(row.zone for row in delta.evacuations)
+        after.difference_update(delta.gone_evacuations)
+        changed = before.symmetric_difference(after)
+        if not changed:
+            return
+        self.evacuated_zones = frozenset(after)
+        self.plan_by_query.clear()
+        for zone in sorted(changed):
+            logs.log_decision(
+                "zone-evacuated" if zone in after else "zone-returned",
+                zone=zone,
+            )
+        zones = {e.zone for e in self.endpoint_by_id.values()}
+        if zones and zones.issubset(after):
+            logs.log_decision("all-zones-evacuated", zones=sorted(zones))
+        changed_ids.update(
+            endpoint_id
+            for endpoint_id, endpoint in self.endpoint_by_id.items()
+            if endpoint.zone in changed
+        )
+
     def _store_endpoint(self, endpoint):
         endpoint_id = endpoint.endpoint_id
         current = self.endpoint_by_id.get(endpoint_id)
--- a/chervilspindle/query/endpoint_state.py
+++ b/chervilspindle/query/endpoint_state.py
@@ -124,6 +124,7 @@
         # it answers one.
         self.suspect = False
         self.suspect_probe_ms = 0.0
+        self.zone_out = False  # whether the endpoint's zone is evacuated
 
     def set_inherited(self, running: int, now: float):
         """Set the number of running requests that a previous owner reported.
@@ -137,8 +138,11 @@
             self.inherited_until_ms = 0.0
 
     def accepts_work(self, now: float) -> bool:
-        """Tell whether the endpoint is ready, not suspect and not paused."""
-        if self.suspect or now < self.limit.stalled_until_ms:
+        """Tell whether the endpoint is ready, and nothing keeps work back.
+
+        It may be suspect or paused, or its zone may be evacuated.
+        """
+        if self.suspect or self.zone_out or now < self.limit.stalled_until_ms:
             return False
         return self.row.state == "ready"
 
--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -237,6 +237,29 @@
         )
         return reply
 
+    @defer.inlineCallbacks
+    def set_evacuated(self, zone: str, evacuated: bool):
+        """Ask control to begin or end the evacuation of a zone.
+
+        Returns
+        -------
+        Deferred
+            Fires once the change is committed. Fails with `ProblemError`.
+        """
+        call = messages.EvacuationCall(zone, evacuated)
+        reply = yield self.control.call(call, APPLY_TIMEOUT_S)
+        if not reply.known:
+            raise errors.build_error(
+                errors.ErrorKind.UNKNOWN_ZONE,
+                "no endpoint and no VM is in this zone",
+            )
+
+    def list_evacuations(self):
+        """Return a Deferred of ListEvacuationsReply from the leader."""
+        return self.control.call(
+            messages.ListEvacuationsCall(), STATUS_TIMEOUT_S
+        )
+
     def get_status(self):
         """Return a Deferred of StatusReply from the control leader."""
         return self.control.call(messages.StatusCall(), STATUS_TIMEOUT_S)
@@ -456,6 +479,9 @@
         self.metrics.set_state("lease_ms", self.session.get_lease_ms())
         self.metrics.set_state("version", self.directory.version)
         self.metrics.set_state("revision", self.directory.lists.revision)
+        self.metrics.set_state(
+            "evacuated_zones", len(self.directory.evacuated_zones)
+        )
         self.metrics.set_state("owned", len(self.owner.owned_by_id))
         self.metrics.set_state("work", self.owner.count_work())
 
--- a/chervilspindle/query/owner.py
+++ b/chervilspindle/query/owner.py
@@ -107,6 +107,8 @@
                 self._serve_if_allowed(row, endpoint)
             elif owned.row != endpoint:
                 self._update_row(owned, endpoint)
+            if owned is not None:
+                self._update_zone(owned)
 
     def take_over(self, endpoint, epoch: int, running: int):
         """Start serving an endpoint that its previous owner handed over.
@@ -312,9 +314,9 @@
             endpoint.address, min(endpoint.connections, endpoint.slots + 1)
         )
         now = self.read_clock()
-        self.owned_by_id[endpoint.endpoint_id] = endpoint_state.OwnedEndpoint(
-            endpoint, epoch, client, now
-        )
+        owned = endpoint_state.OwnedEndpoint(endpoint, epoch, client, now)
+        owned.zone_out = endpoint.zone in self.directory.evacuated_zones
+        self.owned_by_id[endpoint.endpoint_id] = owned
         logs.log_decision(
             "owner-gained", endpoint=endpoint.endpoint_id, epoch=epoch
         )
@@ -348,6 +350,22 @@
         if endpoint.state == "draining":
             self.refuse_queue(owned, errors.ErrorKind.DRAINING)
 
+    def _update_zone(self, owned):
+        """Keep work back while the endpoint's zone is evacuated.
+
+        Queued work is refused, so that gatherers choose another replica. The
+        endpoint may be cold when its zone returns, so its limit rises again
+        from 1 as that of an endpoint that has just started.
+        """
+        zone_out = owned.row.zone in self.directory.evacuated_zones
+        if zone_out == owned.zone_out:
+            return
+        owned.zone_out = zone_out
+        if zone_out:
+            self.refuse_queue(owned, errors.ErrorKind.NO_ENDPOINT)
+        else:
+            owned.limit = owned.limit._replace(limit=1.0)
+
     def _admit(self, work: endpoint_state.Work, now: float):
         if not self.is_fair:
             work.job = work.job._replace(customer="", weight=1.0, rank=0)
--- a/chervilspindle/query/owner_test.py
+++ b/chervilspindle/query/owner_test.py
@@ -440,3 +440,75 @@
     )
     harness.owner.update_owned(["odd", "e", "sound"])
     assert set(harness.owner.owned_by_id) == {"sound"}
+
+
+def evacuate(harness, zones=(), gone=()):
+    harness.version += 1
+    delta = messages.Delta(
+        harness.version,
+        False,
+        None,
+        (),
+        (),
+        (),
+        (),
+        (),
+        evacuations=tuple(rows.ZoneEvacuation(zone, 1) for zone in zones),
+        gone_evacuations=gone,
+    )
+    assert harness.directory.apply_delta(delta)
+
+
+def test_an_endpoint_of_an_evacuated_zone_gets_no_new_work(harness):
+    """Guards against queued work that is sent after the evacuation."""
+    harness.submit(0, 1, 2)
+    evacuate(harness, ("z",))
+    assert harness.list_statuses() == {2: ("no_endpoint", False)}
+    harness.submit(3)
+    assert harness.list_statuses()[3] == ("no_endpoint", False)
+    # What runs there ends as it began.
+    harness.answer_all()
+    assert harness.list_statuses()[0] == ("ok", True)
+    assert not harness.client.call_by_run
+
+
+def test_an_endpoint_whose_zone_returns_gets_work_by_degrees(harness):
+    """Guards against full load for endpoints that may be cold."""
+    evacuate(harness, ("z",))
+    evacuate(harness, (), ("z",))
+    harness.submit(0, 1, 2)
+    assert len(harness.client.call_by_run) == 1
+    for _ in range(3):
+        harness.clock.advance(0.01)
+        harness.answer_all()
+    harness.submit(3, 4)
+    assert len(harness.client.call_by_run) == 2
+
+
+def test_an_owner_that_takes_over_knows_of_evacuated_zones(harness):
+    """Guards against an endpoint that moves to another owner."""
+    evacuate(harness, ("z",))
+    harness.apply_rows(None, rows.Ownership("e", "entry-2@1", 2))
+    harness.apply_rows(None, rows.Ownership("e", SESSION, 3))
+    harness.epoch = 3
+    harness.submit(7)
+    assert harness.list_statuses()[7] == ("no_endpoint", False)
+
+
+def test_plans_name_evacuated_zones_as_the_reason(harness):
+    """Guards against callers that are told that an endpoint is missing."""
+    row = harness.row._replace(
+        holdings=(rows.Holding(1, 0, rows.KEY_SPACE),), sequence=2
+    )
+    harness.apply_rows(row)
+    directory = harness.directory
+    assert directory.plan_query(("s",)).missing == ()
+    evacuate(harness, ("z", "elsewhere"))
+    (missing,) = directory.plan_query(("s",)).missing
+    assert missing.reason == "zone_out"
+    harness.apply_rows(row._replace(state="draining", sequence=3))
+    (missing,) = directory.plan_query(("s",)).missing
+    assert missing.reason == "no_endpoint"
+    harness.apply_rows(row._replace(sequence=4))
+    evacuate(harness, (), ("z",))
+    assert directory.plan_query(("s",)).missing == ()
--- a/chervilspindle/routing/evacuation_monitor.py
+++ b/chervilspindle/routing/evacuation_monitor.py
@@ -1,6 +1,6 @@
 """Logs and metrics of evacuated zones, at entries and control members."""
 
-from chervilspindle.control import frontend
+from chervilspindle.control import evacuations
 from chervilspindle.core import logs
 
 
@@ -72,7 +72,7 @@
         if row_by_zone is self.shown:
             return
         self.shown = row_by_zone
-        zones = frontend.list_zones_in_use(tables)
+        zones = evacuations.list_zones_in_use(tables)
         self.metrics.set_evacuated_zones(row_by_zone)
         self.metrics.set_all_evacuated(
             bool(zones) and all(zone in row_by_zone for zone in zones)
--- a/chervilspindle/serve.py
+++ b/chervilspindle/serve.py
@@ -9,6 +9,7 @@
 from twisted.internet import endpoints
 
 from chervilspindle.control import leader as leader_module
+from chervilspindle.control import member_poll
 from chervilspindle.control import node as node_module
 from chervilspindle.control import storage as storage_module
 from chervilspindle.core import errors
@@ -36,6 +37,8 @@
     messages.ClaimCall,
     messages.ResolveCall,
     messages.StatusCall,
+    messages.EvacuationCall,
+    messages.ListEvacuationsCall,
 )
 
 
@@ -90,6 +93,7 @@
             leader = leader_module.Leader(
                 node, self.timers, timers_module.read_monotonic_ms
             )
+            leader.can_members_read = self._build_poll(node).can_members_read
         if "entry" in self.settings.roles:
             entry = self._build_entry()
         self.roles = Roles(entry, node, leader)
@@ -146,6 +150,17 @@
         self.transport.listen(settings.raft_address)
         return node
 
+    def _build_poll(self, node):
+        settings = self.settings
+        return member_poll.MemberPoll(
+            node,
+            self.network,
+            {v.vm_id: v.peer_address for v in settings.control_vms},
+            settings.vm_id,
+            settings.data_folder,
+            self.timers,
+        )
+
     def _build_entry(self):
         receive_budget = receive_limits.ReceiveBudget(
             receive_limits.compute_budget_bytes(self.settings.memory_mb)
@@ -182,7 +197,7 @@
                     errors.ErrorKind.NO_LEADER,
                     "this VM does not run a control member",
                 )
-            return self.roles.leader.handle(message)
+            return self.roles.leader.handle(message, link.version)
         if self.roles.entry is None:
             raise errors.build_error(
                 errors.ErrorKind.NOT_OWNER, "this VM does not run an entry"
--- a/chervilspindle/wire/http_api.py
+++ b/chervilspindle/wire/http_api.py
@@ -209,6 +209,35 @@
         reply = yield self.entry.get_status()
         return _write_bytes(request, 200, reply.body)
 
+    @app.route("/v1/evacuations", methods=["GET"])
+    @defer.inlineCallbacks
+    def list_evacuations(self, request):
+        """Return the evacuated zones."""
+        self._check_token(request, self.operator_by_name)
+        reply = yield self.entry.list_evacuations()
+        evacuated = [
+            {"zone": e.zone, "since_ms": e.since_ms} for e in reply.evacuations
+        ]
+        body = {"evacuated": evacuated, "zones": list(reply.zones)}
+        return _write_json(request, 200, body)
+
+    @app.route("/v1/evacuations/<zone>", methods=["POST", "DELETE"])
+    @defer.inlineCallbacks
+    def change_evacuation(self, request, zone):
+        """Begin or end the evacuation of a zone, once it is committed."""
+        self._check_token(request, self.operator_by_name)
+        if request.content.read():
+            raise errors.build_error(
+                errors.ErrorKind.MALFORMED,
+                "a call for a zone has no body",
+                source="body",
+            )
+        evacuated = request.method == b"POST"
+        yield self.entry.set_evacuated(zone, evacuated)
+        return _write_json(
+            request, 200, {"zone": zone, "evacuated": evacuated}
+        )
+
     @app.route("/v1/explain/<request_id>", methods=["GET"])
     @defer.inlineCallbacks
     def explain(self, request, request_id):
--- a/features/http_api_test.py
+++ b/features/http_api_test.py
@@ -6,6 +6,8 @@
 import treq.testing
 from twisted.internet import testing
 
+from chervilspindle.config import settings as settings_module
+from chervilspindle.config import tokens
 from chervilspindle.query import entry as entry_module
 from chervilspindle.wire import http_api
 from features import workload
@@ -265,3 +267,49 @@
     response, problem = send(world, "POST", "/v1/query", body)
     assert response.code == 400
     assert problem["source"] == "$"
+
+
+def add_operator(world):
+    """Give the first entry an operator; return the token."""
+    created = tokens.create_token("operator")
+    entry = world.vm_by_name["entry-1"].entry
+    row = settings_module.TokenRow(
+        "operator", created.token_salt, created.token_digest
+    )
+    entry.settings = entry.settings._replace(operators=(row,))
+    return created.token
+
+
+def test_zones_are_evacuated_by_operators_only(world):
+    """Guards against callers, and mistakes, that take a zone out."""
+    operator = add_operator(world)
+    zone = "zone-a"
+    path = f"/v1/evacuations/{zone}"
+    assert send(world, "POST", path)[0].code == 401
+    assert send(world, "POST", path, b"{}", operator)[0].code == 400
+    response, body = send(
+        world, "POST", "/v1/evacuations/unheard-of", token=operator
+    )
+    assert response.code == 404 and body["kind"] == "unknown_zone"
+    _, body = send(world, "GET", "/v1/evacuations", token=operator)
+    assert body["evacuated"] == [] and zone in body["zones"]
+    for method, evacuated in (("POST", True), ("DELETE", False)):
+        for _ in range(2):
+            response, body = send(world, method, path, token=operator)
+            assert response.code == 200
+            assert body == {"zone": zone, "evacuated": evacuated}
+        _, body = send(world, "GET", "/v1/evacuations", token=operator)
+        zones = [row["zone"] for row in body["evacuated"]]
+        assert zones == [zone] * evacuated
+
+
+def test_a_query_that_needs_an_evacuated_zone_is_told_so(world):
+    """Guards against queries that run though their zone is evacuated."""
+    operator = add_operator(world)
+    path = "/v1/evacuations/zone-a"
+    assert send(world, "POST", path, token=operator)[0].code == 200
+    world.advance(3.0)
+    response, body = send(world, "POST", "/v1/query", QUERY)
+    assert response.code == 503
+    assert body["kind"] == "zone_out" and body["not_run"] is True
+    assert response.headers.getRawHeaders("retry-after")
--- a/features/world.py
+++ b/features/world.py
@@ -26,6 +26,7 @@
 from chervilspindle.core import timers as timers_module
 from chervilspindle.query import entry as entry_module
 from chervilspindle.wire import messages
+from chervilspindle.wire import versions
 from features import fakes
 
 LATENCY_S = 0.001
@@ -122,7 +123,7 @@
             self.node, self.timers, self.process.read_clock
         )
         self.network.handler = lambda link, message: self.leader.handle(
-            message
+            message, versions.CURRENT
         )
         world.vm_by_raft_address[settings.raft_address] = self
 
--- a/features/zone_evacuation_test.py
+++ b/features/zone_evacuation_test.py
@@ -1,14 +1,18 @@
 """Evacuates zones of real processes, through restarts and losses.
 
-Callers ask and operators change the configuration all the time.
+In the routed deployment, callers ask and operators change the configuration
+all the time. The product's own deployment is used by its command line.
 """
 
 import asyncio
+import json
 import signal
+import time
 
 import uvloop
 
 from chervilspindle.tools import soak
+from features import processes
 
 IN_FORCE_S = 5.0  # limit for a change to be in force on each VM
 ACK_S = 6.0  # limit for an operator's call, with its resends
@@ -155,3 +159,70 @@
     assert findings == []
     assert run.arrived > 0
     assert run.returned > 0
+
+
+class Evacuation:
+    """A zone of a deployment of the product, used by the command line."""
+
+    def __init__(self, deployed):
+        self.deployed = deployed
+        endpoints = deployed.documents.endpoints
+        self.zone = endpoints[0]["zone"]
+        self.names = [
+            row["endpoint"] for row in endpoints if row["zone"] == self.zone
+        ]
+
+    def run(self, *arguments):
+        """Run the command; return its exit code, output and errors."""
+        server = f"http://{self.deployed.addresses[0]}"
+        done = self.deployed.run("zone", *arguments, "--server", server)
+        return done.returncode, done.stdout, done.stderr
+
+    def list_evacuated(self):
+        code, output, _ = self.run("list")
+        assert code == 0
+        return [row["zone"] for row in json.loads(output)["evacuated"]]
+
+    def count_runs(self):
+        """Ask all entries; return how many parts ran in the zone."""
+        before = self._count()
+        for number in range(24):
+            status, _ = self.deployed.query(number % 3)
+            assert status == 200
+        return self._count() - before
+
+    def _count(self):
+        counts = [self.deployed.stand_in(name) for name in self.names]
+        return sum(count["queries"] for count in counts)
+
+
+def test_zones_of_the_product_are_evacuated_by_its_command(tmp_path):
+    """Guards against owners that send to the zone, and lost commands."""
+    deployed = processes.Deployment(tmp_path)
+    try:
+        deployed.start()
+        evacuation = Evacuation(deployed)
+        zone = evacuation.zone
+        assert evacuation.count_runs() > 0
+        code, _, printed = evacuation.run("out", "unheard-of")
+        assert code == 1 and "unknown_zone" in printed
+        assert evacuation.list_evacuated() == []
+        assert evacuation.run("out", zone)[0] == 0
+        assert evacuation.run("out", zone)[0] == 0
+        time.sleep(IN_FORCE_S)
+        assert evacuation.count_runs() == 0
+        controls = [n for n in deployed.process_by_name if "control" in n]
+        for name in controls:
+            deployed.kill(name)
+        for name in controls:
+            deployed.start_vm(name)
+        deployed.wait_until(lambda: deployed.get_leader(), 20)
+        deployed.wait_until(lambda: deployed.query()[0] == 200, 10)
+        assert evacuation.list_evacuated() == [zone]
+        assert evacuation.count_runs() == 0
+        assert evacuation.run("back", zone)[0] == 0
+        assert evacuation.list_evacuated() == []
+        time.sleep(IN_FORCE_S)
+        assert evacuation.count_runs() > 0
+    finally:
+        deployed.stop()
