A configuration is checked before it is sent

check-config reports errors as control would, probable mistakes, contradictions to the settings, and what differs from the version in force, without keys.

--- a/chervilspindle/cli.py
+++ b/chervilspindle/cli.py
@@ -108,6 +108,51 @@
     print(f"{file}: correct")
 
 
+def check_config(
+    file: str, *, against: str = "", settings: str = "", json: bool = False
+):
+    """Check a configuration before it is sent; changes nothing.
+
+    Reports errors for which control would refuse it, probable mistakes, and
+    what differs from the version in force. Exit codes: 0 nothing to report
+    but differences, 1 `against` or `settings` cannot be read, 2 refused, 3
+    accepted with probable mistakes.
+
+    :param file: routing document, or file with both lists
+    :param against: version in force: a file, or URL of a control member or,
+        for lists, of an entry
+    :param settings: settings file of the platform, for the limits that it
+        has in force
+    :param json: print JSON for scripts
+    """
+    from chervilspindle import config_check
+
+    try:
+        with open(file, "rb") as handle:
+            data = handle.read()
+    except OSError as error:
+        _exit(EXIT_INVALID_INPUT, f"{file}: {error}")
+    parsed = config_check.parse(data, file)
+    rules = in_force = None
+    try:
+        if settings:
+            rules = config_check.read_rules(settings)
+        if against:
+            path = config_check.PATH_BY_KIND[parsed.kind]
+            stored = _read_file_or_url(against, path)
+            in_force = config_check.parse_in_force(
+                stored, parsed.kind, against
+            )
+    except (OSError, ValueError, RuntimeError) as error:
+        _exit(config_check.EXIT_UNREADABLE, f"cannot be read: {error}")
+    report = config_check.check(parsed, in_force, rules)
+    formatted = config_check.format_text(report, file)
+    if json:
+        formatted = config_check.format_json(report, file)
+    print(formatted)
+    sys.exit(report.get_exit_code())
+
+
 def apply(
     file: str,
     *,
@@ -347,6 +392,7 @@
             serve,
             init,
             check,
+            check_config,
             apply,
             show,
             status,
@@ -375,6 +421,24 @@
     return loaded
 
 
+def _read_file_or_url(source, path) -> bytes:
+    """Read a file, or the path of a server."""
+    if not source.startswith(("http://", "https://")):
+        with open(source, "rb") as handle:
+            return handle.read()
+    url = urllib.parse.urlsplit(source)
+    if url.path in ("", "/"):
+        source = urllib.parse.urlunsplit(url._replace(path=path))
+    bodies = []
+
+    @defer.inlineCallbacks
+    def run():
+        bodies.append((yield _request("GET", source)))
+
+    _run(run)
+    return json.dumps(bodies[0]).encode()
+
+
 def _exit(code, text):
     print(text, file=sys.stderr)
     sys.exit(code)
