--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -244,7 +244,10 @@
         Those of evacuated zones are left out: their load tells nothing of the
         load of the others.
         """
-        return [t.health for t in self._list_in_use(service)]
+        if self.evacuations.row_by_zone:
+            return [t.health for t in self._list_in_use(service)]
+        targets = self.targets_by_service.get(service, {})
+        return [t.health for t in targets.values()]
 
     def _list_in_use(self, service):
         targets = self.targets_by_service.get(service, {}).values()
--- a/chervilspindle/routing/evacuation_monitor.py
+++ b/chervilspindle/routing/evacuation_monitor.py
@@ -1,7 +1,8 @@
 """Logs and metrics of evacuated zones, at entries and control members."""
 
-from chervilspindle.control import evacuations
+from chervilspindle.control import evacuations as control_evacuations
 from chervilspindle.core import logs
+from chervilspindle.routing import evacuations
 
 
 class EntryMonitor:
@@ -16,6 +17,8 @@
         self.table = context.table
         self.relay_table = context.relays.table
         self.metrics = context.metrics
+        self.loop = context.loop
+        self.random = context.random
         self.all_evacuated = False
 
     def apply(self, delta):
@@ -34,6 +37,11 @@
             )
         for zone in change.returned:
             logs.log_decision("zone-returned", zone=zone)
+            self.loop.call_later(
+                evacuations.draw_relays_delay_s(self.random),
+                self.relay_table.use_zone,
+                zone,
+            )
         self.relay_table.set_evacuated_zones(row_by_zone)
         self.metrics.set_evacuated_zones(row_by_zone)
 
@@ -72,7 +80,7 @@
         if row_by_zone is self.shown:
             return
         self.shown = row_by_zone
-        zones = evacuations.list_zones_in_use(tables)
+        zones = control_evacuations.list_zones_in_use(tables)
         self.metrics.set_evacuated_zones(row_by_zone)
         self.metrics.set_all_evacuated(
             bool(zones) and all(zone in row_by_zone for zone in zones)
--- a/chervilspindle/routing/evacuations.py
+++ b/chervilspindle/routing/evacuations.py
@@ -11,6 +11,9 @@
 RETURN_S = 10.0
 # Some requests go to the zone at once, so that it shows whether it works.
 FIRST_SHARE = 0.05
+# When an entry uses the relays of the zone again, as a share of `RETURN_S`
+# and drawn by each entry. Before, these would send most parts to other zones.
+MIN_RELAYS_SHARE = 0.3
 
 
 class EvacuationChange(typing.NamedTuple):
@@ -78,6 +81,12 @@
         return avoided
 
 
+def draw_relays_delay_s(random) -> float:
+    """Return after which time an entry uses the relays of a returned zone."""
+    spread = 1.0 - MIN_RELAYS_SHARE
+    return RETURN_S * (MIN_RELAYS_SHARE + spread * random.random())
+
+
 def compute_return_share(elapsed_s: float) -> float:
     """Return the share of choices that include a zone that returns."""
     return min(1.0, max(FIRST_SHARE, elapsed_s / RETURN_S))
--- a/chervilspindle/routing/relay_selection.py
+++ b/chervilspindle/routing/relay_selection.py
@@ -212,6 +212,8 @@
         self.reported_s_by_address = {}
         self.queries_per_s = 0.0
         self.evacuated_zones = frozenset()
+        # Evacuated zones, and returned ones whose relays are not used yet.
+        self.avoided_zones = frozenset()
 
     def set_relays(self, fingerprint: int, relays):
         """Replace the list of relays by the one that control sent.
@@ -238,18 +240,25 @@
         """Set the zones to whose endpoints nothing is sent.
 
         Their relays would have to open connections to other zones, whose own
-        relays have them already.
+        relays have them already. A zone that returns is avoided until
+        `use_zone` is called; its relays open connections meanwhile.
         """
         self.evacuated_zones = frozenset(zones)
+        self._set_avoided_zones(self.avoided_zones | self.evacuated_zones)
+
+    def use_zone(self, zone: str):
+        """Use the relays of a returned zone from now on."""
+        if zone not in self.evacuated_zones:
+            self._set_avoided_zones(self.avoided_zones - {zone})
+
+    def _set_avoided_zones(self, zones):
+        self.avoided_zones = zones
         self.ranked_by_group = {}
         self.revision += 1
 
     def _list_zones_in_use(self, group):
-        """Return the zones of a group that are not evacuated, or else all."""
-        if not self.evacuated_zones:
-            return group.zones
-        zones = [z for z in group.zones if z not in self.evacuated_zones]
-        return tuple(zones) or group.zones
+        """Return the zones of a group that are not avoided, or else all."""
+        return _leave_out(group.zones, self.avoided_zones)
 
     def set_query_rate(self, queries_per_s: float | None):
         """Set the query rate of the whole system.
@@ -437,7 +446,7 @@
             if shards in self.direct_shards:
                 continue
             for group in groups:
-                zones = self._list_zones_in_use(group)
+                zones = _leave_out(group.zones, self.evacuated_zones)
                 if zones and self.zone not in zones:
                     continue
                 ranked = self._rank(group, self.zone)
@@ -524,5 +533,12 @@
         return self.failed_s_by_address.get(relay.address, -math.inf)
 
 
+def _leave_out(zones, left_out):
+    """Return the zones without some others, or all if none is left."""
+    if not left_out:
+        return zones
+    return tuple(z for z in zones if z not in left_out) or zones
+
+
 def _hash(*keys) -> int:
     return zlib.crc32(" ".join(keys).encode())
--- a/chervilspindle/routing/zone_evacuation_test.py
+++ b/chervilspindle/routing/zone_evacuation_test.py
@@ -365,10 +365,40 @@
     assert table.pick(group).zone in "bc"
     assert table.pick_from_other_zone(group).zone in "bc"
     assert not table.list_relayed_services()
+    table.use_zone("a")
+    assert table.pick(group).zone in "bc"
     table.set_evacuated_zones({"a", "b", "c"})
     assert table.pick(group).zone == "a"
 
 
+def test_relays_of_a_returned_zone_are_ready_before_they_are_used():
+    """Guards against relays that have to connect to each endpoint first."""
+    zones = {s: {"a", "b", "c"} for s in relay_selection_test.SHARDS}
+    for relay in relay_selection_test.build_relays(102):
+        table = relay_selection_test.build_table(relay.vm_id, "a")
+        table.add_endpoint_zones(zones)
+        if relay.zone == "a" and table.list_relayed_services():
+            break
+    relayed = table.list_relayed_services()
+    group, *_ = table.get_groups(relay_selection_test.SHARDS)
+    table.set_evacuated_zones({"a"})
+    table.set_evacuated_zones(())
+    assert relayed and table.list_relayed_services() == relayed
+    assert table.pick(group).zone in "bc"
+    table.use_zone("a")
+    assert table.pick(group).zone == "a"
+
+
+def test_entries_use_the_relays_of_a_returned_zone_one_after_the_other():
+    """Guards against a whole zone of entries that returns at a moment."""
+    generator = random.Random(1)
+    delays = sorted(
+        evacuations.draw_relays_delay_s(generator) for _ in range(27)
+    )
+    assert 2.9 < delays[0] < 4.5 and 8.5 < delays[-1] <= evacuations.RETURN_S
+    assert 8 <= sum(d < 6.5 for d in delays) <= 19
+
+
 def test_a_full_delta_replaces_the_evacuated_zones():
     """Guards against zones that stay out after control was read anew."""
     state = evacuations.Evacuations()
