--- a/features/two_builds_test.py
+++ b/features/two_builds_test.py
@@ -174,6 +174,7 @@
         ("b842c94", "control first"),
         ("1e4cc41", "alternating"),
         ("a2516e4", "entries first"),
+        ("f5cca99", "alternating"),
     ),
 )
 def test_callers_notice_nothing_of_an_upgrade(commit, order, tmp_path):
