--- a/chervilspindle/platform/control_api.py
+++ b/chervilspindle/platform/control_api.py
@@ -182,10 +182,10 @@
         zone = _parse_zone(exchange)
         if not zone or len(zone) > endpoint_checks.MAX_NAME_CHARACTERS:
             reply = messages.EvacuationReply(not evacuated)
-            _respond_evacuation(reply, exchange, zone)
+            _respond_evacuation(reply, exchange)
             return
         deferred = self.frontend.set_evacuated(zone, evacuated)
-        deferred.addCallback(_respond_evacuation, exchange, zone)
+        deferred.addCallback(_respond_evacuation, exchange)
         deferred.addErrback(_respond_unavailable, exchange, "evacuation")
 
     def _list_evacuations(self, exchange):
@@ -218,14 +218,11 @@
     return urllib.parse.unquote(encoded.decode("utf-8", "replace"))
 
 
-def _respond_evacuation(reply, exchange, zone):
+def _respond_evacuation(reply, exchange):
     if reply.known:
         exchange.respond(200, JSON_HEADERS, b"{}")
-        return
-    shown = zone[: endpoint_checks.MAX_NAME_CHARACTERS]
-    logs.log_decision("call-refused", call="evacuation", status=404, why=shown)
-    body = msgspec.json.encode({"error": "unknown zone"})
-    exchange.respond(404, JSON_HEADERS, body)
+    else:
+        _respond_refused(exchange, 404, "evacuation", "unknown zone")
 
 
 def _respond_evacuations(reply, exchange):
@@ -250,15 +247,19 @@
 
 
 def _respond_bad_request(exchange, call, reason):
+    _respond_refused(exchange, 400, call, reason)
+
+
+def _respond_refused(exchange, status, call, reason):
     logs.log_decision(
         "call-refused",
         call=call,
         target=exchange.request.target.decode("latin-1")[:MAX_ID_BYTES],
-        status=400,
+        status=status,
         why=reason[:MAX_REASON_CHARACTERS],
     )
     body = msgspec.json.encode({"error": reason[:MAX_REASON_CHARACTERS]})
-    exchange.respond(400, JSON_HEADERS, body)
+    exchange.respond(status, JSON_HEADERS, body)
 
 
 def _respond_unavailable(failure, exchange, call):
