--- a/chervilspindle/cli.py
+++ b/chervilspindle/cli.py
@@ -5,6 +5,8 @@
 import random
 import sys
 import time
+import typing
+import urllib.parse
 import uuid
 
 import defopt
@@ -23,6 +25,25 @@
 TOKEN_VARIABLE = "CHERVILSPINDLE_TOKEN"
 DEFAULT_SERVER = "http://127.0.0.1:8080"
 ANSWER_TIMEOUT_S = 10.0
+RESEND_S = 6.0  # for a command to any member, until it is acknowledged
+RESEND_PAUSE_S = 0.2
+RESENT_STATUSES = (408, 429)
+MEMBER_TIMEOUT_S = 1.0  # a control member that is slower is passed over
+
+
+class RequestError(RuntimeError):
+    """A request was answered with another status than 200.
+
+    Parameters
+    ----------
+    status : int
+    text : str
+        Body of the answer.
+    """
+
+    def __init__(self, status: int, text: str):
+        super().__init__(text or f"status {status}")
+        self.status = status
 
 
 def serve(*, settings: str):
@@ -87,6 +108,51 @@
     print(f"{file}: correct")
 
 
+def check_config(
+    file: str, *, against: str = "", settings: str = "", json: bool = False
+):
+    """Check a configuration before it is sent; changes nothing.
+
+    Reports errors for which control would refuse it, probable mistakes, and
+    what differs from the version in force. Exit codes: 0 nothing to report
+    but differences, 1 `against` or `settings` cannot be read, 2 refused, 3
+    accepted with probable mistakes.
+
+    :param file: routing document, or file with both lists
+    :param against: version in force: a file, or URL of a control member or,
+        for lists, of an entry
+    :param settings: settings file of the platform, for the limits that it
+        has in force
+    :param json: print JSON for scripts
+    """
+    from chervilspindle import config_check
+
+    try:
+        with open(file, "rb") as handle:
+            data = handle.read()
+    except OSError as error:
+        _exit(EXIT_INVALID_INPUT, f"{file}: {error}")
+    parsed = config_check.parse(data, file)
+    rules = in_force = None
+    try:
+        if settings:
+            rules = config_check.read_rules(settings)
+        if against:
+            path = config_check.PATH_BY_KIND[parsed.kind]
+            stored = _read_file_or_url(against, path)
+            in_force = config_check.parse_in_force(
+                stored, parsed.kind, against
+            )
+    except (OSError, ValueError, RuntimeError) as error:
+        _exit(config_check.EXIT_UNREADABLE, f"cannot be read: {error}")
+    report = config_check.check(parsed, in_force, rules)
+    formatted = config_check.format_text(report, file)
+    if json:
+        formatted = config_check.format_json(report, file)
+    print(formatted)
+    sys.exit(report.get_exit_code())
+
+
 def apply(
     file: str,
     *,
@@ -151,6 +217,41 @@
     _print_body("GET", f"{server}/v1/explain/{request_id}")
 
 
+def zone(
+    action: typing.Literal["out", "back", "list"],
+    name: str = "",
+    *,
+    server: str = DEFAULT_SERVER,
+    control: str = "",
+):
+    """Evacuate a zone, take that back, or list the evacuated zones.
+
+    Nothing is sent to the endpoints of an evacuated zone.
+
+    :param action: out, back or list
+    :param name: name of the zone
+    :param server: URL of any entry
+    :param control: comma-separated URLs of control members, for a routed
+        deployment
+    """
+    if bool(name) == (action == "list"):
+        _exit(EXIT_INVALID_INPUT, f"zone {action}: a name is for out and back")
+    method = {"out": "POST", "back": "DELETE", "list": "GET"}[action]
+    path = f"/{urllib.parse.quote(name, safe='')}" if name else ""
+    urls = [f"{server}/v1/evacuations{path}"]
+    timeout_s = ANSWER_TIMEOUT_S
+    if control:
+        urls = [f"{url}/api/evacuation{path}" for url in control.split(",")]
+        timeout_s = MEMBER_TIMEOUT_S
+
+    @defer.inlineCallbacks
+    def run():
+        body = yield _request_any(method, urls, timeout_s)
+        print(json.dumps(body, indent=2))
+
+    _run(run)
+
+
 def token(name: str):
     """Create a token and print it with its digest for the lists file.
 
@@ -291,10 +392,12 @@
             serve,
             init,
             check,
+            check_config,
             apply,
             show,
             status,
             explain,
+            zone,
             token,
             settings_reference,
             endpoint,
@@ -318,13 +421,31 @@
     return loaded
 
 
+def _read_file_or_url(source, path) -> bytes:
+    """Read a file, or the path of a server."""
+    if not source.startswith(("http://", "https://")):
+        with open(source, "rb") as handle:
+            return handle.read()
+    url = urllib.parse.urlsplit(source)
+    if url.path in ("", "/"):
+        source = urllib.parse.urlunsplit(url._replace(path=path))
+    bodies = []
+
+    @defer.inlineCallbacks
+    def run():
+        bodies.append((yield _request("GET", source)))
+
+    _run(run)
+    return json.dumps(bodies[0]).encode()
+
+
 def _exit(code, text):
     print(text, file=sys.stderr)
     sys.exit(code)
 
 
 @defer.inlineCallbacks
-def _request(method, url, headers=None, data=None):
+def _request(method, url, headers=None, data=None, timeout_s=ANSWER_TIMEOUT_S):
     import treq
 
     response = yield treq.request(
@@ -336,14 +457,40 @@
         },
         data=data,
         persistent=False,
-        timeout=ANSWER_TIMEOUT_S,
+        timeout=timeout_s,
     )
     body = yield treq.content(response)
     if response.code != 200:
-        raise RuntimeError(body.decode())
+        raise RequestError(response.code, body.decode(errors="replace"))
     return json.loads(body)
 
 
+@defer.inlineCallbacks
+def _request_any(method, urls, timeout_s):
+    """Send a command to one URL after the other until it is acknowledged.
+
+    It may be sent again: each copy has the same effect.
+    """
+    from twisted.internet import reactor
+    from twisted.internet import task
+
+    due = time.monotonic() + RESEND_S
+    while True:
+        for url in urls:
+            try:
+                return (yield _request(method, url, timeout_s=timeout_s))
+            except RequestError as error:
+                failure = error
+                is_final = 400 <= error.status < 500
+                if is_final and error.status not in RESENT_STATUSES:
+                    raise
+            except Exception as error:  # whatever keeps a member from reach
+                failure = error
+        if time.monotonic() > due:
+            raise failure
+        yield task.deferLater(reactor, RESEND_PAUSE_S)
+
+
 @defer.inlineCallbacks
 def _await_revision(server, revision):
     """Wait until every VM has confirmed a revision; return the time in ms."""
