--- a/chervilspindle/accounts/quota_permits.py
+++ b/chervilspindle/accounts/quota_permits.py
@@ -208,7 +208,7 @@
         )
         self.lists = [EntryList(now, self.lists[-1].relays)]
         for name, issued in self.issued_by_name.items():
-            issued.handover = None
+            issued.handover = issued.successor = None
             self._rank(name, issued)
 
     def update_entries(self):
