Tests: a lost issuer of permits is silent

The handler returned an asyncio future, which cannot be sent: the caller got an error at once, and the test showed nothing of a call without a reply.

--- a/chervilspindle/routing/rate_limit_test.py
+++ b/chervilspindle/routing/rate_limit_test.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+from twisted.internet import defer
+
 from chervilspindle.core import loops
 from chervilspindle.core import timers as timers_module
 from chervilspindle.platform import names as platform_names
@@ -226,7 +228,7 @@
         numbers = [i for i, e in enumerate(fleet.entries) if e is not lost]
 
         def lose():
-            lost.network.handler = lambda link, message: asyncio.Future()
+            lost.network.handler = lambda link, message: defer.Deferred()
 
         fleet.loop.call_later(2.0, lose)
         answers = await fleet.ask_evenly("/one/x", 40.0, 7.0, numbers)
