--- a/chervilspindle/query/directory.py
+++ b/chervilspindle/query/directory.py
@@ -128,6 +128,15 @@
             return False
         return self.get_route(endpoint.endpoint_id) is not None
 
+    def is_all_evacuated(self) -> bool:
+        """Tell whether all endpoints are in evacuated zones."""
+        if not self.evacuated_zones or not self.endpoint_by_id:
+            return False
+        return all(
+            endpoint.zone in self.evacuated_zones
+            for endpoint in self.endpoint_by_id.values()
+        )
+
     def plan_query(self, services, key_slot=None, excluded=frozenset()):
         """Return the plan of a query, cached; see `coverage.plan_query`."""
         query = (services, key_slot, excluded)
@@ -200,9 +209,8 @@
                 "zone-evacuated" if zone in after else "zone-returned",
                 zone=zone,
             )
-        zones = {e.zone for e in self.endpoint_by_id.values()}
-        if zones and zones.issubset(after):
-            logs.log_decision("all-zones-evacuated", zones=sorted(zones))
+        if self.is_all_evacuated():
+            logs.log_decision("all-zones-evacuated", evacuated=sorted(after))
         changed_ids.update(
             endpoint_id
             for endpoint_id, endpoint in self.endpoint_by_id.items()
--- a/chervilspindle/query/entry.py
+++ b/chervilspindle/query/entry.py
@@ -482,6 +482,9 @@
         self.metrics.set_state(
             "evacuated_zones", len(self.directory.evacuated_zones)
         )
+        self.metrics.set_state(
+            "all_zones_evacuated", int(self.directory.is_all_evacuated())
+        )
         self.metrics.set_state("owned", len(self.owner.owned_by_id))
         self.metrics.set_state("work", self.owner.count_work())
 
--- a/chervilspindle/query/owner_test.py
+++ b/chervilspindle/query/owner_test.py
@@ -506,9 +506,11 @@
     evacuate(harness, ("z", "elsewhere"))
     (missing,) = directory.plan_query(("s",)).missing
     assert missing.reason == "zone_out"
+    assert directory.is_all_evacuated()
     harness.apply_rows(row._replace(state="draining", sequence=3))
     (missing,) = directory.plan_query(("s",)).missing
     assert missing.reason == "no_endpoint"
     harness.apply_rows(row._replace(sequence=4))
     evacuate(harness, (), ("z",))
     assert directory.plan_query(("s",)).missing == ()
+    assert not directory.is_all_evacuated()
