Endpoints: load balancing with stale load information, by a setting

With spread_load, a stated load fades to the mean of its zone as fast as loads are seen to change, own sends since are added, a queue counts by the time that all slots need for it, and chance decides between what is not known. Off by default; no choice changes then.

--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -3,6 +3,7 @@
 import random
 import typing
 
+from chervilspindle.policy import spreading
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import endpoints
@@ -45,6 +46,7 @@
     network,
     metrics,
     seed,
+    spread_load: bool = False,
 ) -> endpoint_calls.Context:
     """Build the context of an entry.
 
@@ -59,6 +61,8 @@
     metrics : RoutingMetrics
     seed : str
         Seed of the random number generator.
+    spread_load : bool
+        Whether endpoints are chosen as `spreading` describes.
     """
     names = endpoint_calls.encode_header_names(header_names)
     generator = random.Random(seed)
@@ -72,6 +76,8 @@
             receive_limits.compute_budget_bytes(profile.memory_mb)
         ),
     )
+    if spread_load:
+        table.loads = spreading.LoadMemory()
     reachability = reachability_module.Reachability(
         loop, table, generator, metrics.set_cut_off
     )
--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -82,7 +82,7 @@
 class World:
     """One entry and two endpoints of each service."""
 
-    def __init__(self, loop, base=100.0):
+    def __init__(self, loop, base=100.0, spread_load=False):
         self.loop = loop
         clock = loops.LoopClock(loop)
         self.timers = timers_module.TimerService(clock)
@@ -97,6 +97,7 @@
             network,
             metrics_module.RoutingMetrics(),
             "test",
+            spread_load,
         )
         context.budget.vms = 1
         context.latency_estimates.lag_ms = 0.0
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -480,8 +480,8 @@
     health = target.health
     stated = parse_load(value)
     if stated is not None:
-        selection.record_load(
-            health, stated.running, stated.waiting, stated.slots, now
+        context.table.record_load(
+            target, stated.running, stated.waiting, stated.slots
         )
         if stated.slowness is not None:
             selection.record_slowness(
--- a/chervilspindle/routing/endpoint_choice_test.py
+++ b/chervilspindle/routing/endpoint_choice_test.py
@@ -218,3 +218,28 @@
     assert arrived_ms[0] >= usual_ms - 2.0
     if speed == b"250":
         assert arrived_ms[0] >= 1.6 * usual_ms
+
+
+def test_load_is_spread_only_where_the_settings_ask_for_it():
+    """The setting costs no request and no connection more than without."""
+    arrived = []
+    for spread_load in (False, True):
+
+        async def test(world, is_on=spread_load):
+            for number in range(5):
+                status, _, _ = await world.ask("/all/x", f"id-{number}")
+                assert status == 200
+            loads = world.table.loads
+            assert (loads is not None) == is_on
+            assert loads is None or loads.stated_s_by_zone
+            backends = world.backend_by_id.values()
+            arrived.append(sum(len(b.arrivals_s) for b in backends))
+
+        data_path_test.run_in_world(
+            lambda loop, on=spread_load: data_path_test.World(
+                loop, spread_load=on
+            ),
+            test,
+            10,
+        )
+    assert arrived[0] == arrived[1] == 5 * len(data_path_test.SHARDS)
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -8,6 +8,7 @@
 from chervilspindle.core import endpoint_checks
 from chervilspindle.core import logs
 from chervilspindle.core import rows
+from chervilspindle.policy import spreading
 from chervilspindle.policy import stated_speed
 from chervilspindle.routing import overload
 from chervilspindle.routing import permission
@@ -61,7 +62,8 @@
         self.on_event = on_event
         self.receive_budget = receive_budget
         self.link_observer = endpoint_http.LinkObserver()
-        self.persistence = stated_speed.Persistence()  # of stated speeds
+        self.loads = None  # a `spreading.LoadMemory` where load is spread
+        self.persistence = stated_speed.build_persistence()
         self.vms = 1
         self.revision = 0  # incremented when an endpoint is put or dropped
         self.connections_by_service = {}
@@ -303,10 +305,47 @@
             slowness = selection.estimate_slowness(
                 health, self.persistence, now
             )
+        waiting = None
+        if self.loads is not None:
+            waiting = self._draw_waiting(target, now)
         return selection.compute_cost(
-            health, view, now, best_ms, other_zone_ms, slowness
+            health, view, now, best_ms, other_zone_ms, slowness, waiting
         )
 
+    def _draw_waiting(self, target, now) -> float:
+        health = target.health
+        load_s = health.load_s
+        running = target.pool.running
+        sent_since = 0
+        if running:
+            sent_since = sum(s > load_s for s in running.values())
+        return spreading.draw_waiting(
+            self.loads,
+            target.endpoint.zone,
+            health.load,
+            load_s,
+            sent_since,
+            len(running),
+            health.slots,
+            now,
+            self.random,
+        )
+
+    def record_load(
+        self, target: Target, running: int, waiting: int, slots: int
+    ):
+        """Record the load that an endpoint stated with an answer."""
+        now = self.loop.time()
+        health = target.health
+        earlier, earlier_s = health.load, health.load_s
+        selection.record_load(health, running, waiting, slots, now)
+        if self.loads is not None:
+            self.loads.observe(target.endpoint.zone, health.load, now)
+            if earlier_s:
+                self.loads.persistence.observe(
+                    earlier, health.load, now - earlier_s
+                )
+
     def _build(self, endpoint):
         pool = endpoint_http.EndpointPool(
             self.loop,
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -94,6 +94,8 @@
         None where quotas of client accounts are not in force.
     cold_rule : shared_limits.ColdRule or None
         None where endpoints that are cold have no limit.
+    spread_load : bool
+        Whether entries choose endpoints as `spreading` describes.
     """
 
     vm_id: str
@@ -115,6 +117,7 @@
     memory_mb: float
     quota_rule: shared_limits.QuotaRule | None = None
     cold_rule: shared_limits.ColdRule | None = None
+    spread_load: bool = False
 
 
 class Adapter(typing.NamedTuple):
@@ -275,6 +278,7 @@
             self.network,
             self.metrics,
             f"{settings.vm_id} {os.getpid()}",
+            settings.spread_load,
         )
         self.context = context
         self.entry_peer = peer_messages.EntryPeer(context)
--- a/chervilspindle/routing/process_test.py
+++ b/chervilspindle/routing/process_test.py
@@ -65,8 +65,8 @@
     )
 
 
-@pytest.fixture
-def entry():
+def build_entry(**changes):
+    """Build an entry with changed settings, and its loop."""
     loop = uvloop.new_event_loop()
     asyncio.set_event_loop(loop)
     clock = loops.LoopClock(loop)
@@ -81,14 +81,25 @@
         None,
         None,
     )
-    yield process.EntryProcess(
-        clock,
-        loop,
-        clock,
-        platform_settings.decode_settings(json.dumps(settings).encode()),
-        adapter,
-        None,
+    decoded = platform_settings.decode_settings(json.dumps(settings).encode())
+    entry = process.EntryProcess(
+        clock, loop, clock, decoded._replace(**changes), adapter, None
     )
+    return entry, loop
+
+
+@pytest.fixture
+def entry():
+    entry, loop = build_entry()
+    yield entry
+    loop.run_until_complete(asyncio.sleep(0))
+    loop.close()
+
+
+@pytest.mark.parametrize("is_on", (False, True))
+def test_load_is_spread_where_the_settings_say_so(is_on):
+    entry, loop = build_entry(spread_load=is_on)
+    assert (entry.context.table.loads is not None) == is_on
     loop.run_until_complete(asyncio.sleep(0))
     loop.close()
 
--- a/chervilspindle/routing/selection.py
+++ b/chervilspindle/routing/selection.py
@@ -197,7 +197,7 @@
     health : Health
     slowness : float
         See `stated_speed.parse_slowness`.
-    persistence : stated_speed.Persistence
+    persistence : persistence.Persistence
         Learns from it.
     now : float
         Loop time.
@@ -244,6 +244,7 @@
     best_ms: float = INITIAL_ANSWER_MS,
     other_zone_ms: float = OTHER_ZONE_PENALTY_MS,
     slowness: float = 1.0,
+    waiting: float | None = None,
 ) -> float:
     """Return the expected time to an answer plus penalties, in ms.
 
@@ -253,11 +254,16 @@
         Penalty of an endpoint in another zone.
     slowness : float
         See `estimate_slowness`.
+    waiting : float or None
+        Time until the request is started, in times of work, where it is
+        drawn; see `spreading`.
     """
     answer_ms = estimate_answer_ms(health, best_ms, now) * slowness
-    reported = decay_load(health, now, LOAD_DECAY_S)
-    load = max(reported, candidate.outstanding)
-    cost = answer_ms * (1.0 + max(0.0, load - health.slots + 1))
+    if waiting is None:
+        reported = decay_load(health, now, LOAD_DECAY_S)
+        load = max(reported, candidate.outstanding)
+        waiting = max(0.0, load - health.slots + 1)
+    cost = answer_ms * (1.0 + waiting)
     unresponsive_ms = max(MIN_UNRESPONSIVE_MS, UNRESPONSIVE_FACTOR * answer_ms)
     if candidate.oldest_pending_ms > unresponsive_ms:
         cost += UNRESPONSIVE_PENALTY_MS + candidate.oldest_pending_ms
