Endpoints: those that are cold get what the document states, from all VMs

Where the document states a rate and the rule is in force, each send to a cold endpoint needs a permit, and the limit holds in each second: new issuers start slowly, late permits are void, and VMs without an issuer keep to times of their own. No hedges go there, through relays either.

--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -3,6 +3,7 @@
 import random
 import typing
 
+from chervilspindle.policy import shared_limits
 from chervilspindle.policy import spreading
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
@@ -47,6 +48,7 @@
     metrics,
     seed,
     spread_load: bool = False,
+    cold_rule: shared_limits.ColdRule | None = None,
 ) -> endpoint_calls.Context:
     """Build the context of an entry.
 
@@ -63,6 +65,8 @@
         Seed of the random number generator.
     spread_load : bool
         Whether endpoints are chosen as `spreading` describes.
+    cold_rule : shared_limits.ColdRule or None
+        None where endpoints that are cold have no limit.
     """
     names = endpoint_calls.encode_header_names(header_names)
     generator = random.Random(seed)
@@ -82,6 +86,8 @@
         loop, table, generator, metrics.set_cut_off
     )
     table.link_observer = reachability
+    table.on_held_back = metrics.count_held_back
+    table.cold_rule = cold_rule
     relay_table = relay_selection.RelayTable(
         profile.vm_id,
         profile.zone,
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -12,6 +12,7 @@
 from chervilspindle.routing import documents
 from chervilspindle.routing import endpoints
 from chervilspindle.routing import permission
+from chervilspindle.routing import rate_permits
 from chervilspindle.routing import request_timing
 from chervilspindle.routing import retry_budget
 from chervilspindle.routing import selection
@@ -382,10 +383,14 @@
     Without a permit, or if the endpoint wants nothing now, the call ends as
     `Ending.HELD_BACK`.
     """
-    verdict = permission.evaluate(
-        send.target.restrictions, context.loop.time()
-    )
-    send.call.pool = send.target.pool
+    now = context.loop.time()
+    target = send.target
+    permission.suspect_cold(target.restrictions, target.pool.failed_s, now)
+    verdict = permission.evaluate(target.restrictions, now)
+    send.call.pool = target.pool
+    if send.cause == "hedge" and verdict.reason == permission.COLD:
+        _hold_back(send, verdict.reason, context)
+        return
     if not verdict.needs_permit:
         if verdict.allowed:
             send.target.pool.submit(send.call)
@@ -415,6 +420,8 @@
     remaining_ms = (call.deadline_s - DEADLINE_GRACE_S - now) * 1000.0
     call.data = send.template.build(target.endpoint.endpoint_id, remaining_ms)
     call.send_by_s = now + PERMIT_LIFETIME_S
+    if permission.is_limited_by_cold(target.restrictions, now):
+        call.send_by_s = now + rate_permits.COLD_PERMIT_LIFETIME_S
     permission.record_send(target.restrictions, send.cause, now)
     target.pool.submit(call)
 
@@ -525,12 +532,31 @@
         )
         if not is_read:
             context.metrics.count_event("ignored-retry-after")
+    turned_cold = _record_cold(target, answer, now, context)
     verdict = permission.evaluate(restrictions, now)
-    if not verdict.allowed and not verdict.needs_permit:
+    if turned_cold or not verdict.allowed and not verdict.needs_permit:
         for _ in range(target.pool.hold_back_waiting()):
             context.metrics.count_held_back(verdict.reason)
 
 
+def _record_cold(target, answer, now, context) -> bool:
+    """Record how long the endpoint says that it stays cold, if it does.
+
+    Returns
+    -------
+    bool
+        Whether sends have to stop that were allowed without a permit.
+    """
+    value = answer.get_header(context.names.lower.cold_left_ms)
+    if value is None:
+        return False
+    left_s = permission.parse_cold_left_s(value)
+    if left_s is None:
+        context.metrics.count_event("malformed-cold-time")
+        return False
+    return permission.record_cold(target.restrictions, left_s, now)
+
+
 class StatedLoad(typing.NamedTuple):
     """What an endpoint states of its load.
 
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -12,6 +12,7 @@
 from chervilspindle.policy import stated_speed
 from chervilspindle.routing import overload
 from chervilspindle.routing import permission
+from chervilspindle.routing import rate_permits
 from chervilspindle.routing import selection
 from chervilspindle.wire import endpoint_http
 
@@ -71,6 +72,9 @@
         # Ids and incarnations of dropped endpoints that said they are leaving.
         self.leaving_processes = collections.OrderedDict()
         self.targets_by_service = {}
+        self.cold_rule = None
+        self.cold_service_by_name = {}
+        self.on_held_back = _ignore
 
     def put(self, endpoint: rows.Endpoint):
         """Add or update an endpoint; drop it if its state is not usable.
@@ -107,6 +111,56 @@
         self.target_by_id[endpoint.endpoint_id] = target
         targets = self.targets_by_service.setdefault(endpoint.service, {})
         targets[endpoint.endpoint_id] = target
+        self._apply_cold(target, current)
+
+    def set_services(self, service_by_name):
+        """Apply what a document states of the services' endpoints.
+
+        Parameters
+        ----------
+        service_by_name : dict of str to documents.Service
+        """
+        self.cold_service_by_name = {
+            name: service
+            for name, service in service_by_name.items()
+            if service.cold_start_s or service.cold_requests_per_s
+        }
+        for target in self.target_by_id.values():
+            self._set_cold_limit(target)
+
+    def _set_cold_limit(self, target):
+        service = self.cold_service_by_name.get(target.endpoint.service)
+        per_s, longest_s = None, 0.0
+        if service is not None:
+            longest_s = service.cold_start_s
+            if self.cold_rule is not None and service.cold_requests_per_s > 0:
+                share = self.cold_rule.overload / rate_permits.COLD_OVERLOAD
+                per_s = service.cold_requests_per_s * min(1.0, share)
+        permission.set_cold_limit(target.restrictions, per_s, longest_s)
+
+    def _apply_cold(self, target, previous):
+        """Apply whether control says that an endpoint is cold.
+
+        Only what has changed is applied: the endpoint's own answers may be
+        newer than the row.
+        """
+        restrictions = target.restrictions
+        is_kept = (
+            previous is not None and previous.restrictions is restrictions
+        )
+        was_cold = is_kept and previous.endpoint.state == "warming"
+        if target.endpoint.state != "warming":
+            if was_cold:
+                permission.record_cold(restrictions, 0.0, self.loop.time())
+        elif not was_cold:
+            permission.record_cold(restrictions, None, self.loop.time())
+            self._set_cold_limit(target)
+            if restrictions.cold_per_s:
+                self._hold_back_waiting(target, permission.COLD)
+
+    def _hold_back_waiting(self, target, reason):
+        for _ in range(target.pool.hold_back_waiting()):
+            self.on_held_back(reason)
 
     def drop(self, endpoint_id: str, reason: str):
         """Remove an endpoint; requests in progress there may complete."""
@@ -284,6 +338,8 @@
                     first_opening, opening_s = target, verdict.retry_s
                 continue
             cost = self.compute_cost(target, now, best_ms, other_zone_ms)
+            if verdict.reason == permission.COLD:
+                cost += selection.COLD_LIMIT_PENALTY_MS
             cost *= 1.0 + 0.1 * self.random.random()
             if best is None or cost < best_cost:
                 best, best_cost = target, cost
@@ -296,7 +352,8 @@
             len(pool.running),
             pool.get_oldest_age_s(now) * 1000.0,
             target.same_zone,
-            target.endpoint.state == "warming",
+            target.endpoint.state == "warming"
+            or target.restrictions.cold_until_s > now,
             pool.has_room(),
         )
         health = target.health
@@ -359,13 +416,15 @@
         restrictions = permission.Restrictions(endpoint.endpoint_id)
         process_key = _get_process_key(endpoint)
         restrictions.leaving = process_key in self.leaving_processes
-        return Target(
+        target = Target(
             endpoint,
             pool,
             selection.Health(endpoint.slots),
             restrictions,
             endpoint.zone == self.zone,
         )
+        self._set_cold_limit(target)
+        return target
 
     def _get_limit(self, service):
         total = self.connections_by_service.get(service, 0)
@@ -375,6 +434,10 @@
         return max(MIN_CONNECTIONS, min(MAX_CONNECTIONS, share))
 
 
+def _ignore(reason):
+    """Count nothing."""
+
+
 def find_best_ms(targets) -> float:
     """Return the lowest typical response time of some endpoints, in ms."""
     best = math.inf
--- a/chervilspindle/routing/entry.py
+++ b/chervilspindle/routing/entry.py
@@ -54,6 +54,7 @@
                 return False
         self.routes = documents.RouteTable(document)
         self.document = document
+        self.context.table.set_services(document.service_by_name)
         logs.log_decision(
             "document-in-force",
             version=document.version,
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -218,7 +218,7 @@
         tried = {s.service: tuple(s.tried) for s in shards if s.tried}
         dispatch.start([s.service for s in shards], tried)
 
-    def _send_via_relay(self, relay, shards, tried):
+    def _send_via_relay(self, relay, shards, tried, is_hedge=False):
         elapsed_ms = self.read_elapsed_ms()
         report_ms = max(
             request_timing.MIN_REPORT_MS, self.timing.report_ms - elapsed_ms
@@ -229,6 +229,7 @@
             report_ms,
             self.incoming.route.top_k,
             self.incoming.route.objective_ms,
+            is_hedge,
         )
         dispatch = self.context.relays.send(
             relay,
@@ -588,7 +589,10 @@
         self._log_resends(allowed, cause)
         for relay, grouped in shards_by_relay.items():
             self._send_via_relay(
-                relay, grouped, tuple(tuple(s.tried) for s in grouped)
+                relay,
+                grouped,
+                tuple(tuple(s.tried) for s in grouped),
+                cause == "hedge",
             )
         if direct:
             self._send_ungrouped(direct, cause)
--- a/chervilspindle/routing/permission.py
+++ b/chervilspindle/routing/permission.py
@@ -5,11 +5,17 @@
 see `rate_permits`. One that turns a request away may ask for a pause, and one
 that is leaving says so; neither is sent anything by this VM from then on, the
 one until the pause ends, the other for good.
+
+An endpoint that is cold takes little from all VMs together. Where the document
+states a rate for its service and the rule is in force, sends to it need a
+permit as well. How long it stays cold comes from its announcement, from its
+answers, or else from the document.
 """
 
 import collections
 import email.utils
 import math
+import re
 import typing
 
 from chervilspindle.core import logs
@@ -18,6 +24,13 @@
 MAX_PAUSE_S = 600.0
 # Pauses end later by up to this share, so that VMs don't return together.
 PAUSE_SPREAD = 0.1
+# A longer time that an endpoint states to stay cold is not believed.
+MAX_COLD_S = 3600.0
+# Within this time control has heard of an endpoint that has started, and all
+# VMs of it.
+SUSPECTED_S = 2.0
+COLD_LEFT_PATTERN = re.compile(rb"\s*(\d{1,9})(?:\.\d{1,9})?\s*")
+COLD = "cold"  # reason of verdicts
 
 
 class Restrictions:
@@ -41,6 +54,13 @@
         Sends since `logged_s`, while there is a limit.
     logged_s : float
         Loop time of the last summary of sends.
+    cold_from_s : float
+        Loop time at which this VM learned that the endpoint is cold.
+    cold_until_s : float
+        Loop time until which the endpoint is cold; infinite if not known.
+    cold_per_s : float or None
+        Requests per second that it takes from all VMs together while it is
+        cold; None if there is no such limit.
     """
 
     __slots__ = (
@@ -52,6 +72,9 @@
         "leaving",
         "sends_by_cause",
         "logged_s",
+        "cold_from_s",
+        "cold_until_s",
+        "cold_per_s",
     )
 
     def __init__(self, endpoint_id: str):
@@ -63,6 +86,9 @@
         self.leaving = False
         self.sends_by_cause = collections.Counter()
         self.logged_s = -math.inf
+        self.cold_from_s = -math.inf
+        self.cold_until_s = -math.inf
+        self.cold_per_s = None
 
 
 class Verdict(typing.NamedTuple):
@@ -92,11 +118,146 @@
         return Verdict(False, False, math.inf, "leaving")
     if restrictions.paused_until_s > now:
         return Verdict(False, False, restrictions.paused_until_s, "pause")
-    if restrictions.limit_per_s is None:
+    if restrictions.limit_per_s is not None:
+        reason = "limit"
+    elif restrictions.cold_per_s and restrictions.cold_until_s > now:
+        reason = COLD
+    else:
         return Verdict(True, False, now)
     if restrictions.closed_until_s > now:
-        return Verdict(False, True, restrictions.closed_until_s, "limit")
-    return Verdict(True, True, now, "limit")
+        return Verdict(False, True, restrictions.closed_until_s, reason)
+    return Verdict(True, True, now, reason)
+
+
+class SharedLimit(typing.NamedTuple):
+    """A limit on the sends of all VMs to an endpoint.
+
+    Parameters
+    ----------
+    per_s : float
+    age_s : float
+        Time since it was named.
+    is_cold : bool
+        Whether the endpoint is cold, so that the limit is a hard one.
+    """
+
+    per_s: float
+    age_s: float
+    is_cold: bool
+
+
+def get_shared_limit(restrictions: Restrictions, now: float) -> SharedLimit:
+    """Return the limit that a permit is needed for.
+
+    The endpoint has a limit, or had one when the permit was found to be
+    needed.
+    """
+    named = restrictions.limit_per_s
+    cold = restrictions.cold_per_s
+    if named is None or is_limited_by_cold(restrictions, now):
+        per_s = cold or 0.0
+        return SharedLimit(
+            per_s if named is None else min(per_s, named), 0.0, True
+        )
+    return SharedLimit(named, now - restrictions.named_s, False)
+
+
+def is_limited_by_cold(restrictions: Restrictions, now: float) -> bool:
+    """Tell whether an endpoint is cold and has a limit for that."""
+    return restrictions.cold_until_s > now and bool(restrictions.cold_per_s)
+
+
+def is_cold(restrictions: Restrictions, now: float) -> bool:
+    """Tell whether an endpoint is cold at a loop time."""
+    return restrictions.cold_until_s > now
+
+
+def parse_cold_left_s(value: bytes) -> float | None:
+    """Parse a time in ms that an endpoint stays cold; return s.
+
+    None if malformed.
+    """
+    match = COLD_LEFT_PATTERN.fullmatch(value)
+    if match is None:
+        return None
+    return min(float(value) / 1000.0, MAX_COLD_S)
+
+
+def record_cold(
+    restrictions: Restrictions, left_s: float | None, now: float
+) -> bool:
+    """Record how long an endpoint stays cold from now on.
+
+    Parameters
+    ----------
+    restrictions : Restrictions
+    left_s : float or None
+        0 if it is not cold; None if it is, for a time that is not known.
+    now : float
+        Loop time.
+
+    Returns
+    -------
+    bool
+        Whether sends have to stop that were allowed without a permit.
+    """
+    was_cold = is_cold(restrictions, now)
+    has_limit = bool(restrictions.cold_per_s)
+    if left_s is not None and left_s <= 0.0:
+        if was_cold:
+            restrictions.cold_until_s = now
+            if has_limit:
+                logs.log_decision(
+                    "endpoint-warm", endpoint=restrictions.endpoint_id
+                )
+        return False
+    restrictions.cold_from_s = now
+    restrictions.cold_until_s = math.inf if left_s is None else now + left_s
+    if was_cold or not has_limit:
+        return False
+    logs.log_decision(
+        "endpoint-cold",
+        endpoint=restrictions.endpoint_id,
+        left_ms=None if left_s is None else round(left_s * 1000.0),
+        limit_per_s=restrictions.cold_per_s,
+    )
+    return True
+
+
+def suspect_cold(restrictions: Restrictions, failed_s: float, now: float):
+    """Take an endpoint for cold that accepted no connection just before.
+
+    It may have been started again, before control has heard of it.
+
+    Parameters
+    ----------
+    failed_s : float
+        Loop time of the last failed connection attempt.
+    """
+    until_s = failed_s + SUSPECTED_S
+    if restrictions.cold_per_s and until_s > now:
+        if restrictions.cold_until_s < until_s:
+            restrictions.cold_until_s = until_s
+
+
+def set_cold_limit(
+    restrictions: Restrictions, per_s: float | None, longest_s: float
+):
+    """Set what the document states of endpoints that are cold.
+
+    Parameters
+    ----------
+    restrictions : Restrictions
+    per_s : float or None
+        Rate while the endpoint is cold; None if there is no limit.
+    longest_s : float
+        How long endpoints stay cold, where it is not known from the endpoint;
+        0 if not stated.
+    """
+    restrictions.cold_per_s = per_s
+    if longest_s and math.isinf(restrictions.cold_until_s):
+        until_s = restrictions.cold_from_s + longest_s
+        restrictions.cold_until_s = until_s
 
 
 def parse_limit(value: bytes) -> float | None:
@@ -235,8 +396,9 @@
 
 
 def record_send(restrictions: Restrictions, cause: str, now: float):
-    """Count a send to an endpoint that has named a limit."""
-    if restrictions.limit_per_s is None:
+    """Count a send to an endpoint that has named a limit, or is cold."""
+    limit = restrictions.limit_per_s
+    if limit is None and not restrictions.cold_per_s:
         return
     restrictions.sends_by_cause[cause] += 1
     if now - restrictions.logged_s >= SENDS_LOG_PERIOD_S:
@@ -247,7 +409,7 @@
     logs.log_decision(
         "endpoint-limited-sends",
         endpoint=restrictions.endpoint_id,
-        limit_per_s=restrictions.limit_per_s,
+        limit_per_s=get_shared_limit(restrictions, now).per_s,
         sends=dict(restrictions.sends_by_cause),
         period_s=round(now - restrictions.logged_s, 3),
     )
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -279,6 +279,7 @@
             self.metrics,
             f"{settings.vm_id} {os.getpid()}",
             settings.spread_load,
+            settings.cold_rule,
         )
         self.context = context
         self.entry_peer = peer_messages.EntryPeer(context)
--- a/chervilspindle/routing/rate_limit_test.py
+++ b/chervilspindle/routing/rate_limit_test.py
@@ -28,7 +28,7 @@
 class Entry:
     """An entry with its server for callers and its links to the others."""
 
-    def __init__(self, loop, clock, name, zone):
+    def __init__(self, loop, clock, name, zone, cold_rule=None):
         self.links = link_faults.FaultyLinks(loop)
         self.timers = timers_module.TimerService(clock)
         self.peer_address = data_path_test.find_address()
@@ -48,6 +48,7 @@
             self.network,
             metrics_module.RoutingMetrics(),
             name,
+            cold_rule=cold_rule,
         )
         self.context.latency_estimates.lag_ms = 0.0
         self.entry_peer = peer_messages.EntryPeer(self.context)
@@ -61,15 +62,25 @@
 class Fleet:
     """Entries that share two endpoints of each service.
 
-    Has what `data_path_test.run_in_world` needs.
+    Has what `data_path_test.run_in_world` needs. Cold endpoints take
+    `cold_per_s` for 60 s if the document is to say so.
     """
 
-    def __init__(self, loop, entries=4, services=("desk",)):
+    def __init__(
+        self,
+        loop,
+        entries=4,
+        services=("desk",),
+        cold_rule=None,
+        cold_per_s=0.0,
+    ):
         self.loop = loop
         self.services = services
+        self.cold_per_s = cold_per_s
         clock = loops.LoopClock(loop)
         self.entries = [
-            Entry(loop, clock, f"vm-{i}", "ab"[i % 2]) for i in range(entries)
+            Entry(loop, clock, f"vm-{i}", "ab"[i % 2], cold_rule)
+            for i in range(entries)
         ]
         self.backend_by_id = {
             f"{service}-{zone}": backends.Backend(
@@ -89,7 +100,7 @@
         for backend in self.backend_by_id.values():
             await backend.start()
         services = {
-            name: documents.Service(name, "/health", 40)
+            name: documents.Service(name, "/health", 40, 60.0, self.cold_per_s)
             for name in self.services
         }
         document = documents.Document(
@@ -144,12 +155,12 @@
         return await asyncio.gather(*asks)
 
 
-def find_busiest_window(arrivals_s, after_s):
+def find_busiest_window(arrivals_s, after_s, window_s=WINDOW_S):
     """Return the most arrivals in any window that starts at a given time."""
     times = [t for t in arrivals_s if t >= after_s]
     return max(
         (
-            sum(1 for t in times if start <= t < start + WINDOW_S)
+            sum(1 for t in times if start <= t < start + window_s)
             for start in times
         ),
         default=0,
--- a/chervilspindle/routing/rate_permits.py
+++ b/chervilspindle/routing/rate_permits.py
@@ -10,6 +10,12 @@
 keeps to a small part of the limit by itself. The sum over all VMs then stays
 below the limit plus `FALLBACK_SHARE` of it, however many VMs are cut off
 from the issuer.
+
+The limit of an endpoint that is cold holds in each second, since the endpoint
+crashes above it. An entry that becomes its issuer starts with a small part of
+the limit, as the one before it may still give out permits to VMs that have the
+old list; permits that come late are not used; and VMs without an issuer keep
+to times of their own.
 """
 
 import hashlib
@@ -17,6 +23,7 @@
 import typing
 
 from chervilspindle.core import logs
+from chervilspindle.routing import permission
 from chervilspindle.wire import messages
 
 # An endpoint that names less is still asked now and then, since only an
@@ -27,6 +34,16 @@
 ISSUER_SILENCE_S = 1.0  # before an issuer that failed is asked again
 FALLBACK_SHARE = 0.25  # of the limit, for all VMs without an issuer together
 PACER_IDLE_S = 30.0  # before an unused pacer is forgotten
+# For endpoints that are cold. What the issuer gives out with its burst and the
+# lifetime of a permit, a new issuer beside it, and VMs without an issuer add
+# up to less than this many times the limit in any second.
+COLD_OVERLOAD = 1.5
+COLD_BURST_S = 0.05
+COLD_PERMIT_LIFETIME_S = 0.1
+COLD_FALLBACK_SHARE = 0.1
+NEW_ISSUER_SHARE = 0.15
+# VMs get a new list of entries within this time, with a margin.
+NEW_ISSUER_S = 2.5
 
 
 class Reservation(typing.NamedTuple):
@@ -58,7 +75,14 @@
     burst_s : float
     """
 
-    __slots__ = ("rate_per_s", "named_s", "next_s", "burst_s", "used_s")
+    __slots__ = (
+        "rate_per_s",
+        "named_s",
+        "next_s",
+        "burst_s",
+        "used_s",
+        "started_s",
+    )
 
     def __init__(self, rate_per_s: float, first_s: float, burst_s: float):
         self.rate_per_s = rate_per_s
@@ -66,6 +90,7 @@
         self.next_s = first_s + burst_s
         self.burst_s = burst_s
         self.used_s = first_s
+        self.started_s = first_s
 
     def set_rate(self, rate_per_s: float, named_s: float):
         """Set the rate named at a time, unless a later one is known."""
@@ -82,6 +107,23 @@
         self.next_s = max(self.next_s, now) + 1.0 / self.rate_per_s
         return Reservation(True, wait_s)
 
+    def compute_issuer_share(self, now: float) -> float:
+        """Return the share of the limit of a cold endpoint to give out.
+
+        `now` is the time of a call. Pacers that were not used for a while
+        may belong to an entry that has become the issuer again.
+        """
+        if now - self.used_s > NEW_ISSUER_S:
+            self.started_s = now
+        is_new = now - self.started_s < NEW_ISSUER_S
+        return NEW_ISSUER_SHARE if is_new else 1.0
+
+    def skip_missed(self, now: float):
+        """Give up permits for past times without changing those to come."""
+        if self.next_s < now:
+            missed = math.ceil((now - self.next_s) * self.rate_per_s)
+            self.next_s += missed / self.rate_per_s
+
 
 class PermitIssuer:
     """Gives out permits for the endpoints that this entry is the issuer of.
@@ -109,16 +151,20 @@
             return messages.PermitReply(False, False, 0.0)
         now = self.read_clock()
         rate = max(call.limit_per_s, MIN_LIMIT_PER_S)
+        burst_s = COLD_BURST_S if call.is_cold else BURST_S
         pacer = self.pacer_by_endpoint.get(endpoint_id)
         if pacer is None:
             remove_idle(self.pacer_by_endpoint, now)
-            pacer = Pacer(rate, now, BURST_S)
+            pacer = Pacer(rate, now, burst_s)
             self.pacer_by_endpoint[endpoint_id] = pacer
             logs.log_decision(
                 "permits-issued-here",
                 endpoint=endpoint_id,
                 limit_per_s=call.limit_per_s,
             )
+        pacer.burst_s = burst_s
+        if call.is_cold:
+            rate *= pacer.compute_issuer_share(now)
         pacer.set_rate(rate, now - call.age_s)
         reservation = pacer.reserve(now, call.max_wait_s)
         return messages.PermitReply(True, *reservation)
@@ -153,7 +199,7 @@
         Parameters
         ----------
         target : endpoints.Target
-            Its endpoint names a limit.
+            Its endpoint names a limit, or is cold.
         max_wait_s : float
             How long the send may wait.
         on_result : callable
@@ -162,13 +208,14 @@
         """
         endpoint = target.endpoint
         now = self.loop.time()
-        restrictions = target.restrictions
+        limit = permission.get_shared_limit(target.restrictions, now)
         call = messages.PermitCall(
             endpoint.endpoint_id,
             endpoint.zone,
-            restrictions.limit_per_s,
-            now - restrictions.named_s,
+            limit.per_s,
+            limit.age_s,
             max_wait_s,
+            limit.is_cold,
         )
         request = _PermitRequest(self, target, call, on_result)
         issuer = choose_issuer(
@@ -196,7 +243,8 @@
         """Reserve a permit from this VM's part of the fallback share."""
         now = self.loop.time()
         limit = max(call.limit_per_s, MIN_LIMIT_PER_S)
-        rate = FALLBACK_SHARE * limit / max(1, self.budget.vms)
+        share = COLD_FALLBACK_SHARE if call.is_cold else FALLBACK_SHARE
+        rate = share * limit / max(1, self.budget.vms)
         pacer = self.fallback_by_endpoint.get(call.endpoint_id)
         if pacer is None:
             remove_idle(self.fallback_by_endpoint, now)
@@ -206,6 +254,9 @@
             pacer = Pacer(rate, first_s, 0.0)
             self.fallback_by_endpoint[call.endpoint_id] = pacer
         pacer.set_rate(rate, now)
+        if call.is_cold:
+            # Callers that come back together find most VMs without a permit.
+            pacer.skip_missed(now)
         return pacer.reserve(now, call.max_wait_s)
 
 
@@ -218,6 +269,7 @@
         self.call = call
         self.on_result = on_result
         self.timer = None
+        self.asked_s = client.loop.time()
         self.address = ""
         self.answered = False
 
@@ -235,9 +287,16 @@
         )
 
     def _handle_remote_reply(self, reply):
-        if not self.answered:
-            self.timer.cancel()
-            self.handle_reply(reply)
+        if self.answered:
+            return
+        if self.call.is_cold:
+            # This VM may have been stopped since it asked.
+            waited_s = self.client.loop.time() - self.asked_s
+            if waited_s > CALL_TIMEOUT_S:
+                self._fail("late answer")
+                return
+        self.timer.cancel()
+        self.handle_reply(reply)
 
     def _fail(self, reason):
         if self.answered:
@@ -273,10 +332,17 @@
             self.target.restrictions.closed_until_s = now + reservation.wait_s
             self.on_result(False)
         elif reservation.wait_s > 0.0:
-            loop.call_later(reservation.wait_s, self.on_result, True)
+            due_s = loop.time() + reservation.wait_s
+            loop.call_at(due_s, self._use, due_s)
         else:
             self.on_result(True)
 
+    def _use(self, due_s):
+        """Use a permit that holds from `due_s` on, unless it is late."""
+        late_s = self.client.loop.time() - due_s
+        is_late = self.call.is_cold and late_s > COLD_PERMIT_LIFETIME_S
+        self.on_result(not is_late)
+
 
 def remove_idle(pacer_by_endpoint, now: float):
     """Remove the pacers that were not used for `PACER_IDLE_S`."""
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -364,7 +364,7 @@
             min(started_s + request.left_ms / 1000.0, context.drain.end_s),
             request.top_k,
             request.objective_ms,
-            "relayed",
+            "hedge" if request.is_hedge else "relayed",
             self,
         )
         self.pending_count = len(call.services)
--- a/chervilspindle/routing/relayed_query_test.py
+++ b/chervilspindle/routing/relayed_query_test.py
@@ -13,6 +13,7 @@
 from chervilspindle.routing import documents
 from chervilspindle.routing import entry as entry_module
 from chervilspindle.routing import metrics as metrics_module
+from chervilspindle.routing import permission
 from chervilspindle.routing import record_merging
 from chervilspindle.routing import relayed_query
 from chervilspindle.routing import retry_budget
@@ -288,6 +289,34 @@
     play(test)
 
 
+def test_a_relayed_hedge_goes_to_no_cold_endpoint(play):
+    """The relay alone may know that the other replica is cold."""
+
+    async def test(world):
+        await world.warm()
+        service = SHARDS[0]
+        near, cold = (world.backend_by_id[f"{service}-{z}"] for z in "ab")
+        near.paused = True
+        for entry in world.entries[1:]:
+            target = entry.context.table.target_by_id[cold.endpoint_id]
+            permission.set_cold_limit(target.restrictions, 4.0, 60.0)
+            now = world.loop.time()
+            permission.record_cold(target.restrictions, None, now)
+        cold.arrivals_s.clear()
+        status, headers, _ = await world.ask("id-2")
+        assert status == 200
+        assert data_path_test.read_missing(headers) == 1
+        hedges = [
+            c
+            for entry in world.entries
+            for c in entry.calls
+            if isinstance(c, messages.RelayCall) and c.request.is_hedge
+        ]
+        assert hedges and not cold.arrivals_s
+
+    play(test)
+
+
 def test_silent_relay_is_replaced_and_then_avoided(play):
     async def test(world):
         await world.warm()
--- a/chervilspindle/routing/selection.py
+++ b/chervilspindle/routing/selection.py
@@ -29,6 +29,9 @@
 # For an endpoint that answered as another one or as shutting down.
 MISDIRECTED_PENALTY_MS = 500.0
 COLD_PENALTY_MS = 8.0
+# Where a permit is needed as well, others are taken unless they are slow: each
+# permit costs a message, and few are given out.
+COLD_LIMIT_PENALTY_MS = 40.0
 # The usual speed of an endpoint is smoothed over a time that is long against
 # slow phases; one answer alone has little weight.
 USUAL_TIME_CONSTANT_S = 60.0
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -384,6 +384,9 @@
         Number of records in the answer of the query.
     objective_ms : float
         Latency objective of the query; 0 if it has none.
+    is_hedge : bool
+        Whether another endpoint has each shard, so that endpoints with a
+        limit get none.
     """
 
     request_id: bytes
@@ -391,6 +394,7 @@
     report_ms: float
     top_k: int
     objective_ms: float = 0.0
+    is_hedge: bool = False
 
 
 class RelayCall(typing.NamedTuple):
@@ -576,6 +580,8 @@
         Time since then.
     max_wait_s : float
         How long the caller can wait for the permit to hold.
+    is_cold : bool
+        Whether the endpoint is cold, so that the limit holds in each second.
     """
 
     endpoint_id: str
@@ -583,6 +589,7 @@
     limit_per_s: float
     age_s: float
     max_wait_s: float
+    is_cold: bool = False
 
 
 class PermitReply(typing.NamedTuple):
@@ -835,11 +842,12 @@
 
 # Number of fields by the version that had so many first.
 FIELD_COUNTS = {
-    RelayedRequest: {1: 4, 2: 5},
+    RelayedRequest: {1: 4, 2: 5, 6: 6},
     WatchReply: {1: 6, 2: 7},
     MemberReport: {1: 6, 2: 8},
     MemberReportReply: {1: 3, 2: 4, 5: 5},
     ReadDocumentCall: {1: 0, 2: 1},
+    PermitCall: {1: 5, 6: 6},
     Delta: {1: 9, 3: 11},
 }
 
