--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -6,6 +6,7 @@
 from chervilspindle.accounts import quota_permits
 from chervilspindle.core import timers
 from chervilspindle.policy import shared_limits
+from chervilspindle.policy import spreading
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import endpoints
@@ -49,6 +50,8 @@
     metrics,
     seed,
     quota_rule: shared_limits.QuotaRule | None = None,
+    spread_load: bool = False,
+    cold_rule: shared_limits.ColdRule | None = None,
 ) -> endpoint_calls.Context:
     """Build the context of an entry.
 
@@ -65,6 +68,10 @@
         Seed of the random number generator.
     quota_rule : shared_limits.QuotaRule or None
         None where quotas of client accounts are not in force.
+    spread_load : bool
+        Whether endpoints are chosen as `spreading` describes.
+    cold_rule : shared_limits.ColdRule or None
+        None where endpoints that are cold have no limit.
     """
     names = endpoint_calls.encode_header_names(header_names)
     generator = random.Random(seed)
@@ -78,11 +85,14 @@
             receive_limits.compute_budget_bytes(profile.memory_mb)
         ),
     )
+    if spread_load:
+        table.loads = spreading.LoadMemory()
     reachability = reachability_module.Reachability(
         loop, table, generator, metrics.set_cut_off
     )
     table.link_observer = reachability
     table.on_held_back = metrics.count_held_back
+    table.cold_rule = cold_rule
     relay_table = relay_selection.RelayTable(
         profile.vm_id,
         profile.zone,
--- a/chervilspindle/routing/entry.py
+++ b/chervilspindle/routing/entry.py
@@ -70,6 +70,7 @@
                 count=len(names),
                 accounts=[n[:40] for n in names[:MAX_LOGGED_ACCOUNTS]],
             )
+        self.context.table.set_services(document.service_by_name)
         logs.log_decision(
             "document-in-force",
             version=document.version,
--- a/chervilspindle/routing/selection.py
+++ b/chervilspindle/routing/selection.py
@@ -29,6 +29,9 @@
 # For an endpoint that answered as another one or as shutting down.
 MISDIRECTED_PENALTY_MS = 500.0
 COLD_PENALTY_MS = 8.0
+# Where a permit is needed as well, others are taken unless they are slow: each
+# permit costs a message, and few are given out.
+COLD_LIMIT_PENALTY_MS = 40.0
 # The usual speed of an endpoint is smoothed over a time that is long against
 # slow phases; one answer alone has little weight.
 USUAL_TIME_CONSTANT_S = 60.0
@@ -197,7 +200,7 @@
     health : Health
     slowness : float
         See `stated_speed.parse_slowness`.
-    persistence : stated_speed.Persistence
+    persistence : persistence.Persistence
         Learns from it.
     now : float
         Loop time.
@@ -244,6 +247,7 @@
     best_ms: float = INITIAL_ANSWER_MS,
     other_zone_ms: float = OTHER_ZONE_PENALTY_MS,
     slowness: float = 1.0,
+    waiting: float | None = None,
 ) -> float:
     """Return the expected time to an answer plus penalties, in ms.
 
@@ -253,11 +257,16 @@
         Penalty of an endpoint in another zone.
     slowness : float
         See `estimate_slowness`.
+    waiting : float or None
+        Time until the request is started, in times of work, where it is
+        drawn; see `spreading`.
     """
     answer_ms = estimate_answer_ms(health, best_ms, now) * slowness
-    reported = decay_load(health, now, LOAD_DECAY_S)
-    load = max(reported, candidate.outstanding)
-    cost = answer_ms * (1.0 + max(0.0, load - health.slots + 1))
+    if waiting is None:
+        reported = decay_load(health, now, LOAD_DECAY_S)
+        load = max(reported, candidate.outstanding)
+        waiting = max(0.0, load - health.slots + 1)
+    cost = answer_ms * (1.0 + waiting)
     unresponsive_ms = max(MIN_UNRESPONSIVE_MS, UNRESPONSIVE_FACTOR * answer_ms)
     if candidate.oldest_pending_ms > unresponsive_ms:
         cost += UNRESPONSIVE_PENALTY_MS + candidate.oldest_pending_ms
