Endpoints: the announced cold time reaches entries

A row has the time from the announcement that made the endpoint cold, from version 6 of the peer protocol on. Rows without it are written as before, and the leader leaves it out while a member reads less, since builds up to version 4 stop at a longer row. A heartbeat that counts the time down is not committed.

--- a/chervilspindle/control/changes.py
+++ b/chervilspindle/control/changes.py
@@ -7,6 +7,7 @@
 
 import collections
 
+from chervilspindle.core import rows
 from chervilspindle.wire import layouts
 from chervilspindle.wire import messages
 from chervilspindle.wire import versions
@@ -72,8 +73,9 @@
         """
         if not self.oldest_version <= known_version <= state.version:
             known_version = 0
-        layout = layouts.get_field_count(
-            messages.Delta, messages.FIELD_COUNTS, peer_version
+        layout = tuple(
+            layouts.get_field_count(kind, messages.FIELD_COUNTS, peer_version)
+            for kind in (messages.Delta, rows.Endpoint)
         )
         data = self.delta_by_key.get((known_version, layout))
         if data is None:
--- a/chervilspindle/control/frontend.py
+++ b/chervilspindle/control/frontend.py
@@ -32,6 +32,8 @@
 # Longer than an election. A member that has not reached a leader for so long
 # can't report the endpoints that it hears.
 LEADER_SILENCE_MS = 2500.0
+# Announcements of one cold time differ by the time that they travel.
+COLD_TOLERANCE_MS = 500.0
 REPORT_PERIOD_S = 0.5
 ENDPOINT_TIMEOUT_MS = 10000.0  # several announcements, late ones included
 # If a smaller share of the endpoints announces itself, the leader itself may
@@ -101,6 +103,8 @@
         self.read_clock = read_clock
         # Endpoints that announced themselves here since the last report.
         self.announced_ids = set()
+        # When endpoints that announced themselves here as cold will be warm.
+        self.cold_end_ms_by_id = {}
         # Time and WatchCall of the latest call by VM id of the entry.
         self.last_watch_by_vm = {}
         self.totals = messages.MemberReportReply(0, 0)
@@ -127,12 +131,45 @@
         """
         stored = self.node.tables.endpoint_by_id.get(endpoint.endpoint_id)
         self.announced_ids.add(endpoint.endpoint_id)
+        cold_end_ms = self.read_clock() + endpoint.cold_left_ms
+        is_cold_again = self._is_cold_again(endpoint, cold_end_ms)
         if stored is not None and self._is_leader_in_reach():
             if not rows.is_newer(endpoint, stored):
                 return defer.succeed(None)
-            if not rows.is_changed(endpoint, stored):
+            if not rows.is_changed(endpoint, stored) and not is_cold_again:
                 return defer.succeed(None)
-        return self.call_leader(messages.AnnounceCall(endpoint))
+        deferred = self.call_leader(messages.AnnounceCall(endpoint))
+        if is_cold_again:
+            deferred.addCallback(
+                self._record_cold_end, endpoint.endpoint_id, cold_end_ms
+            )
+        return deferred
+
+    def _is_cold_again(self, endpoint, end_ms) -> bool:
+        """Tell whether an endpoint stays cold for longer than it said here.
+
+        The tables have the time of its first announcement as cold, since the
+        time that is left differs in each.
+        """
+        endpoint_id = endpoint.endpoint_id
+        if not endpoint.cold_left_ms:
+            self.cold_end_ms_by_id.pop(endpoint_id, None)
+            return False
+        known_ms = self.cold_end_ms_by_id.get(endpoint_id)
+        if known_ms is None:
+            self._record_cold_end(None, endpoint_id, end_ms)
+            return False
+        return end_ms > known_ms + COLD_TOLERANCE_MS
+
+    def _record_cold_end(self, result, endpoint_id, end_ms):
+        now = self.read_clock()
+        self.cold_end_ms_by_id = {
+            known_id: known_ms
+            for known_id, known_ms in self.cold_end_ms_by_id.items()
+            if known_ms > now
+        }
+        self.cold_end_ms_by_id[endpoint_id] = end_ms
+        return result
 
     def find_nearby_address(self, endpoint: rows.Endpoint) -> str:
         """Return the control address that an endpoint should announce to.
@@ -481,11 +518,13 @@
     frontend.last_announced_ms_by_id[message.endpoint.endpoint_id] = (
         frontend.read_clock()
     )
-    command = state_module.ReportEndpoints(
-        (message.endpoint,), logs.read_wall_ms()
-    )
-    deferred = frontend.node.propose(command)
     endpoint = message.endpoint
+    if endpoint.cold_left_ms and not frontend.can_members_read(
+        versions.COLD_TIMES
+    ):
+        endpoint = endpoint._replace(cold_left_ms=0.0)
+    command = state_module.ReportEndpoints((endpoint,), logs.read_wall_ms())
+    deferred = frontend.node.propose(command)
     logs.log_decision(
         "endpoint-announced",
         endpoint=endpoint.endpoint_id,
--- a/chervilspindle/control/frontend_test.py
+++ b/chervilspindle/control/frontend_test.py
@@ -3,6 +3,7 @@
 import json
 import math
 
+import msgspec
 import pytest
 from twisted.internet import defer
 from twisted.internet import task
@@ -103,6 +104,98 @@
     assert len(node.proposed) == 1
 
 
+def test_a_cold_time_that_passes_is_not_committed_but_a_new_one_is(control):
+    """Each announcement states another time, and many come each second."""
+    clock, node, frontend, _ = control
+
+    def announce(sequence, left_ms):
+        state = "warming" if left_ms else "ready"
+        frontend.announce(
+            build_endpoint(sequence, state=state, cold_left_ms=left_ms)
+        )
+        return len(node.proposed)
+
+    assert announce(1, 20000.0) == 1
+    clock.advance(5.0)
+    assert announce(2, 15000.0) == 1
+    assert announce(3, 15300.0) == 1  # within the tolerance
+    assert announce(4, 18000.0) == 2
+    stored = node.tables.endpoint_by_id["i-1"]
+    assert (stored.sequence, stored.cold_left_ms) == (4, 18000.0)
+    clock.advance(3.0)
+    assert announce(5, 15000.0) == 2
+    clock.advance(15.0)
+    assert announce(6, 0.0) == 3
+    assert announce(7, 1000.0) == 4
+    assert list(frontend.cold_end_ms_by_id) == ["i-1"]
+
+
+def test_a_new_cold_time_is_committed_once_a_leader_is_reached(control):
+    clock, node, frontend, _ = control
+    row = build_endpoint(1, state="warming", cold_left_ms=5000.0)
+    frontend.announce(row)
+    node.leads = False
+    frontend.leader_reply_ms = 0.0
+    later = row._replace(sequence=2, cold_left_ms=9000.0)
+    failures = []
+    frontend.announce(later).addErrback(failures.append)
+    assert failures
+    node.leads = True
+    frontend.announce(later._replace(sequence=3))
+    assert node.tables.endpoint_by_id["i-1"].cold_left_ms == 9000.0
+
+
+@pytest.mark.parametrize("version", (4, 5, 6))
+def test_a_cold_time_gets_into_no_log_that_an_older_member_reads(
+    control, version
+):
+    """Builds up to version 4 stop at a row that is longer than theirs."""
+    _, node, frontend, _ = control
+    frontend.network = FakeNetwork(b=version)
+    node.raft = node.raft._replace(members=(raft.Member("b#1", "b", True),))
+    frontend.announce(build_endpoint(1, state="warming", cold_left_ms=5000.0))
+    has_time = version >= 6
+    stored = node.tables.endpoint_by_id["i-1"]
+    assert stored.cold_left_ms == (5000.0 if has_time else 0.0)
+    batch = state_module.encode_batch(node.proposed)
+    assert state_module.decode_batch(batch) == tuple(node.proposed)
+    raw = msgspec.msgpack.decode(batch)[0][0][1][0][0]
+    parts = state_module.encode_snapshot_parts(node.tables)
+    rows_by_table = dict(map(msgspec.msgpack.decode, parts))
+    for written in (raw, rows_by_table["endpoints"][0]):
+        assert len(written) == (11 if has_time else 10)
+    assert (
+        state_module.decode_snapshot(
+            state_module.encode_snapshot(node.tables)
+        ).endpoint_by_id
+        == node.tables.endpoint_by_id
+    )
+
+
+@pytest.mark.parametrize("version, fields", ((1, 10), (5, 10), (6, 11)))
+def test_entries_of_older_builds_get_rows_without_a_cold_time(
+    control, version, fields
+):
+    clock, node, frontend, watch = control
+    call = messages.WatchCall("entry-1", 1, 0)
+    # The delta of the newer build is written first, and kept.
+    calls = [
+        watch.watch(call, 6),
+        watch.watch(call._replace(vm_id="entry-2"), version),
+    ]
+    frontend.announce(build_endpoint(1, state="warming", cold_left_ms=5000.0))
+    frontend.announce(build_endpoint(2, state="draining"))
+    frontend.announce(build_endpoint(3, state="warming", cold_left_ms=5000.0))
+    clock.advance(watch_module.BATCH_DELAY_S)
+    deltas = []
+    for deferred in calls:
+        deferred.addCallback(lambda reply: deltas.append(reply.delta))
+    delta = msgspec.msgpack.decode(deltas[1][1:])
+    assert [len(row) for row in delta[4]] == [fields]
+    left_ms = messages.decode_delta(deltas[1]).endpoints[0].cold_left_ms
+    assert left_ms == (5000.0 if version == 6 else 0.0)
+
+
 def test_out_of_order_announcement_does_not_undo_draining(control):
     _, node, frontend, _ = control
     frontend.announce(build_endpoint(1))
--- a/chervilspindle/control/state.py
+++ b/chervilspindle/control/state.py
@@ -263,7 +263,19 @@
     OverflowError, TypeError, ValueError
         If a value has no encoding, such as an integer beyond 64 bits.
     """
-    return type(command).__name__, msgspec.Raw(_ENCODER.encode(command))
+    name = type(command).__name__
+    if isinstance(command, ReportEndpoints):
+        endpoints = tuple(map(_shorten, command.endpoints))
+        command = command._replace(endpoints=endpoints)
+    return name, msgspec.Raw(_ENCODER.encode(command))
+
+
+def _shorten(endpoint: rows.Endpoint) -> tuple:
+    """Return a row without the time that it stays cold, if it has none.
+
+    Members of version 5 and older can't read that field.
+    """
+    return endpoint if endpoint.cold_left_ms else endpoint[:-1]
 
 
 def join_commands(encoded) -> bytes:
@@ -312,7 +324,7 @@
         ("plans", state.lists.plans_by_name.values()),
         ("changes", _list_change_results(state)),
         ("vms", state.vm_by_session.values()),
-        ("endpoints", state.endpoint_by_id.values()),
+        ("endpoints", map(_shorten, state.endpoint_by_id.values())),
         ("lost_at", state.lost_at_by_id.items()),
         ("ownerships", state.ownership_by_id.values()),
         ("claims", state.claim_by_id.values()),
--- a/chervilspindle/core/rows.py
+++ b/chervilspindle/core/rows.py
@@ -77,6 +77,9 @@
         Start time in milliseconds; a restarted endpoint has a larger one.
     sequence : int
         Number of the announcement within the incarnation.
+    cold_left_ms : float
+        How long it stays cold from that announcement on; 0 if it is not cold,
+        or if that is not known.
     """
 
     endpoint_id: str
@@ -89,6 +92,7 @@
     holdings: tuple[Holding, ...]
     incarnation: int
     sequence: int
+    cold_left_ms: float = 0.0
 
 
 class Vm(typing.NamedTuple):
@@ -186,5 +190,10 @@
 
 
 def is_changed(candidate: Endpoint, stored: Endpoint) -> bool:
-    """Return whether two announcements differ beyond their sequence."""
-    return candidate._replace(sequence=0) != stored._replace(sequence=0)
+    """Return whether two announcements differ beyond their sequence.
+
+    The time that an endpoint stays cold differs in each.
+    """
+    return candidate._replace(sequence=0, cold_left_ms=0.0) != stored._replace(
+        sequence=0, cold_left_ms=0.0
+    )
--- a/chervilspindle/platform/control_api.py
+++ b/chervilspindle/platform/control_api.py
@@ -19,6 +19,7 @@
 JSON_HEADERS = ((b"Content-Type", b"application/json"),)
 RETRY_AFTER = (b"Retry-After", b"0.2")
 MAX_ID_BYTES = 200
+MAX_COLD_MS = 3_600_000.0  # a longer announced time is not believed
 MAX_REASON_CHARACTERS = 500  # of a refusal, in the log and in the answer
 
 
@@ -55,8 +56,10 @@
     state = names.STATE_BY_PLATFORM_STATE.get(announcement.state)
     if state is None:
         raise ValueError(f"unknown state {announcement.state!r}")
+    cold_ms = 0.0
     if state == "ready" and announcement.cold_ms > 0:
         state = "warming"
+        cold_ms = min(announcement.cold_ms, MAX_COLD_MS)
     endpoint = rows.Endpoint(
         endpoint_id=endpoint_id,
         service=announcement.service,
@@ -68,6 +71,7 @@
         holdings=(),
         incarnation=announcement.born,
         sequence=announcement.sequence,
+        cold_left_ms=cold_ms,
     )
     mistake = endpoint_checks.find_mistake(endpoint)
     if mistake:
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -149,11 +149,13 @@
             previous is not None and previous.restrictions is restrictions
         )
         was_cold = is_kept and previous.endpoint.state == "warming"
-        if target.endpoint.state != "warming":
+        endpoint = target.endpoint
+        if endpoint.state != "warming":
             if was_cold:
                 permission.record_cold(restrictions, 0.0, self.loop.time())
-        elif not was_cold:
-            permission.record_cold(restrictions, None, self.loop.time())
+        elif not was_cold or previous.endpoint.sequence != endpoint.sequence:
+            left_s = endpoint.cold_left_ms / 1000.0 or None
+            permission.record_cold(restrictions, left_s, self.loop.time())
             self._set_cold_limit(target)
             if restrictions.cold_per_s:
                 self._hold_back_waiting(target, permission.COLD)
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -849,6 +849,7 @@
     ReadDocumentCall: {1: 0, 2: 1},
     PermitCall: {1: 5, 6: 6},
     Delta: {1: 9, 3: 11},
+    rows.Endpoint: {1: 10, 6: 11},
 }
 
 # Version that had a kind first; all other kinds are in each version.
--- a/chervilspindle/wire/versions.py
+++ b/chervilspindle/wire/versions.py
@@ -14,6 +14,7 @@
 # client accounts and zones that are taken out.
 OLDEST = 1
 CRASH_RECORDS = 3
+COLD_TIMES = 6
 CURRENT = 6
 
 NONCE_BYTES = 16
