--- a/chervilspindle/routing/data_path_test.py
+++ b/chervilspindle/routing/data_path_test.py
@@ -97,7 +97,7 @@
             network,
             metrics_module.RoutingMetrics(),
             "test",
-            spread_load,
+            spread_load=spread_load,
         )
         context.budget.vms = 1
         context.latency_estimates.lag_ms = 0.0
