--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -426,7 +426,9 @@
                 if verdict.retry_s < opening_s:
                     first_opening, opening_s = target, verdict.retry_s
                 continue
-            cost = self.compute_cost(target, now, best_ms, other_zone_ms)
+            cost = self.compute_cost(
+                target, now, best_ms, other_zone_ms, is_hedge
+            )
             if verdict.reason == permission.COLD:
                 cost += selection.COLD_LIMIT_PENALTY_MS
             cost *= 1.0 + 0.1 * self.random.random()
@@ -449,7 +451,9 @@
         )
         return extended if self.is_open(service, extended, now) else excluded
 
-    def compute_cost(self, target, now, best_ms, other_zone_ms) -> float:
+    def compute_cost(
+        self, target, now, best_ms, other_zone_ms, is_hedge=False
+    ) -> float:
         """Return the cost of sending to an endpoint; see `selection`."""
         pool = target.pool
         view = selection.CandidateState(
@@ -462,7 +466,7 @@
         )
         health = target.health
         slowness = 1.0
-        if health.slowness_s is not None:
+        if is_hedge and health.slowness_s is not None:
             slowness = selection.estimate_slowness(
                 health, self.persistence, now
             )
--- a/chervilspindle/routing/selection.py
+++ b/chervilspindle/routing/selection.py
@@ -5,9 +5,10 @@
 observations: response times, its own outstanding requests, and the load the
 endpoint reported with its last answer, which is weighted down with age.
 
-Endpoints may also state how slow they are; see `stated_speed`. Response times
-are then kept as they would be at the usual speed of the endpoint, so that a
-slow phase counts once, for as long as its figure says something.
+Endpoints may also state how slow they are; see `stated_speed`. That decides
+where hedges go. First sends go by response times alone: a slow phase is mostly
+over before it makes an answer late, and the other endpoints of a shard are in
+other zones.
 """
 
 import math
@@ -138,8 +139,6 @@
     The weight of a sample grows with the time since the last one, so that an
     entry that seldom sends to an endpoint also detects that it became slow.
     """
-    if health.slowness_s == now:  # stated with this answer
-        took_ms *= health.usual_slowness / health.slowness
     recent = health.recent_ms
     if recent is None:
         health.recent_ms = took_ms
