--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -8,10 +8,12 @@
 from chervilspindle.core import endpoint_checks
 from chervilspindle.core import logs
 from chervilspindle.core import rows
+from chervilspindle.policy import spreading
 from chervilspindle.policy import stated_speed
 from chervilspindle.routing import evacuations
 from chervilspindle.routing import overload
 from chervilspindle.routing import permission
+from chervilspindle.routing import rate_permits
 from chervilspindle.routing import selection
 from chervilspindle.wire import endpoint_http
 
@@ -70,7 +72,8 @@
         self.on_event = on_event
         self.receive_budget = receive_budget
         self.link_observer = endpoint_http.LinkObserver()
-        self.persistence = stated_speed.Persistence()  # of stated speeds
+        self.loads = None  # a `spreading.LoadMemory` where load is spread
+        self.persistence = stated_speed.build_persistence()
         self.vms = 1
         self.revision = 0  # incremented when an endpoint is put or dropped
         self.connections_by_service = {}
@@ -79,6 +82,8 @@
         self.leaving_processes = collections.OrderedDict()
         self.targets_by_service = {}
         self.evacuations = evacuations.Evacuations()
+        self.cold_rule = None
+        self.cold_service_by_name = {}
         self.on_held_back = _ignore
 
     def put(self, endpoint: rows.Endpoint):
@@ -119,6 +124,7 @@
         targets[endpoint.endpoint_id] = target
         # Its zone may have changed.
         self._hold_back_evacuated(target)
+        self._apply_cold(target, current)
 
     def apply_evacuations(self, changed, gone, full: bool):
         """Apply changed evacuations of zones to all endpoints.
@@ -177,6 +183,57 @@
             return False
         return all(t.restrictions.zone_out for t in self.target_by_id.values())
 
+    def set_services(self, service_by_name):
+        """Apply what a document states of the services' endpoints.
+
+        Parameters
+        ----------
+        service_by_name : dict of str to documents.Service
+        """
+        self.cold_service_by_name = {
+            name: service
+            for name, service in service_by_name.items()
+            if service.cold_start_s or service.cold_requests_per_s
+        }
+        for target in self.target_by_id.values():
+            self._set_cold_limit(target)
+
+    def _set_cold_limit(self, target):
+        service = self.cold_service_by_name.get(target.endpoint.service)
+        per_s, longest_s = None, 0.0
+        if service is not None:
+            longest_s = service.cold_start_s
+            if self.cold_rule is not None and service.cold_requests_per_s > 0:
+                share = self.cold_rule.overload / rate_permits.COLD_OVERLOAD
+                per_s = service.cold_requests_per_s * min(1.0, share)
+        permission.set_cold_limit(target.restrictions, per_s, longest_s)
+
+    def _apply_cold(self, target, previous):
+        """Apply whether control says that an endpoint is cold.
+
+        Only what has changed is applied: the endpoint's own answers may be
+        newer than the row.
+        """
+        restrictions = target.restrictions
+        is_kept = (
+            previous is not None and previous.restrictions is restrictions
+        )
+        was_cold = is_kept and previous.endpoint.state == "warming"
+        endpoint = target.endpoint
+        if endpoint.state != "warming":
+            if was_cold:
+                permission.record_cold(restrictions, 0.0, self.loop.time())
+        elif not was_cold or previous.endpoint.sequence != endpoint.sequence:
+            left_s = endpoint.cold_left_ms / 1000.0 or None
+            permission.record_cold(restrictions, left_s, self.loop.time())
+            self._set_cold_limit(target)
+            if restrictions.cold_per_s:
+                self._hold_back_waiting(target, permission.COLD)
+
+    def _hold_back_waiting(self, target, reason):
+        for _ in range(target.pool.hold_back_waiting()):
+            self.on_held_back(reason)
+
     def drop(self, endpoint_id: str, reason: str):
         """Remove an endpoint; requests in progress there may complete."""
         target = self.target_by_id.pop(endpoint_id, None)
@@ -369,7 +426,11 @@
                 if verdict.retry_s < opening_s:
                     first_opening, opening_s = target, verdict.retry_s
                 continue
-            cost = self.compute_cost(target, now, best_ms, other_zone_ms)
+            cost = self.compute_cost(
+                target, now, best_ms, other_zone_ms, is_hedge
+            )
+            if verdict.reason == permission.COLD:
+                cost += selection.COLD_LIMIT_PENALTY_MS
             cost *= 1.0 + 0.1 * self.random.random()
             if best is None or cost < best_cost:
                 best, best_cost = target, cost
@@ -390,26 +451,66 @@
         )
         return extended if self.is_open(service, extended, now) else excluded
 
-    def compute_cost(self, target, now, best_ms, other_zone_ms) -> float:
+    def compute_cost(
+        self, target, now, best_ms, other_zone_ms, is_hedge=False
+    ) -> float:
         """Return the cost of sending to an endpoint; see `selection`."""
         pool = target.pool
         view = selection.CandidateState(
             len(pool.running),
             pool.get_oldest_age_s(now) * 1000.0,
             target.same_zone,
-            target.endpoint.state == "warming",
+            target.endpoint.state == "warming"
+            or target.restrictions.cold_until_s > now,
             pool.has_room(),
         )
         health = target.health
         slowness = 1.0
-        if health.slowness_s is not None:
+        if is_hedge and health.slowness_s is not None:
             slowness = selection.estimate_slowness(
                 health, self.persistence, now
             )
+        waiting = None
+        if self.loads is not None:
+            waiting = self._draw_waiting(target, now)
         return selection.compute_cost(
-            health, view, now, best_ms, other_zone_ms, slowness
+            health, view, now, best_ms, other_zone_ms, slowness, waiting
+        )
+
+    def _draw_waiting(self, target, now) -> float:
+        health = target.health
+        load_s = health.load_s
+        running = target.pool.running
+        sent_since = 0
+        if running:
+            sent_since = sum(s > load_s for s in running.values())
+        return spreading.draw_waiting(
+            self.loads,
+            target.endpoint.zone,
+            health.load,
+            load_s,
+            sent_since,
+            len(running),
+            health.slots,
+            now,
+            self.random,
         )
 
+    def record_load(
+        self, target: Target, running: int, waiting: int, slots: int
+    ):
+        """Record the load that an endpoint stated with an answer."""
+        now = self.loop.time()
+        health = target.health
+        earlier, earlier_s = health.load, health.load_s
+        selection.record_load(health, running, waiting, slots, now)
+        if self.loads is not None:
+            self.loads.observe(target.endpoint.zone, health.load, now)
+            if earlier_s:
+                self.loads.persistence.observe(
+                    earlier, health.load, now - earlier_s
+                )
+
     def _build(self, endpoint):
         pool = endpoint_http.EndpointPool(
             self.loop,
@@ -424,13 +525,15 @@
         process_key = _get_process_key(endpoint)
         restrictions.leaving = process_key in self.leaving_processes
         restrictions.zone_out = self._is_zone_out(endpoint)
-        return Target(
+        target = Target(
             endpoint,
             pool,
             selection.Health(endpoint.slots),
             restrictions,
             endpoint.zone == self.zone,
         )
+        self._set_cold_limit(target)
+        return target
 
     def _get_limit(self, service):
         total = self.connections_by_service.get(service, 0)
--- a/chervilspindle/routing/selection.py
+++ b/chervilspindle/routing/selection.py
@@ -5,9 +5,10 @@
 observations: response times, its own outstanding requests, and the load the
 endpoint reported with its last answer, which is weighted down with age.
 
-Endpoints may also state how slow they are; see `stated_speed`. Response times
-are then kept as they would be at the usual speed of the endpoint, so that a
-slow phase counts once, for as long as its figure says something.
+Endpoints may also state how slow they are; see `stated_speed`. That decides
+where hedges go. First sends go by response times alone: a slow phase is mostly
+over before it makes an answer late, and the other endpoints of a shard are in
+other zones.
 """
 
 import math
@@ -29,6 +30,9 @@
 # For an endpoint that answered as another one or as shutting down.
 MISDIRECTED_PENALTY_MS = 500.0
 COLD_PENALTY_MS = 8.0
+# Where a permit is needed as well, others are taken unless they are slow: each
+# permit costs a message, and few are given out.
+COLD_LIMIT_PENALTY_MS = 40.0
 # The usual speed of an endpoint is smoothed over a time that is long against
 # slow phases; one answer alone has little weight.
 USUAL_TIME_CONSTANT_S = 60.0
@@ -135,8 +139,6 @@
     The weight of a sample grows with the time since the last one, so that an
     entry that seldom sends to an endpoint also detects that it became slow.
     """
-    if health.slowness_s == now:  # stated with this answer
-        took_ms *= health.usual_slowness / health.slowness
     recent = health.recent_ms
     if recent is None:
         health.recent_ms = took_ms
@@ -197,7 +199,7 @@
     health : Health
     slowness : float
         See `stated_speed.parse_slowness`.
-    persistence : stated_speed.Persistence
+    persistence : persistence.Persistence
         Learns from it.
     now : float
         Loop time.
@@ -244,6 +246,7 @@
     best_ms: float = INITIAL_ANSWER_MS,
     other_zone_ms: float = OTHER_ZONE_PENALTY_MS,
     slowness: float = 1.0,
+    waiting: float | None = None,
 ) -> float:
     """Return the expected time to an answer plus penalties, in ms.
 
@@ -253,11 +256,16 @@
         Penalty of an endpoint in another zone.
     slowness : float
         See `estimate_slowness`.
+    waiting : float or None
+        Time until the request is started, in times of work, where it is
+        drawn; see `spreading`.
     """
     answer_ms = estimate_answer_ms(health, best_ms, now) * slowness
-    reported = decay_load(health, now, LOAD_DECAY_S)
-    load = max(reported, candidate.outstanding)
-    cost = answer_ms * (1.0 + max(0.0, load - health.slots + 1))
+    if waiting is None:
+        reported = decay_load(health, now, LOAD_DECAY_S)
+        load = max(reported, candidate.outstanding)
+        waiting = max(0.0, load - health.slots + 1)
+    cost = answer_ms * (1.0 + waiting)
     unresponsive_ms = max(MIN_UNRESPONSIVE_MS, UNRESPONSIVE_FACTOR * answer_ms)
     if candidate.oldest_pending_ms > unresponsive_ms:
         cost += UNRESPONSIVE_PENALTY_MS + candidate.oldest_pending_ms
