Quotas: few issuers, and links to them opened in advance

Accounts share 8 keys of rendezvous hashing, so that at most 16 entries are issuers or substitutes.

An order among a few entries of each zone was tried first. An entry that replaces a lost one may then be first beside a settled second, and a test shows a window with more than the bound.

--- a/chervilspindle/accounts/quota_permits.py
+++ b/chervilspindle/accounts/quota_permits.py
@@ -2,9 +2,9 @@
 
 For each account one entry, its issuer, admits the requests of all VMs: an
 entry asks it once for each request, before the request is sent. The issuer is
-chosen by rendezvous hashing among all entries, from the list that control
-sends to each. The second entry of that order is the substitute while the
-issuer does not reply. `policy.quotas` has the decisions, and
+chosen by rendezvous hashing of one of a few keys, from the list of all entries
+that control sends to each. The second entry of that order is the substitute
+while the issuer does not reply. `policy.quotas` has the decisions, and
 `docs/design/quotas.md` why they hold the limit.
 """
 
@@ -14,7 +14,6 @@
 
 from chervilspindle.core import logs
 from chervilspindle.policy import quotas
-from chervilspindle.policy import rendezvous
 from chervilspindle.wire import messages
 
 CANDIDATES = 2  # the issuer of an account, and its substitute
@@ -139,6 +138,8 @@
         self.account_by_name = None  # of the document in force
         self.issued_by_name = {}
         self.lists = []  # those of the last `settle_s`, the newest last
+        self.ranked_by_key = {}  # by `ranked_relays`
+        self.ranked_relays = None
         self.contact_s = -math.inf
         self.draining = False
         self.cleaned_s = read_clock()
@@ -236,7 +237,7 @@
         handover = self._get_handover(issued, now)
         complete_s = self._get_complete_s(issued, now)
         issued.successor = None
-        issued.ranked = self._rank_entries(name, self.relay_table.relays)
+        issued.ranked = self.rank_entries(name, self.relay_table.relays)
         rank = self._find_rank(issued.ranked)
         if rank >= CANDIDATES:
             issued.second_s = math.inf
@@ -381,7 +382,7 @@
         issued.first_s = issued.second_s = math.inf
         is_first = True
         for used in reversed(self.lists):
-            ranked = self._rank_entries(name, used.relays)
+            ranked = self.rank_entries(name, used.relays)
             issued.ranked = issued.ranked or ranked
             rank = self._find_rank(ranked)
             if rank >= CANDIDATES:
@@ -391,8 +392,27 @@
             if is_first:
                 issued.first_s = used.since_s
 
-    def _rank_entries(self, name, relays):
-        return rendezvous.rank_entries(relays, name, CANDIDATES)
+    def rank_entries(self, name: str, relays) -> list:
+        """Return the first entries of an account by a list.
+
+        Those by the list in use are computed once for each key.
+        """
+        if relays is not self.relay_table.relays:
+            return quotas.rank_issuers(relays, name, CANDIDATES)
+        if relays is not self.ranked_relays:
+            self.ranked_relays = relays
+            self.ranked_by_key = {}
+        key = quotas.find_issuer_key(name)
+        ranked = self.ranked_by_key.get(key)
+        if ranked is None:
+            ranked = quotas.rank_issuers(relays, name, CANDIDATES)
+            self.ranked_by_key[key] = ranked
+        return ranked
+
+    def has_limits(self) -> bool:
+        """Tell whether any account of the document in force has a limit."""
+        accounts = (self.account_by_name or {}).values()
+        return any(account.rate_per_s > 0.0 for account in accounts)
 
     def _find_rank(self, ranked) -> int:
         """Return the place of this entry, `CANDIDATES` without one."""
@@ -494,14 +514,11 @@
         self.read_clock = issuer.read_clock
         self.failed_s_by_address = {}
         self.closure_by_account = {}
-        self.ranked_by_account = {}
-        self.ranked_relays = None  # the list that they are ranked by
 
     def update_document(self, document):
         """Use the limits of a document, here and as issuer."""
         self.issuer.update_document(document)
         self.closure_by_account.clear()
-        self.ranked_by_account.clear()
 
     def ask(self, account_name: str, on_outcome):
         """Ask for the admission of one request.
@@ -538,13 +555,7 @@
     def list_candidates(self, account_name: str) -> list:
         """Return who may be asked: (entry, whether as a substitute)."""
         relays = self.issuer.relay_table.relays
-        if relays is not self.ranked_relays:
-            self.ranked_relays = relays
-            self.ranked_by_account.clear()
-        ranked = self.ranked_by_account.get(account_name)
-        if ranked is None:
-            ranked = rendezvous.rank_entries(relays, account_name, CANDIDATES)
-            self.ranked_by_account[account_name] = ranked
+        ranked = self.issuer.rank_entries(account_name, relays)
         return [
             (relay, place > 0)
             for place, relay in enumerate(ranked)
--- a/chervilspindle/policy/quotas.py
+++ b/chervilspindle/policy/quotas.py
@@ -9,11 +9,18 @@
 """
 
 import collections
+import hashlib
 import math
 import typing
 
+from chervilspindle.policy import rendezvous
 from chervilspindle.policy import shared_limits
 
+# Accounts share this many orders of entries, so that few entries are issuers
+# and links to all of them can be kept open. The number must not depend on the
+# list of entries: all accounts would get other issuers when it changes.
+ISSUER_KEYS = 8
+
 # Within which an admission is used. A request that is used in a window was
 # admitted in it or this much earlier.
 USE_S = 0.5
@@ -39,6 +46,39 @@
 RETURN_SPREAD_S = 0.5
 
 
+def find_issuer_key(account_name: str) -> str:
+    """Return the key by which the entries of an account are ranked."""
+    digest = hashlib.blake2b(account_name.encode(), digest_size=8).digest()
+    return _build_issuer_key(int.from_bytes(digest) % ISSUER_KEYS)
+
+
+def rank_issuers(relays, account_name: str, count: int) -> list:
+    """Return the first `count` entries of an account, its issuer first.
+
+    An entry that leaves the list makes nobody overtake another entry. The
+    shares of the slack depend on that: the entry that moves up to the first
+    place was the second, and only the new second is one more that admits.
+    """
+    return rendezvous.rank_entries(
+        relays, find_issuer_key(account_name), count
+    )
+
+
+def list_issuers(relays, count: int) -> list:
+    """Return the entries that are among the first `count` of any account."""
+    issuers = []
+    for number in range(ISSUER_KEYS):
+        key = _build_issuer_key(number)
+        for relay in rendezvous.rank_entries(relays, key, count):
+            if relay not in issuers:
+                issuers.append(relay)
+    return issuers
+
+
+def _build_issuer_key(number) -> str:
+    return f"quota-issuer-{number}"
+
+
 class Limit(typing.NamedTuple):
     """Limits of one account in a window.
 
--- a/chervilspindle/policy/quotas_test.py
+++ b/chervilspindle/policy/quotas_test.py
@@ -184,3 +184,23 @@
         assert rendezvous.rank_entries(rest, f"account-{i}", 2) == ranked[1:]
         mixed = relays[::-1]
         assert rendezvous.rank_entries(mixed, f"account-{i}", 3) == ranked
+
+
+def test_an_entry_that_leaves_lets_nobody_overtake_in_an_account():
+    """Guards against issuers that take shares beside a settled substitute."""
+    relays = [messages.Relay(f"vm-{i}", "a", f"vm-{i}") for i in range(108)]
+    for i in range(50):
+        ranked = quotas.rank_issuers(relays, f"account-{i}", 3)
+        rest = [r for r in relays if r != ranked[0]]
+        assert quotas.rank_issuers(rest, f"account-{i}", 2) == ranked[1:]
+
+
+def test_few_entries_are_issuers_however_many_accounts_there_are():
+    """Guards against a new link for most requests for an admission."""
+    relays = [messages.Relay(f"vm-{i}", "a", f"vm-{i}") for i in range(108)]
+    issuers = quotas.list_issuers(relays, 2)
+    assert len(issuers) <= 2 * quotas.ISSUER_KEYS
+    used = set()
+    for i in range(1000):
+        used.update(quotas.rank_issuers(relays, f"account-{i}", 2))
+    assert used == set(issuers)
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -13,6 +13,7 @@
 
 from twisted.internet import defer
 
+from chervilspindle.accounts import quota_links
 from chervilspindle.control import frontend as frontend_module
 from chervilspindle.control import node as node_module
 from chervilspindle.control import storage as storage_module
@@ -296,8 +297,12 @@
             self.context.budget.read_peak_requests,
             self._apply_relays,
         )
+        self.issuer_links = None
         if context.quotas is not None:
             self.watch_client.on_contact = context.quotas.issuer.record_contact
+            self.issuer_links = quota_links.IssuerLinks(
+                context.quotas, self.timers
+            )
         context.quarantine.send_report = self._send_crash_report
         self.evacuation_monitor = evacuation_monitor.EntryMonitor(context)
         self.caller_server = None
@@ -419,6 +424,7 @@
         self.context.relays.table.set_relays(fingerprint, relays)
         if self.context.quotas is not None:
             self.context.quotas.issuer.update_entries()
+            self.issuer_links.check_soon()
 
     def _put_endpoint(self, endpoint):
         """Apply one row; a row that fails must not hold up the others."""
@@ -449,6 +455,8 @@
         if self.entry.update_document(document):
             self.context.relays.table.update_document(document)
             self._update_connection_limits()
+            if self.issuer_links is not None:
+                self.issuer_links.check_soon()
 
     def _update_totals(self, vms, requests):
         budget = self.context.budget
--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -403,6 +403,17 @@
         self._enqueue(address, start)
         return outer
 
+    def open(self, address: str):
+        """Open a link to an address, if none is open or being opened."""
+        if not self.has_link(address):
+            self._enqueue(address, lambda ready: None)
+
+    def has_link(self, address: str) -> bool:
+        """Tell whether a link to an address is open or being opened."""
+        return (
+            address in self.link_by_address or address in self.queue_by_address
+        )
+
     def read_version(self, address: str) -> int:
         """Return the version that is read at an address, as far as known."""
         return self.version_by_address.get(address, versions.OLDEST)
--- a/chervilspindle/wire/peer_test.py
+++ b/chervilspindle/wire/peer_test.py
@@ -496,3 +496,31 @@
     pair.listener.link.dataReceived(pair.dialler.transport.value())
     assert pair.listener.transport.disconnecting
     assert other in pair.listener.network.links
+
+
+def test_a_link_that_is_opened_in_advance_is_opened_once():
+    """Guards against a second connection, and against a message on it."""
+    opened = []
+
+    class Streams:
+        def connect(self, address, build_protocol):
+            opened.append(build_protocol())
+            return defer.Deferred()
+
+    clock = task.Clock()
+    network = peer.PeerNetwork(
+        clock, timers.TimerService(clock), b"k" * 16, None, Streams()
+    )
+    assert not network.has_link(ADDRESS)
+    network.open(ADDRESS)
+    network.open(ADDRESS)
+    assert network.has_link(ADDRESS) and len(opened) == 1
+    transport = Transport()
+    opened[0].makeConnection(transport)
+    transport.clear()
+    opened[0].stringReceived(versions.build_nonce(b"k" * 16, versions.CURRENT))
+    network.open(ADDRESS)
+    assert opened[0].is_ready() and network.has_link(ADDRESS)
+    assert len(opened) == 1 and transport.value() == b""
+    opened[0].connectionLost()
+    assert not network.has_link(ADDRESS)
