Load shedding: by priority and account where a document has accounts

Queries and single requests of documents with client accounts are refused by policy/shedding.py. Relays add the load of their shards' endpoints to their reports (version 6), since entries that use relays hear of few endpoints. Documents without accounts are decided as before, also if the priorities of their routes differ.

--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -460,6 +460,10 @@
         parsed = parse_load(load)
         if parsed is not None:
             selection.record_load(health, *parsed, now)
+            if context.shedder.in_force:
+                context.shedder.record_load(
+                    target.endpoint.service, health.load / health.slots, now
+                )
         else:
             context.metrics.count_event("malformed-load")
             logs.log_decision(
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -169,6 +169,34 @@
         targets = self.targets_by_service.get(service, {})
         return [t.health for t in targets.values()]
 
+    def find_mean_load(self, services, since_s: float) -> float:
+        """Return the mean load per slot that was stated since a time.
+
+        Negative if no endpoint of the services has stated one.
+        """
+        loads = [
+            min(health.load / health.slots, overload.MAX_OCCUPANCY)
+            for service in services
+            for health in self.list_healths(service)
+            if health.load_s >= since_s
+        ]
+        return sum(loads) / len(loads) if loads else -1.0
+
+    def estimate_answer_ms(self, service: str, now: float) -> float:
+        """Return when the least loaded endpoint would answer, in ms.
+
+        By the loads that endpoints stated; 0 if nothing is known.
+        """
+        targets = self.targets_by_service.get(service, {}).values()
+        work_ms = find_best_ms(targets)
+        return min(
+            (
+                work_ms + overload.estimate_wait_ms(t.health, now, work_ms)
+                for t in targets
+            ),
+            default=0.0,
+        )
+
     def can_hedge(self, service: str, excluded) -> bool:
         """Tell whether a hedge would be answered by an unused slot.
 
--- a/chervilspindle/routing/entry.py
+++ b/chervilspindle/routing/entry.py
@@ -58,6 +58,7 @@
                 return False
         self.accounts = directory.AccountDirectory(document, self.accounts)
         self.routes = documents.RouteTable(document)
+        self.context.shedder.update_document(document)
         self.document = document
         if self.accounts.unusable_names:
             names = self.accounts.unusable_names
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -123,12 +123,7 @@
             )
             self.refuse(reason, wait_s)
             return
-        self.occupancy = overload.estimate_occupancy(
-            map(table.list_healths, services), now
-        )
-        share = overload.compute_refused_share(self.occupancy)
-        if self.context.shedder.refuse_next(self.incoming.route.name, share):
-            self.refuse("overload")
+        if self._is_shed(now):
             return
         self.context.budget.count_requests(services)
         self._send_all()
@@ -142,6 +137,25 @@
         self.watch_caller()
         self.watch_reachability()
 
+    def _is_shed(self, now) -> bool:
+        """Refuse the query if the endpoints have too much to do."""
+        route = self.incoming.route
+        shedder = self.context.shedder
+        if shedder.in_force:
+            verdict = shedder.decide(self.incoming, route.shards[0], now)
+            self.occupancy = verdict.load
+            if not verdict.admitted:
+                self.refuse_overload(verdict)
+            return not verdict.admitted
+        self.occupancy = overload.estimate_occupancy(
+            map(self.context.table.list_healths, route.shards), now
+        )
+        share = overload.compute_refused_share(self.occupancy)
+        if shedder.refuse_next(route.name, share):
+            self.refuse("overload")
+            return True
+        return False
+
     def _send_all(self):
         relays = self.context.relays
         for group in relays.table.get_groups(self.incoming.route.shards):
@@ -270,6 +284,13 @@
             self._add_part_set(part_set)
         self._settle_withheld()
 
+    def on_load(self, services, load):
+        """Record the load of the endpoints of some shards, from a relay."""
+        if self.context.shedder.in_force:
+            self.context.shedder.record_load(
+                services[0], load, self.loop.time(), len(services)
+            )
+
     def on_part_lost(self, dispatch, loss):
         """Handle the failure of one shard sent by this process."""
         self.on_parts_lost(dispatch, (loss,))
@@ -493,6 +514,9 @@
         )
         table = self.context.table
         evidence = self._get_evidence()
+        spares_hedges = self.context.shedder.spares_hedges(
+            self.incoming, self.incoming.route.shards[0]
+        )
         to_hedge = []
         recheck = False
         for shard in self.shard_by_service.values():
@@ -509,6 +533,8 @@
                     recheck = True
                     continue
                 self._presume_relay_lost(dispatch)
+            elif spares_hedges:
+                continue
             if table.can_hedge(shard.service, shard.tried):
                 to_hedge.append(shard)
         sent_before = len(self.dispatches)
--- a/chervilspindle/routing/metrics.py
+++ b/chervilspindle/routing/metrics.py
@@ -40,6 +40,11 @@
             "Requests that an entry refused before a route ran them, by "
             "reason.",
         )
+        self.shed = self._counter(
+            "shed_requests_total",
+            "Requests refused because of the load of endpoints, by route "
+            "and priority.",
+        )
         self.cut_off = aioprometheus.Gauge(
             "chervilspindle_cut_off",
             "1 while this VM reaches no endpoint, else 0.",
@@ -89,6 +94,10 @@
         """Count a request that was refused before it was started."""
         self.refused.inc({"reason": reason})
 
+    def count_shed(self, route, priority):
+        """Count a request that was refused because of overload."""
+        self.shed.inc({"route": route, "priority": str(priority)})
+
     def count_event(self, event):
         """Count a connection event."""
         self.events.inc({"event": event})
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -70,6 +70,10 @@
         self.reported = True
         self.presumed_lost = False
         pending = self.pending_services
+        if report.load >= 0.0 and report.parts:
+            services = report.parts[0].services
+            if pending.issuperset(services):
+                self.listener.on_load(services, report.load)
         for service, endpoint_id in report.sent:
             if self._is_expected((service,)):
                 self.listener.on_endpoint_chosen(self, service, endpoint_id)
@@ -355,6 +359,7 @@
         self.loop = context.loop
         request = call.request
         started_s = self.loop.time()
+        self.started_s = started_s
         self.dispatch = direct_dispatch.DirectDispatch(
             context,
             endpoint_calls.RequestTemplate(
@@ -495,9 +500,20 @@
         if part_sets:
             mean_ms = sum(self.durations_ms) / len(self.durations_ms)
             self.durations_ms = []
+        context = self.server.context
+        load = -1.0
+        if part_sets and context.shedder.in_force:
+            load = context.table.find_mean_load(
+                self.call.services, self.started_s
+            )
         self.link.send(
             messages.RelayReport(
-                self.call.query_id, part_sets, losses, in_progress, mean_ms
+                self.call.query_id,
+                part_sets,
+                losses,
+                in_progress,
+                mean_ms,
+                load,
             )
         )
 
--- a/chervilspindle/routing/routed_request.py
+++ b/chervilspindle/routing/routed_request.py
@@ -58,6 +58,7 @@
         self.timers = []
         self.broken_endpoints = []  # that closed the connection at work
         self.answered = False  # by any endpoint, with a success
+        self.shed_fields = {}  # of the log event, if refused by load
 
     def build_log_fields(self) -> dict:
         """Return the request-specific fields of the log event."""
@@ -164,6 +165,19 @@
         retry_after = b"%.2f" % wait_s
         self.finish(503, ((b"Retry-After", retry_after),), b"", reason)
 
+    def refuse_overload(self, verdict):
+        """Refuse the request by load shedding.
+
+        Parameters
+        ----------
+        verdict : overload.Verdict
+        """
+        self.shed_fields = verdict.build_log_fields(self.incoming)
+        self.context.metrics.count_shed(
+            self.incoming.route.name, self.shed_fields["priority"]
+        )
+        self.refuse("overload", self.context.shedder.draw_retry_s())
+
     def finish(self, status, headers, body, reason):
         """Answer the caller and end the request.
 
@@ -174,6 +188,7 @@
         fields = {
             "why": reason,
             **self.build_log_fields(),
+            **self.shed_fields,
             **self._build_broken_fields(),
         }
         self.on_done(self.incoming, status, fields)
--- a/chervilspindle/routing/single_endpoint.py
+++ b/chervilspindle/routing/single_endpoint.py
@@ -32,6 +32,8 @@
 
     def start(self):
         """Send to the endpoint with the lowest cost, or refuse if none."""
+        if self._is_shed():
+            return
         self.context.budget.count_requests((self.service,))
         target = self._choose()
         if target is None:
@@ -46,6 +48,28 @@
         self.watch_caller()
         self.watch_reachability()
 
+    def _is_shed(self) -> bool:
+        """Refuse the request if the endpoints have too much to do."""
+        shedder = self.context.shedder
+        if not shedder.in_force:
+            return False
+        now = self.loop.time()
+        verdict = shedder.decide(self.incoming, self.service, now)
+        if verdict.admitted and self._is_hopeless(now):
+            verdict = verdict._replace(admitted=False)
+        if not verdict.admitted:
+            self.refuse_overload(verdict)
+        return not verdict.admitted
+
+    def _is_hopeless(self, now) -> bool:
+        """Tell whether no endpoint can answer within the objective."""
+        objective_ms = self.incoming.route.objective_ms
+        limit_ms = min(self.timing.answer_ms, self.timing.deadline_ms)
+        if not objective_ms:
+            return False
+        answer_ms = self.context.table.estimate_answer_ms(self.service, now)
+        return answer_ms > limit_ms - self.read_elapsed_ms()
+
     def _choose(self, is_hedge=False):
         if not self.can_end():
             self.last_reason = self.last_reason or drain.REASON
@@ -209,7 +233,10 @@
         return True
 
     def _hedge(self):
-        if not self.done and self.calls and self._may_resend():
+        if self.done or not self.calls or not self._may_resend():
+            return
+        shedder = self.context.shedder
+        if not shedder.spares_hedges(self.incoming, self.service):
             self._resend("hedge")
 
     def is_unsent(self) -> bool:
--- a/chervilspindle/wire/messages.py
+++ b/chervilspindle/wire/messages.py
@@ -466,6 +466,9 @@
         Shards that are still in progress; set in the first report only.
     mean_part_ms : float
         Mean time of the parts, 0 if there are none.
+    load : float
+        Mean of the requests per slot that endpoints of the shards have
+        stated to the relay since the call; negative if not known.
     """
 
     query_id: int
@@ -473,6 +476,7 @@
     losses: tuple[Loss, ...]
     sent: tuple[tuple[str, str], ...]
     mean_part_ms: float
+    load: float = -1.0
 
 
 class RelayCancel(typing.NamedTuple):
@@ -836,6 +840,7 @@
 # Number of fields by the version that had so many first.
 FIELD_COUNTS = {
     RelayedRequest: {1: 4, 2: 5},
+    RelayReport: {1: 5, 6: 6},
     WatchReply: {1: 6, 2: 7},
     MemberReport: {1: 6, 2: 8},
     MemberReportReply: {1: 3, 2: 4, 5: 5},
