--- a/chervilspindle/policy/shedding.py
+++ b/chervilspindle/policy/shedding.py
@@ -166,6 +166,23 @@
     return max(0.0, load - slots + 1.0) / slots * work_ms
 
 
+def is_hopeless(wait_ms: float, work_ms: float, left_ms: float) -> bool:
+    """Tell whether a request that waits so long would be late.
+
+    Its work counts with half of the time that is left at most: a service that
+    is slower than its objective would refuse everything otherwise.
+
+    Parameters
+    ----------
+    wait_ms : float
+        Until a slot is free.
+    work_ms : float
+    left_ms : float
+        Time until the answer has to be ready.
+    """
+    return wait_ms > max(left_ms - work_ms, 0.5 * left_ms, 0.0)
+
+
 class Claim(typing.NamedTuple):
     """What one account may get of the requests of one priority.
 
--- a/chervilspindle/policy/shedding_test.py
+++ b/chervilspindle/policy/shedding_test.py
@@ -154,3 +154,23 @@
     assert shedding.estimate_wait_ms(2.0, 3, 90.0) == 0.0
     assert shedding.estimate_wait_ms(3.0, 3, 90.0) == pytest.approx(30.0)
     assert shedding.estimate_wait_ms(8.0, 3, 90.0) == pytest.approx(180.0)
+
+
+@pytest.mark.parametrize(
+    "wait_ms,work_ms,left_ms,expected",
+    (
+        (0.0, 90.0, 600.0, False),
+        (500.0, 90.0, 600.0, False),
+        (520.0, 90.0, 600.0, True),
+        (0.0, 900.0, 600.0, False),
+        (310.0, 900.0, 600.0, True),
+        (0.0, 90.0, -5.0, False),
+        (1.0, 90.0, -5.0, True),
+        (1e6, 90.0, math.inf, False),
+    ),
+)
+def test_a_request_without_a_queue_before_it_has_a_chance(
+    wait_ms, work_ms, left_ms, expected
+):
+    """A service slower than its objective must still get requests."""
+    assert shedding.is_hopeless(wait_ms, work_ms, left_ms) is expected
--- a/chervilspindle/routing/account_shedding_test.py
+++ b/chervilspindle/routing/account_shedding_test.py
@@ -117,6 +117,18 @@
     run_test(test)
 
 
+def test_a_service_slower_than_its_objective_gets_requests(run_test):
+    async def test(world):
+        entry_accounts_test.apply_accounts(world.entry, URGENT)
+        for target in world.table.targets_by_service["desk"].values():
+            now = world.loop.time()
+            selection.record_success(target.health, 5000.0, now)
+        for path in ("/one/x", "/once/x"):
+            assert (await ask(world, path, "urgent"))[0] == 200
+
+    run_test(test)
+
+
 def test_stated_loads_reach_the_shedder(run_test):
     async def test(world):
         entry_accounts_test.apply_accounts(world.entry, URGENT)
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -182,21 +182,24 @@
         ]
         return sum(loads) / len(loads) if loads else -1.0
 
-    def estimate_answer_ms(self, service: str, now: float) -> float:
-        """Return when the least loaded endpoint would answer, in ms.
+    def estimate_wait_ms(self, service: str, work_ms: float) -> float:
+        """Return how long a request would wait at the least loaded endpoint.
 
         By the loads that endpoints stated; 0 if nothing is known.
         """
-        targets = self.targets_by_service.get(service, {}).values()
-        work_ms = find_best_ms(targets)
+        now = self.loop.time()
         return min(
             (
-                work_ms + overload.estimate_wait_ms(t.health, now, work_ms)
-                for t in targets
+                overload.estimate_wait_ms(health, now, work_ms)
+                for health in self.list_healths(service)
             ),
             default=0.0,
         )
 
+    def find_work_ms(self, service: str) -> float:
+        """Return the lowest typical response time of a service, in ms."""
+        return find_best_ms(self.targets_by_service.get(service, {}).values())
+
     def can_hedge(self, service: str, excluded) -> bool:
         """Tell whether a hedge would be answered by an unused slot.
 
--- a/chervilspindle/routing/single_endpoint.py
+++ b/chervilspindle/routing/single_endpoint.py
@@ -1,5 +1,6 @@
 """Requests that are forwarded unchanged to one endpoint of a service."""
 
+from chervilspindle.policy import shedding
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import routed_request
@@ -55,20 +56,23 @@
             return False
         now = self.loop.time()
         verdict = shedder.decide(self.incoming, self.service, now)
-        if verdict.admitted and self._is_hopeless(now):
+        if verdict.admitted and self._is_hopeless():
             verdict = verdict._replace(admitted=False)
         if not verdict.admitted:
             self.refuse_overload(verdict)
         return not verdict.admitted
 
-    def _is_hopeless(self, now) -> bool:
-        """Tell whether no endpoint can answer within the objective."""
-        objective_ms = self.incoming.route.objective_ms
-        limit_ms = min(self.timing.answer_ms, self.timing.deadline_ms)
-        if not objective_ms:
-            return False
-        answer_ms = self.context.table.estimate_answer_ms(self.service, now)
-        return answer_ms > limit_ms - self.read_elapsed_ms()
+    def _is_hopeless(self) -> bool:
+        """Tell whether queues are too long to answer in time anywhere."""
+        timing = self.timing
+        limit_ms = min(timing.answer_ms, timing.deadline_ms)
+        table = self.context.table
+        work_ms = table.find_work_ms(self.service)
+        return shedding.is_hopeless(
+            table.estimate_wait_ms(self.service, work_ms),
+            work_ms,
+            limit_ms - self.read_elapsed_ms(),
+        )
 
     def _choose(self, is_hedge=False):
         if not self.can_end():
--- a/chervilspindle/wire/versions.py
+++ b/chervilspindle/wire/versions.py
@@ -11,7 +11,7 @@
 # A version per change of messages, in the order in which builds had them:
 # 1 the oldest that is still understood, 2 members by zone, 3 permits and crash
 # records, 4 forwarded requests and probes, 5 stated versions, 6 permits of
-# client accounts and zones that are taken out.
+# client accounts, zones that are taken out and the load in reports of relays.
 OLDEST = 1
 CRASH_RECORDS = 3
 CURRENT = 6
