--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -493,6 +493,10 @@
         selection.record_load(
             health, stated.running, stated.waiting, stated.slots, now
         )
+        if context.shedder.in_force:
+            context.shedder.record_load(
+                target.endpoint.service, health.load / health.slots, now
+            )
         if stated.slowness is not None:
             selection.record_slowness(
                 health, stated.slowness, context.table.persistence, now
--- a/chervilspindle/routing/entry.py
+++ b/chervilspindle/routing/entry.py
@@ -59,6 +59,7 @@
                 return False
         self.accounts = directory.AccountDirectory(document, self.accounts)
         self.routes = documents.RouteTable(document)
+        self.context.shedder.update_document(document)
         self.document = document
         if self.context.quotas is not None:
             self.context.quotas.update_document(document)
--- a/chervilspindle/routing/single_endpoint.py
+++ b/chervilspindle/routing/single_endpoint.py
@@ -2,6 +2,7 @@
 
 import math
 
+from chervilspindle.policy import shedding
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import permission
@@ -36,6 +37,8 @@
 
     def start(self):
         """Send to the endpoint with the lowest cost, or refuse if none."""
+        if self._is_shed():
+            return
         self.context.budget.count_requests((self.service,))
         target = self._choose()
         if target is None:
@@ -53,6 +56,31 @@
         self.watch_caller()
         self.watch_reachability()
 
+    def _is_shed(self) -> bool:
+        """Refuse the request if the endpoints have too much to do."""
+        shedder = self.context.shedder
+        if not shedder.in_force:
+            return False
+        now = self.loop.time()
+        verdict = shedder.decide(self.incoming, self.service, now)
+        if verdict.admitted and self._is_hopeless():
+            verdict = verdict._replace(admitted=False)
+        if not verdict.admitted:
+            self.refuse_overload(verdict)
+        return not verdict.admitted
+
+    def _is_hopeless(self) -> bool:
+        """Tell whether queues are too long to answer in time anywhere."""
+        timing = self.timing
+        limit_ms = min(timing.answer_ms, timing.deadline_ms)
+        table = self.context.table
+        work_ms = table.find_work_ms(self.service)
+        return shedding.is_hopeless(
+            table.estimate_wait_ms(self.service, work_ms),
+            work_ms,
+            limit_ms - self.read_elapsed_ms(),
+        )
+
     def _choose(self, is_hedge=False):
         if not self.can_end():
             self.last_reason = self.last_reason or drain.REASON
@@ -229,7 +257,10 @@
         self._hedge()
 
     def _hedge(self):
-        if not self.done and self.calls and self._may_resend():
+        if self.done or not self.calls or not self._may_resend():
+            return
+        shedder = self.context.shedder
+        if not shedder.spares_hedges(self.incoming, self.service):
             self._resend("hedge")
 
     def is_unsent(self) -> bool:
