--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -13,6 +13,7 @@
 
 from twisted.internet import defer
 
+from chervilspindle.accounts import quota_links
 from chervilspindle.control import frontend as frontend_module
 from chervilspindle.control import node as node_module
 from chervilspindle.control import storage as storage_module
@@ -95,6 +96,8 @@
         None where quotas of client accounts are not in force.
     cold_rule : shared_limits.ColdRule or None
         None where endpoints that are cold have no limit.
+    spread_load : bool
+        Whether entries choose endpoints as `spreading` describes.
     """
 
     vm_id: str
@@ -116,6 +119,7 @@
     memory_mb: float
     quota_rule: shared_limits.QuotaRule | None = None
     cold_rule: shared_limits.ColdRule | None = None
+    spread_load: bool = False
 
 
 class Adapter(typing.NamedTuple):
@@ -277,6 +281,8 @@
             self.metrics,
             f"{settings.vm_id} {os.getpid()}",
             settings.quota_rule,
+            settings.spread_load,
+            settings.cold_rule,
         )
         self.context = context
         self.entry_peer = peer_messages.EntryPeer(context)
@@ -296,8 +302,12 @@
             self.context.budget.read_peak_requests,
             self._apply_relays,
         )
+        self.issuer_links = None
         if context.quotas is not None:
             self.watch_client.on_contact = context.quotas.issuer.record_contact
+            self.issuer_links = quota_links.IssuerLinks(
+                context.quotas, self.timers
+            )
         context.quarantine.send_report = self._send_crash_report
         self.evacuation_monitor = evacuation_monitor.EntryMonitor(context)
         self.caller_server = None
@@ -419,6 +429,7 @@
         self.context.relays.table.set_relays(fingerprint, relays)
         if self.context.quotas is not None:
             self.context.quotas.issuer.update_entries()
+            self.issuer_links.check_soon()
 
     def _put_endpoint(self, endpoint):
         """Apply one row; a row that fails must not hold up the others."""
@@ -449,6 +460,8 @@
         if self.entry.update_document(document):
             self.context.relays.table.update_document(document)
             self._update_connection_limits()
+            if self.issuer_links is not None:
+                self.issuer_links.check_soon()
 
     def _update_totals(self, vms, requests):
         budget = self.context.budget
