Callers beyond the limits: one budget for all that is held for them

Header lines and body pieces were kept as small objects, lines were counted only at the end of the head, and each connection was bounded by itself, so that many callers together exceeded the memory of the VM.

Lines and bytes are now counted by what they cost as they arrive; a body is one buffer; all that a process holds for callers and for links without a verified frame shares one budget. When it is short, a pure decision chooses what to refuse (wire/caller_limits.py), never a request in progress. Connections leave descriptors to endpoints, peers and readiness checks. Parsing has turns, and callers that read no answers are bounded and closed.

--- a/chervilspindle/platform/settings.py
+++ b/chervilspindle/platform/settings.py
@@ -50,6 +50,13 @@
     speed: float = msgspec.field(default=1.0, name="cpu-cores")
     link_mbps: float = msgspec.field(default=1000.0, name="link-speed-mbps")
     memory_mb: float = msgspec.field(default=256.0, name="memory-mb")
+    # Absent for a share of the memory and of the descriptors.
+    caller_memory_mb: float | None = msgspec.field(
+        default=None, name="caller-memory-mb"
+    )
+    caller_connections: int | None = msgspec.field(
+        default=None, name="caller-connections"
+    )
 
 
 class PolicyValues(msgspec.Struct):
@@ -134,6 +141,8 @@
         memory_mb=limits.memory_mb,
         quota_rule=_build_quota_rule(policy),
         cold_rule=_build_cold_rule(policy),
+        caller_memory_mb=limits.caller_memory_mb,
+        caller_connections=limits.caller_connections,
     )
     _check(settings)
     return settings
--- a/chervilspindle/platform/settings_test.py
+++ b/chervilspindle/platform/settings_test.py
@@ -33,6 +33,8 @@
         "cpu-cores": 1.0,
         "link-speed-mbps": 100.0,
         "memory-mb": 222.0,
+        "caller-memory-mb": 40.0,
+        "caller-connections": 500,
     },
 }
 PLACES = [
--- a/chervilspindle/routing/metrics.py
+++ b/chervilspindle/routing/metrics.py
@@ -35,6 +35,15 @@
             "drain_refusals_total",
             "Requests that a planned stop refused or ended, by how.",
         )
+        self.refused_callers = self._counter(
+            "refused_callers_total",
+            "Connections of callers refused or closed at a limit, by reason.",
+        )
+        self.caller_bytes = aioprometheus.Gauge(
+            "chervilspindle_caller_bytes",
+            "Memory that is held for callers, in bytes.",
+            registry=self.registry,
+        )
         self.cut_off = aioprometheus.Gauge(
             "chervilspindle_cut_off",
             "1 while this VM reaches no endpoint, else 0.",
@@ -88,6 +97,14 @@
         """Count a row from control that this entry could not use."""
         self.unusable.inc({"kind": kind})
 
+    def count_refused_caller(self, reason):
+        """Count a connection refused or closed at a limit, by reason."""
+        self.refused_callers.inc({"reason": reason})
+
+    def set_caller_bytes(self, count):
+        """Set how much memory is held for callers."""
+        self.caller_bytes.set({}, count)
+
     def set_cut_off(self, is_cut_off):
         """Set whether this VM reaches no endpoint."""
         self.cut_off.set({}, int(is_cut_off))
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -22,6 +22,7 @@
 from chervilspindle.core import loops
 from chervilspindle.core import timers as timers_module
 from chervilspindle.policy import shared_limits
+from chervilspindle.routing import caller_capacity
 from chervilspindle.routing import connection_prewarmer
 from chervilspindle.routing import contexts
 from chervilspindle.routing import drain
@@ -94,6 +95,10 @@
         None where quotas of client accounts are not in force.
     cold_rule : shared_limits.ColdRule or None
         None where endpoints that are cold have no limit.
+    caller_memory_mb : float or None
+        Memory that may be held for callers; None for a share of `memory_mb`.
+    caller_connections : int or None
+        Connections of callers; None for a share of the descriptors.
     """
 
     vm_id: str
@@ -115,6 +120,8 @@
     memory_mb: float
     quota_rule: shared_limits.QuotaRule | None = None
     cold_rule: shared_limits.ColdRule | None = None
+    caller_memory_mb: float | None = None
+    caller_connections: int | None = None
 
 
 class Adapter(typing.NamedTuple):
@@ -165,6 +172,12 @@
             streams.LoopStreams(loop),
         )
         self.metrics = metrics_module.RoutingMetrics()
+        self.capacity = caller_capacity.build_capacity(
+            settings, loop.time, self.metrics.count_refused_caller
+        )
+        self.network.limit_unverified(
+            self.capacity.budget, self.capacity.max_unverified
+        )
         self.servers = []
         self.starting = None  # the task, once it runs
         self.serving = False
@@ -217,10 +230,23 @@
             extra={"role": role, "peer_version": versions.CURRENT},
         )
 
-    async def listen(self, name, address, handler, read_limits):
-        """Start an HTTP server at an address."""
+    async def listen(
+        self, name, address, handler, read_limits, max_connections=None
+    ):
+        """Start an HTTP server at an address.
+
+        `max_connections` is by default that of servers not for callers.
+        """
+        if max_connections is None:
+            max_connections = self.capacity.max_side
         server = http_server.HttpServer(
-            self.loop, self.timers, name, handler, read_limits
+            self.loop,
+            self.timers,
+            name,
+            handler,
+            read_limits,
+            self.capacity.budget,
+            max_connections,
         )
         await server.listen(address, BACKLOG)
         self.servers.append(server)
@@ -237,6 +263,7 @@
 
     def _answer_metrics(self, exchange):
         self.metrics.set_peer_links(self.network.count_links_by_version())
+        self.metrics.set_caller_bytes(self.capacity.budget.total_bytes)
         body, headers = self.metrics.render([])
         packed = tuple(
             (k.encode(), v.encode())
@@ -321,6 +348,7 @@
             settings.entry_address,
             self.entry.handle,
             self.entry.read_limits,
+            self.capacity.max_connections,
         )
         await self.listen(
             "ready",
@@ -505,6 +533,7 @@
             self.settings.control_address,
             self.adapter.build_control_handler(self.frontend),
             lambda: CONTROL_LIMITS,
+            self.capacity.max_connections,
         )
         await self.listen_metrics()
         self.start_serving("control")
--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -9,19 +9,24 @@
 from collections import abc
 import http
 import logging
+import math
 import socket
 import struct
 import typing
 
 import httptools
 
+from chervilspindle.wire import caller_limits
+from chervilspindle.wire import request_reader
+
 LOGGER = logging.getLogger(__name__)
 
 SWEEP_S = 0.5
-FIRST_REQUEST_S = 0.5  # within which a new connection gets its request
 MAX_PIPELINED = 16
-MAX_HEADERS = 200
-CHUNK_OVERHEAD_RATIO = 16  # framing of chunks with one byte each
+# Between turns while several connections wait for theirs; leaves time for
+# requests that need none.
+TURN_PAUSE_S = 0.001
+RETRY_AFTER = (b"Retry-After", b"1")
 NO_BODY_STATUSES = (204, 304)
 # In Linux's `struct tcp_info`, the smoothed round trip time in us.
 TCP_INFO_BYTES = 104
@@ -144,15 +149,35 @@
         ``handler(exchange)``; may answer before or after it returns.
     read_limits : callable
         Returns the current `ServerLimits`.
+    budget : caller_limits.CallerBudget or None
+        Shared by all servers of the process; None for no limit.
+    max_connections : float
+        Beyond it, connections without a request in progress are closed.
     """
 
-    def __init__(self, loop, timers, name, handler, read_limits):
+    def __init__(
+        self,
+        loop,
+        timers,
+        name,
+        handler,
+        read_limits,
+        budget=None,
+        max_connections=math.inf,
+    ):
         self.loop = loop
         self.timers = timers
         self.name = name
         self.handler = handler
         self.read_limits = read_limits
+        self.budget = budget or caller_limits.build_unlimited(loop.time)
+        self.max_connections = max_connections
         self.connections = set()
+        self.turns = collections.deque()  # connections with bytes to parse
+        self.turn_is_due = False
+        # The connection that needs many calls of the parser for its bytes; a
+        # second one waits for turns.
+        self.busiest = None
         self.closing = False
         self.server = None
 
@@ -171,6 +196,49 @@
         for connection in list(self.connections):
             connection.check_time(now, limits)
 
+    def add(self, connection):
+        """Register a connection; closes others if there are too many."""
+        self.connections.add(connection)
+        self.budget.hold(connection, caller_limits.CONNECTION_BYTES)
+        if len(self.connections) <= self.max_connections:
+            return
+        now = self.loop.time()
+        surplus = len(self.connections) - self.max_connections
+        share = self.max_connections * caller_limits.CLOSED_SHARE
+        chosen = caller_limits.choose_closed(
+            (c.describe_idle(now) for c in self.connections),
+            max(surplus, int(share)),
+        )
+        for victim in chosen:
+            self.connections.discard(victim)
+            victim.drop(caller_limits.CONNECTIONS_REASON)
+        LOGGER.warning(
+            "connections closed",
+            extra={
+                "server": self.name,
+                "closed": len(chosen),
+                "limit": self.max_connections,
+            },
+        )
+
+    def queue_turn(self, connection):
+        """Let a connection parse more once others had their turn."""
+        self.turns.append(connection)
+        if not self.turn_is_due:
+            self.turn_is_due = True
+            self.loop.call_soon(self._run_turn)
+
+    def _run_turn(self):
+        # Connections that were closed meanwhile take no turn.
+        while self.turns and not self.turns.popleft().take_turn():
+            pass
+        if len(self.turns) > 1:
+            self.loop.call_later(TURN_PAUSE_S, self._run_turn)
+        elif self.turns:
+            self.loop.call_soon(self._run_turn)
+        else:
+            self.turn_is_due = False
+
     def count_busy(self) -> int:
         """Return the number of connections with a request in progress."""
         return sum(1 for c in self.connections if c.exchange is not None)
@@ -206,26 +274,40 @@
 
 
 class ServerConnection:
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    Attributes
+    ----------
+    backlog : bytes
+        Received but not parsed, from `backlog_start` on.
+    waiting_bytes, running_bytes, unread_bytes : int
+        Memory of the requests that wait and of the one in progress, and
+        answers that the caller has not read.
+    """
 
     def __init__(self, server: HttpServer):
         self.server = server
         self.transport = None
-        self.parser = httptools.HttpRequestParser(self)
-        self.target = b""
-        self.headers = []
-        self.body = []
-        self.header_bytes = 0
-        self.body_bytes = 0
-        self.received_bytes = 0  # since the end of the head
-        self.in_header = True
+        self.reader = request_reader.RequestReader(self, server.read_limits)
+        self.backlog = b""
+        self.backlog_start = 0
+        self.waiting_bytes = 0
+        self.running_bytes = 0
+        self.unread_bytes = 0
         self.request_started_s = None
         self.idle_since_s = server.loop.time()
+        self.unread_since_s = None
+        self.closing_since_s = None
         self.request_count = 0
         self.waiting = collections.deque()
         self.exchange = None
         self.refused = False
         self.keep_alive = True
+        self.is_held = False  # more than a small request
+        self.is_parsing = False
+        self.is_queued = False
+        self.is_admitting = False
+        self.reading_paused = False
 
     def connection_made(self, transport):
         """Register a new connection."""
@@ -233,12 +315,17 @@
         self.round_trip_ms = read_round_trip_ms(
             transport.get_extra_info("socket")
         )
-        self.server.connections.add(self)
+        self.server.add(self)
 
     def connection_lost(self, error):
         """Abandon the request in progress."""
         self.server.connections.discard(self)
+        self.server.budget.release(self)
+        if self.server.busiest is self:
+            self.server.busiest = None
+        self.refused = True
         self.waiting.clear()
+        self._drop_partial()
         exchange, self.exchange = self.exchange, None
         if exchange is not None and exchange.on_abandoned is not None:
             exchange.on_abandoned()
@@ -248,10 +335,17 @@
         return False
 
     def pause_writing(self):
-        """Do nothing: answers are bounded in size and number."""
+        """Answer no further request until the caller has read."""
+        self.unread_since_s = self.server.loop.time()
 
     def resume_writing(self):
-        """Do nothing."""
+        """Answer the next request."""
+        self.unread_since_s = None
+        self.unread_bytes = 0
+        self._update_held()
+        if self.waiting:
+            self.server.loop.call_soon(self._serve_next)
+        self._read_on()
 
     def data_received(self, data: bytes):
         """Parse received bytes."""
@@ -259,101 +353,133 @@
             return
         if self.request_started_s is None:
             self.request_started_s = self.server.loop.time()
+        if (
+            len(data) <= caller_limits.PIECE_BYTES
+            and not self.backlog
+            and self.reader.calls <= caller_limits.MAX_TURN_CALLS
+            and len(self.waiting) <= MAX_PIPELINED
+        ):
+            self._parse(data)
+        else:
+            self.backlog = self.backlog[self.backlog_start :] + data
+            self.backlog_start = 0
+            if self._needs_turn():
+                self._wait_for_turn()
+            else:
+                self._parse_backlog()
+        if (
+            self.is_held
+            or self.backlog
+            or self.reader.get_held_bytes() > caller_limits.SMALL_BYTES
+        ):
+            self._update_held()
+
+    def take_turn(self) -> bool:
+        """Parse some of the backlog; return whether there was any."""
+        self.is_queued = False
+        if self.refused or self.transport.is_closing() or not self.backlog:
+            return False
+        self._parse_backlog()
+        self._update_held()
+        return True
+
+    def _parse_backlog(self):
+        """Parse until all is parsed or others have their turn."""
+        if self.is_parsing:
+            return
+        self.is_parsing = True
+        calls = self.reader.calls
+        view = memoryview(self.backlog)
+        while self.backlog_start < len(view):
+            if self.reader.calls - calls > caller_limits.MAX_TURN_CALLS:
+                self._wait_for_turn()
+                break
+            if len(self.waiting) > MAX_PIPELINED:
+                self._pause_reading()
+                break
+            end = self.backlog_start + caller_limits.PIECE_BYTES
+            piece = view[self.backlog_start : end]
+            self.backlog_start = end
+            self._parse(piece)
+            if self.refused:
+                break
+        self.is_parsing = False
+        if self.refused or self.backlog_start >= len(self.backlog):
+            self.backlog = b""
+            self.backlog_start = 0
+            self._read_on()
+
+    def _needs_turn(self) -> bool:
+        """Tell whether others need as many calls of the parser as this."""
+        if self.reader.calls <= caller_limits.MAX_TURN_CALLS:
+            return False
+        server = self.server
+        if server.busiest is None:
+            server.busiest = self
+        return server.busiest is not self
+
+    def _wait_for_turn(self):
+        self._pause_reading()
+        if not self.is_queued:
+            self.is_queued = True
+            self.server.queue_turn(self)
+
+    def _pause_reading(self):
+        if not self.reading_paused and not self.transport.is_closing():
+            self.reading_paused = True
+            self.transport.pause_reading()
+
+    def _read_on(self):
+        """Parse or read more, unless enough requests wait already."""
+        if self.is_parsing or self.is_queued or self.transport.is_closing():
+            return
+        if len(self.waiting) > MAX_PIPELINED:
+            return
+        if self.backlog and not self.refused:
+            self._wait_for_turn()
+        elif self.reading_paused:
+            self.reading_paused = False
+            self.transport.resume_reading()
+
+    def _parse(self, piece):
         try:
-            if self.in_header:
-                self.header_bytes += len(data)
-            self.received_bytes += len(data)
-            self.parser.feed_data(data)
+            self.reader.parse(piece)
         except httptools.HttpParserUpgrade:
             # The request is served without the upgrade, as RFC 9110 allows;
             # what follows it may be of another protocol.
             self.refused = True
-            return
-        except httptools.HttpParserError as error:
-            if not self.refused:
-                self._refuse(400, str(error))
-            return
-        limit = self.server.read_limits().header_bytes
-        if self.in_header and self.header_bytes > limit:
-            self._refuse(431, "header is too large")
-        elif not self.in_header and (
-            self.received_bytes - self.body_bytes
-            > limit + CHUNK_OVERHEAD_RATIO * self.body_bytes
-        ):
-            self._refuse(413, "framing of the body is too large")
-
-    def on_message_begin(self):
-        """Reset the state for a new request."""
-        self.target = b""
-        self.headers = []
-        self.body = []
-        self.body_bytes = 0
-        self.in_header = True
+
+    def begin_request(self):
+        """Note that the first bytes of a request were parsed."""
+        if self.exchange is None and not self.waiting and not self.backlog:
+            self.reader.calls = 0
+            if self.server.busiest is self:
+                self.server.busiest = None
         if self.request_started_s is None:
             self.request_started_s = self.server.loop.time()
 
-    def on_url(self, url: bytes):
-        """Append a piece of the request target."""
-        self.target += url
-
-    def on_header(self, name: bytes, value: bytes):
-        """Append one header; trailers are ignored."""
-        if self.in_header:
-            self.headers.append((name.lower(), value))
-
-    def on_headers_complete(self):
-        """Check the header section before the body is read."""
-        self.in_header = False
-        self.received_bytes = 0
-        size = len(self.target)
-        expects = False
-        codings = []
-        for name, value in self.headers:
-            size += len(name) + len(value) + 4
-            if name == b"expect" and value.lower() == b"100-continue":
-                expects = True
-            elif name == b"transfer-encoding":
-                codings.append(value.strip().lower())
-        limits = self.server.read_limits()
-        if size > limits.header_bytes or len(self.headers) > MAX_HEADERS:
-            self._refuse(431, "header is too large")
-        elif codings not in ([], [b"chunked"]):
-            self._refuse(501, "transfer coding is not supported")
-        elif expects and self.exchange is None:
+    def send_continue(self):
+        """Ask for the body of a request, unless an answer is due before."""
+        if self.exchange is None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_body(self, body: bytes):
-        """Append a piece of the body."""
-        self.body_bytes += len(body)
-        if self.body_bytes > self.server.read_limits().body_bytes:
-            self._refuse(413, "body is too large")
-            return
-        self.body.append(body)
-
-    def on_message_complete(self):
-        """Pass the request to the handler, or queue it."""
-        if self.refused:
-            return
+    def complete_request(self, read: request_reader.ReadRequest):
+        """Pass a request to the handler, or queue it."""
         request = Request(
-            self.parser.get_method(),
-            self.target,
-            tuple(self.headers),
-            b"".join(self.body),
+            read.method,
+            read.target,
+            read.headers,
+            read.body,
             self.server.loop.time(),
             self.request_count == 0,
             self.round_trip_ms,
         )
         self.request_count += 1
-        self.in_header = True
-        self.header_bytes = 0
         self.request_started_s = None
-        keep = (
-            self.parser.should_keep_alive()
-            and not self.parser.should_upgrade()
-        )
-        self.waiting.append((request, keep))
+        self.waiting.append((request, read.keep_alive, read.cost_bytes))
+        self.waiting_bytes += read.cost_bytes
         if len(self.waiting) > MAX_PIPELINED:
-            self.transport.pause_reading()
+            self._pause_reading()
         self._serve_next()
 
     def finish(self, exchange, status, headers, body):
@@ -361,43 +487,157 @@
         if self.exchange is not exchange:
             return
         self.exchange = None
+        self.running_bytes = 0
         keep = self.keep_alive and not self.server.closing
         self._write(status, headers, body, exchange.request.method, keep)
         self.idle_since_s = self.server.loop.time()
+        if self.unread_since_s is not None:
+            self.unread_bytes = self.transport.get_write_buffer_size()
+            self._update_held()
+        elif self.is_held:
+            self._update_held()
         if not keep:
             self.transport.close()
             return
         if self.waiting:
-            self.transport.resume_reading()
             self.server.loop.call_soon(self._serve_next)
+        if self.reading_paused:
+            self._read_on()
+
+    def describe_held(self, held_bytes: int, now: float):
+        """Return what the budget has to know of the connection."""
+        since_s = self.request_started_s
+        if self.unread_since_s is not None:
+            since_s = self.unread_since_s
+        if since_s is None:
+            since_s = self.idle_since_s
+        is_running = self.exchange is not None
+        if is_running:
+            held_bytes -= self.running_bytes + caller_limits.CONNECTION_BYTES
+            is_running = held_bytes <= caller_limits.SMALL_BYTES
+        return caller_limits.Held(
+            self,
+            held_bytes,
+            now - since_s,
+            is_running,
+            self.refused or self.transport.is_closing(),
+        )
+
+    def describe_idle(self, now: float):
+        """Return what the limit of connections has to know of it."""
+        return caller_limits.Idle(
+            self,
+            self.request_count,
+            now - self.idle_since_s,
+            self.exchange is not None or bool(self.waiting),
+        )
+
+    def give_up(self, reason: str):
+        """Release what is held beside the request in progress."""
+        has_begun = self.request_started_s is not None or self.waiting
+        unread = self.exchange is None and self.unread_since_s is not None
+        if self.transport.is_closing() or unread:
+            self.drop(reason)
+        elif self.is_admitting or has_begun or self.exchange is not None:
+            detail = "too much is held for callers"
+            self.refuse(503, detail, (RETRY_AFTER,), reason)
+        else:
+            self.drop(reason)
+
+    def drop(self, reason: str):
+        """Close at once, without an answer."""
+        self.server.budget.count_refused(reason)
+        self.refused = True
+        self.waiting.clear()
+        self._drop_partial()
+        self.server.budget.release(self)
+        self.transport.abort()
+
+    def _drop_partial(self):
+        self.reader.drop()
+        self.backlog = b""
+        self.backlog_start = 0
+        self.waiting_bytes = 0
+
+    def _update_held(self):
+        """Tell the budget what is held for the connection."""
+        if self not in self.server.connections:
+            return
+        held = (
+            self.reader.get_held_bytes()
+            + len(self.backlog)
+            + self.waiting_bytes
+            + self.running_bytes
+            + self.unread_bytes
+        )
+        self.is_held = held > caller_limits.SMALL_BYTES
+        if not self.is_held:
+            held = 0
+        self.server.budget.hold(self, caller_limits.CONNECTION_BYTES + held)
 
     def is_idle(self) -> bool:
         """Return whether all that was read has been answered."""
-        return self.exchange is None and self.request_started_s is None
+        return (
+            self.exchange is None
+            and self.request_started_s is None
+            and not self.backlog
+        )
 
     def is_new(self) -> bool:
         """Return whether its first request may be on its way."""
         if self.request_count:
             return False
         age_s = self.server.loop.time() - self.idle_since_s
-        return age_s < FIRST_REQUEST_S
+        return age_s < caller_limits.FIRST_REQUEST_S
 
     def check_time(self, now: float, limits: ServerLimits):
         """Close the connection if its caller takes too long."""
-        if self.exchange is not None or self.transport.is_closing():
+        if self.transport.is_closing():
+            self._check_closing(now, limits)
+            return
+        if self.exchange is not None:
             return
-        if self.request_started_s is not None:
+        if self.unread_since_s is not None:
+            self._check_unread(now, limits)
+        elif self.request_started_s is not None:
             if (now - self.request_started_s) * 1000.0 > limits.header_ms:
-                self._refuse(408, "request was not sent in time")
+                self.refuse(408, "request was not sent in time")
         elif (now - self.idle_since_s) * 1000.0 > limits.idle_ms:
             self.transport.close()
 
+    def _check_closing(self, now, limits):
+        """Abort a connection that does not take the end of its answer."""
+        if self.closing_since_s is None:
+            self.closing_since_s = now
+        elif (now - self.closing_since_s) * 1000.0 > limits.idle_ms:
+            self.drop(caller_limits.UNREAD_REASON)
+
+    def _check_unread(self, now, limits):
+        """Abort a connection whose caller has stopped reading answers."""
+        unread_bytes = self.transport.get_write_buffer_size()
+        if unread_bytes < self.unread_bytes:
+            self.unread_since_s = now
+            self.unread_bytes = unread_bytes
+            self._update_held()
+        elif (now - self.unread_since_s) * 1000.0 > limits.idle_ms:
+            self.drop(caller_limits.UNREAD_REASON)
+
     def _serve_next(self):
         if self.exchange is not None or not self.waiting:
             return
-        if self.transport.is_closing():
+        if self.unread_since_s is not None or self.transport.is_closing():
             return
-        request, self.keep_alive = self.waiting.popleft()
+        request, keep, cost = self.waiting.popleft()
+        self.waiting_bytes -= cost
+        copies = caller_limits.RUNNING_COPIES - 1
+        self.running_bytes = cost + copies * len(request.body)
+        if self.running_bytes > caller_limits.SMALL_BYTES:
+            self.is_admitting = True
+            self._update_held()
+            self.is_admitting = False
+            if self.refused:
+                return
+        self.keep_alive = keep
         exchange = self.exchange = Exchange(self, request)
         try:
             self.server.handler(exchange)
@@ -415,15 +655,17 @@
             )
             exchange.respond(500)
 
-    def _refuse(self, status, reason):
+    def refuse(self, status, reason, headers=(), label=""):
         """Reject an unreadable request, after the answer in progress.
 
         With an answer in progress, the connection closes after that answer;
-        queued requests and the rejected one get no answer.
+        queued requests and the rejected one get no answer. Counted under
+        `label`, by default the status.
         """
         if self.refused:
             return
         self.refused = True
+        self.server.budget.count_refused(label or str(status))
         LOGGER.warning(
             "request refused",
             extra={
@@ -432,17 +674,19 @@
                 "why": reason,
             },
         )
-        if self.exchange is None and self.waiting:
-            # This answer would be taken for that of the queued request.
-            self.waiting.clear()
-            self.transport.close()
-        elif self.exchange is None:
-            self._write(status, (), reason.encode(), b"GET", False)
-            self.transport.close()
-        else:
+        has_earlier = bool(self.waiting) and not self.is_admitting
+        self.waiting.clear()
+        self._drop_partial()
+        if self.exchange is not None:
             # The connection closes after the answer in progress.
             self.keep_alive = False
-            self.waiting.clear()
+        else:
+            self.running_bytes = 0
+            if not has_earlier:
+                # It would be taken for the answer to a queued request.
+                self._write(status, headers, reason.encode(), b"GET", False)
+            self.transport.close()
+        self._update_held()
 
     def _write(self, status, headers, body, method, keep):
         if self.transport.is_closing():
--- a/chervilspindle/wire/peer.py
+++ b/chervilspindle/wire/peer.py
@@ -18,6 +18,7 @@
 import hmac
 import itertools
 import logging
+import math
 import typing
 
 import msgspec
@@ -28,6 +29,7 @@
 
 from chervilspindle.core import errors
 from chervilspindle.core import logs
+from chervilspindle.wire import caller_limits
 from chervilspindle.wire import messages
 from chervilspindle.wire import versions
 
@@ -59,6 +61,9 @@
         Version of the protocol that the peer reads, as far as known.
     is_version_known : bool
         Whether the peer has stated it, or trials have shown it.
+    is_verified : bool
+        Whether the peer has shown that it has the key, or this end opened
+        the link. Others may hold only what the limits on callers leave.
     """
 
     MAX_LENGTH = NONCE_BYTES  # until the handshake
@@ -67,6 +72,8 @@
         self.network = network
         self.dialled_address = dialled_address
         self.is_dialled = bool(dialled_address)
+        self.is_verified = self.is_dialled
+        self.is_aborted = False
         self.own_nonce = versions.build_nonce(
             network.shared_key, network.own_version
         )
@@ -98,6 +105,31 @@
                 call.timeout.cancel()
             call.deferred.errback(_build_connection_lost("peer link lost"))
 
+    def dataReceived(self, data: bytes):
+        """Read frames; limits what peers hold that have shown no key."""
+        if self.is_aborted:
+            return
+        super().dataReceived(data)
+        if not self.is_verified and not self.is_aborted:
+            self.network.hold_unverified(self, len(self._unprocessed))
+
+    def abort(self):
+        """Close at once and read nothing more."""
+        self.is_aborted = True
+        self.paused = True  # ends the loop over received frames
+        self._unprocessed = b""
+        self.transport.abortConnection()
+
+    def describe_held(self, held_bytes: int, now: float):
+        """Return what the budget for callers has to know of the link."""
+        return caller_limits.Held(
+            self, held_bytes, now - self.last_received, False, self.is_aborted
+        )
+
+    def give_up(self, reason: str):
+        """Close for a limit on callers."""
+        self.network.drop_unverified(self, reason)
+
     def stringReceived(self, string: bytes):
         """Authenticate a frame and dispatch its message."""
         self.last_received = self.network.clock.seconds()
@@ -107,15 +139,18 @@
         body = self._verify(string)
         if body is None:
             LOGGER.warning("peer frame failed authentication; closing link")
-            self.transport.abortConnection()
+            self.abort()
             return
+        if not self.is_verified:
+            self.is_verified = True
+            self.network.release_unverified(self)
         if not body:
             return
         try:
             frame = messages.split_frame(body)
         except (msgspec.MsgspecError, RecursionError):
             LOGGER.warning("peer frame cannot be decoded; closing link")
-            self.transport.abortConnection()
+            self.abort()
             return
         self.last_used = self.last_received
         if not self.is_version_known:
@@ -154,7 +189,7 @@
             "peer frame is too large; closing link",
             extra={"frame_bytes": length, "limit_bytes": self.MAX_LENGTH},
         )
-        self.transport.abortConnection()
+        self.abort()
 
     def is_ready(self) -> bool:
         """Return whether the handshake is complete."""
@@ -213,7 +248,7 @@
 
     def _finish_handshake(self, nonce: bytes):
         if len(nonce) != NONCE_BYTES or nonce == self.own_nonce:
-            self.transport.abortConnection()
+            self.abort()
             return
         dialled = self.is_dialled
         first, second = self.own_nonce, nonce
@@ -287,6 +322,7 @@
     def __init__(self, network, message, on_result):
         super().__init__(network)
         self.is_dialled = True
+        self.is_verified = True
         self.message = message
         self.on_result = on_result
         self.has_result = False
@@ -345,6 +381,9 @@
         self.own_version = versions.CURRENT
         self.version_by_address = {}
         self.lost_listeners = []
+        self.caller_budget = caller_limits.build_unlimited(reactor.seconds)
+        self.max_unverified = math.inf
+        self.unverified = {}  # accepted links in the order of their arrival
         timers.subscribe("peer-pings", PING_PERIOD_S, self._check_links)
 
     def buildProtocol(self, addr):
@@ -492,9 +531,44 @@
         else:
             deferred.addErrback(_log_failure)
 
+    def limit_unverified(self, budget, max_links: float):
+        """Limit links whose peers have not shown that they have the key.
+
+        Parameters
+        ----------
+        budget : caller_limits.CallerBudget
+        max_links : float
+            Beyond it, the oldest such link is closed.
+        """
+        self.caller_budget = budget
+        self.max_unverified = max_links
+
+    def hold_unverified(self, link: PeerLink, count: int):
+        """Count what is held for a link without a verified frame."""
+        held = caller_limits.CONNECTION_BYTES + count
+        self.caller_budget.hold(link, held)
+
+    def release_unverified(self, link: PeerLink):
+        """Stop counting a link that is verified or closed."""
+        self.unverified.pop(link, None)
+        self.caller_budget.release(link)
+
+    def drop_unverified(self, link: PeerLink, reason: str):
+        """Close a link at a limit on callers."""
+        self.caller_budget.count_refused(reason)
+        self.release_unverified(link)
+        link.abort()
+
     def add_link(self, link: PeerLink):
         """Register an opened link."""
         self.links.add(link)
+        if link.is_verified:
+            return
+        self.unverified[link] = None
+        self.hold_unverified(link, 0)
+        if len(self.unverified) > self.max_unverified:
+            oldest = next(iter(self.unverified))
+            self.drop_unverified(oldest, caller_limits.CONNECTIONS_REASON)
 
     def link_ready(self, link: PeerLink):
         """Send the messages queued until the handshake completed."""
@@ -523,6 +597,7 @@
     def remove_link(self, link: PeerLink):
         """Remove a closed link and notify those who sent on it."""
         self.links.discard(link)
+        self.release_unverified(link)
         address = link.dialled_address
         if not address:
             return
--- a/chervilspindle/wire/peer_test.py
+++ b/chervilspindle/wire/peer_test.py
@@ -11,6 +11,7 @@
 from chervilspindle.core import errors
 from chervilspindle.core import rows
 from chervilspindle.core import timers
+from chervilspindle.wire import caller_limits
 from chervilspindle.wire import messages
 from chervilspindle.wire import peer
 from chervilspindle.wire import reactor_streams
@@ -496,3 +497,68 @@
     pair.listener.link.dataReceived(pair.dialler.transport.value())
     assert pair.listener.transport.disconnecting
     assert other in pair.listener.network.links
+
+
+def accept(network):
+    """Accept a link of a peer; return it with its transport."""
+    link = network.buildProtocol(None)
+    transport = Transport()
+    link.makeConnection(transport)
+    return link, transport
+
+
+def test_frames_without_end_of_peers_without_the_key_share_the_budget():
+    """Guards against frames that are buffered before they are verified."""
+    clock = task.Clock()
+    network = End(clock, b"k" * 16, "").network
+    reasons = []
+    budget = caller_limits.CallerBudget(
+        3_000_000, clock.seconds, reasons.append
+    )
+    network.limit_unverified(budget, 10)
+    links = [accept(network) for _ in range(4)]
+    for link, transport in links:
+        link.dataReceived(b"\0\0\0\x10" + OLD_NONCE + b"\x03\0\0\0")
+        clock.advance(0.1)
+        for _ in range(10):
+            if not transport.disconnecting:
+                link.dataReceived(b"p" * 100_000)
+    closed = [t.disconnecting for _, t in links]
+    assert closed[0] and not closed[3]
+    assert reasons == ["caller_budget"] * sum(closed)
+    assert budget.total_bytes <= budget.limit_bytes
+
+
+def test_a_verified_link_holds_nothing_of_the_budget(pair):
+    """A frame of a peer with the key may be as large as it has to be."""
+    network = pair.listener.network
+    budget = caller_limits.CallerBudget(10_000, pair.clock.seconds)
+    network.limit_unverified(budget, 10)
+    pair.dialler.link.send(messages.Replicate(b"small", ADDRESS))
+    pair.deliver()
+    assert not network.unverified and not budget.held_by_connection
+    large = messages.Replicate(b"x" * 100_000, ADDRESS)
+    pair.dialler.link.send(large)
+    data = pair.dialler.transport.value()
+    pair.dialler.transport.clear()
+    for start in range(0, len(data), 1000):
+        pair.listener.link.dataReceived(data[start : start + 1000])
+    assert pair.listener.received[-1] == large
+
+
+def test_silent_links_make_room_for_new_ones():
+    clock = task.Clock()
+    network = End(clock, b"k" * 16, "").network
+    budget = caller_limits.CallerBudget(10**9, clock.seconds)
+    network.limit_unverified(budget, 3)
+    transports = [accept(network)[1] for _ in range(5)]
+    assert [t.disconnecting for t in transports] == [True] * 2 + [False] * 3
+
+
+def test_nothing_is_read_after_a_frame_that_failed_authentication(pair):
+    """Guards against a log line for each frame that came with it."""
+    link = pair.listener.link
+    frame = b"\0\0\0\x01p"
+    link.dataReceived(frame * 1000)
+    assert pair.listener.transport.disconnecting
+    assert link.received_count == 1
