Statuses outside 100 to 599 are not responses: the send may have run

600, 700 and 999 reached callers of single requests, and a refusal header with such a status counted as not run, so that a request that may run once could have been sent again. Reports of other entries and the owners' client took them as well, the latter also 000 and 099 (`shed`, not run). wire/http_statuses.py decides for all of them.

invalid_status_test.py failed before for 600, 700 and 999 on connections, single requests, reports and the owners' client, and for 000, 001 and 099 on connections, reports and the owners' client; single requests with 000, and parts of queries, are guarded (green before).

--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -9,6 +9,7 @@
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.wire import endpoint_http
+from chervilspindle.wire import http_statuses
 from chervilspindle.wire import messages
 
 ENDING_BY_VALUE = {ending.value: ending for ending in endpoint_http.Ending}
@@ -56,12 +57,17 @@
             )
             self.fail("unknown ending")
             return
+        ending = ENDING_BY_VALUE[report.ending]
+        is_answered = ending is endpoint_http.Ending.ANSWERED
+        if is_answered and not http_statuses.is_valid(report.status):
+            self._end(endpoint_http.Answer(endpoint_http.Ending.INVALID))
+            return
         value_by_name = {}
         for name, value in report.headers:
             value_by_name.setdefault(name, value)
         self._end(
             endpoint_http.Answer(
-                ENDING_BY_VALUE[report.ending],
+                ending,
                 report.status,
                 report.headers,
                 value_by_name,
--- a/chervilspindle/wire/endpoint_client.py
+++ b/chervilspindle/wire/endpoint_client.py
@@ -24,6 +24,7 @@
 
 from chervilspindle.core import errors
 from chervilspindle.core import logs
+from chervilspindle.wire import http_statuses
 from chervilspindle.wire import messages
 from chervilspindle.wire import receive_limits
 
@@ -168,14 +169,14 @@
         self.body_bytes = 0
         self.factory.dialler.receive_budget.release(self)
 
-    def drop_answer(self, reason: str):
+    def drop_answer(self, reason: str, message: str = "answer-too-large"):
         """Close the connection; the request may have run."""
         if self.dropped:
             return
         self.dropped = True
         peer = self.transport.getPeer()
         logs.log_decision(
-            "answer-too-large",
+            message,
             endpoint_address=f"{peer.host}:{peer.port}",
             why=reason,
             received_bytes=self.received_bytes,
@@ -365,7 +366,12 @@
     def _request(self, agent, method, url, headers, producer):
         response = yield agent.request(method, url, headers, producer)
         # The agent responds while the bytes of the head are processed.
-        collector = _BodyCollector(self.dialler.receiving)
+        connection = self.dialler.receiving
+        if not http_statuses.is_valid(response.code):
+            reason = f"status {response.code}"
+            connection.drop_answer(reason, "answer-invalid")
+            raise ValueError(reason)
+        collector = _BodyCollector(connection)
         response.deliverBody(collector)
         body = yield collector.done
         return response.code, body
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -16,6 +16,7 @@
 
 from chervilspindle.core import endpoint_checks
 from chervilspindle.core import logs
+from chervilspindle.wire import http_statuses
 from chervilspindle.wire import receive_limits
 
 CONNECT_TIMEOUT_S = 0.5  # several round trips within a region
@@ -574,6 +575,16 @@
         self.in_body = True
         # The parser's status is that of the last head, even a surplus one.
         self.status = self.parser.get_status_code()
+        if not http_statuses.is_valid(self.status):
+            self.is_decodable = False
+            self.pool.on_event("invalid-status")
+            logs.log_decision(
+                "answer-invalid",
+                request_id=self.call.request_id.decode("latin-1"),
+                endpoint_address=f"{self.pool.host}:{self.pool.port}",
+                why=f"status {self.status}",
+            )
+            return
         values = self.value_by_name
         codings = ()
         if b"transfer-encoding" in values:
