--- a/chervilspindle/routing/metrics.py
+++ b/chervilspindle/routing/metrics.py
@@ -56,6 +56,15 @@
             "Requests refused because of the load of endpoints, by route "
             "and priority.",
         )
+        self.refused_callers = self._counter(
+            "refused_callers_total",
+            "Connections of callers refused or closed at a limit, by reason.",
+        )
+        self.caller_bytes = aioprometheus.Gauge(
+            "chervilspindle_caller_bytes",
+            "Memory that is held for callers, in bytes.",
+            registry=self.registry,
+        )
         self.cut_off = aioprometheus.Gauge(
             "chervilspindle_cut_off",
             "1 while this VM reaches no endpoint, else 0.",
@@ -156,6 +165,14 @@
             labels = {"account": account, "result": result}
             self.quota_requests.set(labels, count)
 
+    def count_refused_caller(self, reason):
+        """Count a connection refused or closed at a limit, by reason."""
+        self.refused_callers.inc({"reason": reason})
+
+    def set_caller_bytes(self, count):
+        """Set how much memory is held for callers."""
+        self.caller_bytes.set({}, count)
+
     def set_cut_off(self, is_cut_off):
         """Set whether this VM reaches no endpoint."""
         self.cut_off.set({}, int(is_cut_off))
