Quotas: queries are prepared while the admission is on its way

A request to all shards is built, and its endpoints' capacity checked, once the issuer is asked. Sends, timers and counts begin with the admission, in RoutingEntry._start as before.

--- a/chervilspindle/accounts/quota_entry_test.py
+++ b/chervilspindle/accounts/quota_entry_test.py
@@ -27,8 +27,8 @@
 class Fleet(rate_limit_test.Fleet):
     """Entries that have known each other for long, and two accounts."""
 
-    def __init__(self, loop, quota_rule=RULE):
-        super().__init__(loop, 4, quota_rule=quota_rule)
+    def __init__(self, loop, quota_rule=RULE, services=("desk",)):
+        super().__init__(loop, 4, services, quota_rule)
         self.calls = 0
 
     async def start(self):
@@ -340,6 +340,144 @@
     run_in_fleet(test)
 
 
+def run_with_shards(test):
+    run_in_fleet(test, services=("desk", *data_path_test.SHARDS))
+
+
+def check_nothing_is_counted(fleet, entry):
+    """Check that no request was sent, counted or put in progress."""
+    assert not fleet.list_runs()
+    assert not entry.context.budget.slices_by_service
+    assert not entry.context.shedder.credit_by_route
+    assert not entry.context.reachability.listeners
+    assert not entry.context.relays.dispatch_by_id
+    assert not entry.entry.request_by_exchange
+
+
+async def open_prepared(fleet):
+    """Return an entry whose fan-out request waits for a silent issuer."""
+    ranked = fleet.rank()
+    silence(ranked[0])
+    entry = ranked[3]
+    reader, writer = await fleet.open(entry, "id-1", "sesame-1", path="/all/x")
+    await wait_for(lambda: entry.entry.request_by_exchange)
+    (wait,) = entry.entry.request_by_exchange.values()
+    assert wait.prepared.is_unsent() and wait.prepared.capacity is not None
+    assert not wait.prepared.dispatches and not wait.prepared.timers
+    return entry, wait, reader, writer
+
+
+def test_a_query_is_prepared_while_the_reply_is_on_its_way():
+    """Guards against work that begins with the reply, or before the ask."""
+
+    async def test(fleet):
+        entry = fleet.rank()[3]
+        events = []
+        call = entry.network.call
+        build = entry.entry._build
+
+        def record_call(*args):
+            events.append("ask")
+            return call(*args).addBoth(record_reply)
+
+        def record_reply(reply):
+            events.append("reply")
+            return reply
+
+        def record_build(incoming):
+            events.append("build")
+            return build(incoming)
+
+        entry.network.call = record_call
+        entry.entry._build = record_build
+        answer = await fleet.ask_as(entry, "id-1", path="/all/x")
+        assert answer[0] == 200
+        assert events == ["ask", "build", "reply"]
+        assert len(fleet.list_runs()) == len(data_path_test.SHARDS)
+
+    run_with_shards(test)
+
+
+def test_a_prepared_query_that_is_refused_has_not_run():
+    """Guards against sends and counts ahead of the admission."""
+
+    async def test(fleet):
+        entry = fleet.rank()[3]
+        for i in range(FULL):
+            assert (await fleet.ask_as(fleet.rank()[1], f"id-{i}"))[0] == 200
+        for backend in fleet.backend_by_id.values():
+            backend.runs.clear()
+        status, headers, _ = await fleet.ask_as(
+            entry, "id-late", path="/all/x"
+        )
+        assert status == 429 and float(headers["retry-after"]) > 0.0
+        check_nothing_is_counted(fleet, entry)
+
+    run_with_shards(test)
+
+
+@pytest.mark.parametrize("how", ("caller-leaves", "stops", "drains"))
+def test_a_prepared_query_that_ends_before_its_admission_has_not_run(
+    long_wait, how
+):
+    """Guards against a start by an admission that comes afterwards."""
+
+    async def test(fleet):
+        entry, _, reader, writer = await open_prepared(fleet)
+        if how == "caller-leaves":
+            writer.close()
+            await wait_for(lambda: not entry.entry.request_by_exchange)
+        else:
+            if how == "stops":
+                entry.entry.end_requests()
+            else:
+                entry.entry.start_draining(0.7)
+                entry.entry.refuse_waiting()
+            status, headers, _ = await data_path_test.read_answer(reader)
+            assert status == 503 and headers["retry-after"] == "0.05"
+        await asyncio.sleep(0.7)
+        check_nothing_is_counted(fleet, entry)
+
+    run_with_shards(test)
+
+
+def test_a_query_that_waited_long_is_checked_against_present_endpoints(
+    long_wait,
+):
+    """Guards against a start by the capacity of half a second ago."""
+
+    async def test(fleet):
+        entry, wait, reader, _ = await open_prepared(fleet)
+        checked_s = wait.prepared.capacity.checked_s
+        table = entry.context.table
+        for endpoint_id in fleet.backend_by_id:
+            table.drop(endpoint_id, "forgotten")
+        status, *_ = await data_path_test.read_answer(reader)
+        assert status == 503
+        assert wait.prepared.capacity.checked_s > checked_s
+        check_nothing_is_counted(fleet, entry)
+
+    run_with_shards(test)
+
+
+def test_a_query_that_was_prepared_before_a_stop_is_planned_anew(long_wait):
+    """Guards against timers that don't have the end of the VM."""
+
+    async def test(fleet):
+        entry, wait, reader, _ = await open_prepared(fleet)
+        entry.entry.start_draining(30.0)
+        started = []
+        build = entry.entry._build
+        entry.entry._build = (
+            lambda incoming: started.append(build(incoming)) or started[-1]
+        )
+        status, *_ = await data_path_test.read_answer(reader)
+        assert status == 200
+        assert len(started) == 1 and not wait.prepared.dispatches
+
+    run_with_shards(test)
+
+
 def test_a_planned_stop_hands_over_by_a_message():
     async def test(fleet):
         ranked = fleet.rank()
--- a/chervilspindle/routing/entry.py
+++ b/chervilspindle/routing/entry.py
@@ -222,19 +222,41 @@
 
     def _wait_for_admission(self, incoming):
         wait = quota_wait.QuotaWait(
-            incoming, self.context, self._start_admitted, self._finish
+            incoming,
+            self.context,
+            self._prepare,
+            self._start_admitted,
+            self._finish,
         )
         self.request_by_exchange[incoming.exchange] = wait
         wait.start()
 
-    def _start_admitted(self, incoming):
-        del self.request_by_exchange[incoming.exchange]
-        # The stop may have begun while the request waited.
-        if not (self.draining and self._refuse_late(incoming)):
-            self._start(incoming)
+    def _prepare(self, incoming):
+        """Build a request with a short objective while it is not admitted.
 
-    def _start(self, incoming):
+        Returns
+        -------
+        fanout.FanOut or None
+            Has sent and counted nothing. None for a request to one endpoint,
+            which has more time.
+        """
+        if not incoming.route.shards:
+            return None
         request = self._build(incoming)
+        request.prepare()
+        return request
+
+    def _start_admitted(self, incoming, prepared):
+        del self.request_by_exchange[incoming.exchange]
+        # The stop may have begun while the request waited.
+        if self.draining:
+            if self._refuse_late(incoming):
+                return
+            prepared = None  # its times don't have the end of this VM
+        self._start(incoming, prepared)
+
+    def _start(self, incoming, prepared=None):
+        request = prepared or self._build(incoming)
         self.request_by_exchange[incoming.exchange] = request
         request.start()
 
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -9,6 +9,7 @@
 """
 
 import math
+import typing
 
 from chervilspindle.core import logs
 from chervilspindle.policy import hedging
@@ -23,11 +24,32 @@
 from chervilspindle.routing import routed_request
 from chervilspindle.wire import messages
 
+# Capacity that was checked earlier is checked again when the request starts.
+MAX_CAPACITY_AGE_S = 0.05
 HEDGE_RECHECK_MS = 2.0  # well below `request_timing.MIN_HEDGE_MS`
 MAX_LOGGED_RESENDS = 8  # per request
 CLOSED_REASONS = (endpoint_calls.HELD_BACK, permission.ZONE_OUT)
 
 
+class Capacity(typing.NamedTuple):
+    """What the endpoints of a route could take at a time.
+
+    Parameters
+    ----------
+    checked_s : float
+    opening_s : float
+        From when the required shards have an endpoint that takes requests.
+    occupancy : float
+    revision : int
+        Of the table of endpoints.
+    """
+
+    checked_s: float
+    opening_s: float
+    occupancy: float
+    revision: int
+
+
 class ShardState:
     """Progress of one shard of a request; mutable.
 
@@ -103,8 +125,35 @@
         self.crashed = 0  # endpoints that ended
         self.withheld = []  # shards that are sent again only once it is safe
         self.hedge_dispatches = []
+        self.capacity = None
         self.occupancy = 0.0  # of the endpoints, when the request arrived
 
+    def prepare(self):
+        """Check the capacity ahead of `start`; sends and counts nothing.
+
+        For many shards this takes longer than to send the request.
+        """
+        services = self.incoming.route.shards
+        table = self.context.table
+        now = self.loop.time()
+        openings_s = sorted(map(table.find_opening_s, services))
+        occupancy = overload.estimate_occupancy(
+            map(table.list_healths, services), now
+        )
+        self.capacity = Capacity(
+            now, openings_s[self.required - 1], occupancy, table.revision
+        )
+
+    def _get_capacity(self, now) -> Capacity:
+        capacity = self.capacity
+        if (
+            capacity is None
+            or capacity.revision != self.context.table.revision
+            or now - capacity.checked_s > MAX_CAPACITY_AGE_S
+        ):
+            self.prepare()
+        return self.capacity
+
     def start(self):
         """Send to all shards.
 
@@ -112,13 +161,12 @@
         time, or by load shedding.
         """
         services = self.incoming.route.shards
-        table = self.context.table
         now = self.loop.time()
+        capacity = self._get_capacity(now)
         max_wait_s = endpoint_calls.compute_max_wait_s(
             self.incoming.route.objective_ms, self.read_deadline_s(), now
         )
-        openings_s = sorted(map(table.find_opening_s, services))
-        wait_s = openings_s[self.required - 1] - now
+        wait_s = capacity.opening_s - now
         if wait_s > max_wait_s:
             has_endpoints = math.isfinite(wait_s)
             reason = (
@@ -128,9 +176,7 @@
             )
             self.refuse(reason, wait_s)
             return
-        self.occupancy = overload.estimate_occupancy(
-            map(table.list_healths, services), now
-        )
+        self.occupancy = capacity.occupancy
         share = overload.compute_refused_share(self.occupancy)
         if self.context.shedder.refuse_next(self.incoming.route.name, share):
             self.refuse("overload")
--- a/chervilspindle/routing/quota_wait.py
+++ b/chervilspindle/routing/quota_wait.py
@@ -9,25 +9,32 @@
     """A request that is started once it is admitted, or refused.
 
     It is in progress meanwhile, like a routed request, and is certainly not
-    run: nothing of it is sent.
+    run: nothing of it is sent. It is prepared while the issuer's reply is on
+    its way.
 
     Parameters
     ----------
     incoming : endpoint_calls.IncomingRequest
         Its account has a quota.
     context : endpoint_calls.Context
+    prepare : callable
+        ``prepare(incoming)`` returns the prepared request, or None. It is
+        called once the issuer is asked, and must neither send nor count.
     on_admitted : callable
-        ``on_admitted(incoming)`` starts the request.
+        ``on_admitted(incoming, prepared)`` starts the request; `prepared` is
+        None if the admission needed no reply.
     on_done : callable
         ``on_done(incoming, status, fields)`` is called if it is not started.
     """
 
-    def __init__(self, incoming, context, on_admitted, on_done):
+    def __init__(self, incoming, context, prepare, on_admitted, on_done):
         self.incoming = incoming
         self.context = context
+        self.prepare = prepare
         self.on_admitted = on_admitted
         self.on_done = on_done
         self.admission = None
+        self.prepared = None
         self.done = False
 
     def start(self):
@@ -36,6 +43,8 @@
         self.admission = self.context.quotas.ask(
             self.incoming.account.name, self._handle_outcome
         )
+        if not self.done:
+            self.prepared = self.prepare(self.incoming)
 
     def refuse_late(self):
         """Refuse a request that can't end before this VM stops."""
@@ -67,7 +76,7 @@
             self._refuse(503, "deadline", 0.0, {})
         else:
             self._close()
-            self.on_admitted(self.incoming)
+            self.on_admitted(self.incoming, self.prepared)
 
     def _read_left_ms(self) -> float:
         """Return the time until the deadline, which began at the read."""
