--- a/chervilspindle/accounts/quota_entry_test.py
+++ b/chervilspindle/accounts/quota_entry_test.py
@@ -6,6 +6,7 @@
 import pytest
 from twisted.internet import defer
 
+from chervilspindle.accounts import quota_links
 from chervilspindle.accounts import quota_permits
 from chervilspindle.platform import names as platform_names
 from chervilspindle.policy import quotas
@@ -493,6 +494,32 @@
     run_in_fleet(test)
 
 
+class ProcessWorld(drain_test.World):
+    """The process of an entry, with two accounts."""
+
+    async def start(self):
+        await super().start()
+        document = self.process.entry.document
+        self.process.entry.update_document(
+            document._replace(version=9, accounts=(NORTH, SOUTH))
+        )
+
+
+def build_process_world(loop):
+    """Build a world whose process has a rule of quotas."""
+    settings = drain_test.build_settings
+    changed = pytest.MonkeyPatch()
+    changed.setattr(
+        drain_test,
+        "build_settings",
+        lambda **changes: settings(quota_rule=RULE, **changes),
+    )
+    try:
+        return ProcessWorld(loop)
+    finally:
+        changed.undo()
+
+
 def test_a_process_hears_of_control_and_of_lists(caplog):
     """The issuer must not go by a list or a contact of its own."""
     caplog.set_level(logging.INFO, "chervilspindle.decision")
@@ -510,28 +537,22 @@
         process.stop()
         assert not issuer.decide(call).is_issuer
 
-    class World(drain_test.World):
-        async def start(self):
-            await super().start()
-            document = self.process.entry.document
-            self.process.entry.update_document(
-                document._replace(version=9, accounts=(NORTH, SOUTH))
-            )
+    data_path_test.run_in_world(build_process_world, test, 10)
 
-    def build(loop):
-        settings = drain_test.build_settings
-        changed = pytest.MonkeyPatch()
-        changed.setattr(
-            drain_test,
-            "build_settings",
-            lambda **changes: settings(quota_rule=RULE, **changes),
+
+def test_a_process_opens_links_to_issuers_once_it_knows_them():
+    """Guards against links that wait for the first requests."""
+
+    async def test(world):
+        opened = []
+        world.process.network.open = opened.append
+        world.process.watch_client.on_relays(
+            7, (messages.Relay("vm-9", "a", "x"),)
         )
-        try:
-            return World(loop)
-        finally:
-            changed.undo()
+        await asyncio.sleep(quota_links.SPREAD_S + 0.1)
+        assert opened == ["x"]
 
-    data_path_test.run_in_world(build, test, 10)
+    data_path_test.run_in_world(build_process_world, test, 10)
 
 
 def test_metrics_name_the_largest_accounts_and_sum_the_others():
