Endpoints: one that could not be reached just before is taken for cold

It may have started again before control has heard of it, and crashes if all that waits for it comes at once. Only where the limit of cold endpoints is in force.

--- a/chervilspindle/routing/cold_endpoints_test.py
+++ b/chervilspindle/routing/cold_endpoints_test.py
@@ -395,6 +395,30 @@
     run_in_fleet(test)
 
 
+def test_an_endpoint_that_starts_again_is_not_sent_all_at_once():
+    """Its announcement may take a moment, and it is cold from its start."""
+
+    async def test(fleet):
+        cold = fleet.backend_by_id["desk-a"]
+        await fleet.ask_evenly("/one/x", 20.0, 0.5, (0, 2))
+        for entry in fleet.entries:
+            other = entry.context.table.target_by_id["desk-b"]
+            other.restrictions.paused_until_s = math.inf
+        cold.stop()
+        answers = await fleet.ask_evenly("/one/x", 20.0, 0.5, (0, 2))
+        assert {status for status, *_ in answers} <= {502, 503}
+        await cold.start()
+        started_s = fleet.loop.time()
+        answers = await fleet.ask_evenly("/one/x", 60.0, 3.0, (0, 2))
+        assert {status for status, *_ in answers} == {200, 503}
+        # The last failed attempt was a moment before the start.
+        window_s = permission.SUSPECTED_S - 1.0
+        early = [t for t in cold.arrivals_s if 0.0 <= t - started_s < window_s]
+        assert len(early) <= compute_bound(4.0)
+
+    run_in_fleet(test)
+
+
 def test_requests_that_wait_for_an_endpoint_are_chosen_anew_once_it_is_cold():
     async def test(fleet):
         entry = fleet.entries[0]
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -385,7 +385,8 @@
     """
     now = context.loop.time()
     target = send.target
-    permission.suspect_cold(target.restrictions, target.pool.failed_s, now)
+    unreached_s = target.pool.unreached_s
+    permission.suspect_cold(target.restrictions, unreached_s, now)
     verdict = permission.evaluate(target.restrictions, now)
     send.call.pool = target.pool
     if send.cause == "hedge" and verdict.reason == permission.COLD:
--- a/chervilspindle/routing/permission.py
+++ b/chervilspindle/routing/permission.py
@@ -224,17 +224,19 @@
     return True
 
 
-def suspect_cold(restrictions: Restrictions, failed_s: float, now: float):
-    """Take an endpoint for cold that accepted no connection just before.
+def suspect_cold(restrictions: Restrictions, unreached_s: float, now: float):
+    """Take an endpoint for cold that could not be reached just before.
 
-    It may have been started again, before control has heard of it.
+    It may have been started again, before control has heard of it. Endpoints
+    that refuse some of this VM's connections are not suspected: at their
+    limit of connections they do.
 
     Parameters
     ----------
-    failed_s : float
-        Loop time of the last failed connection attempt.
+    unreached_s : float
+        Loop time at which it could not be reached at all.
     """
-    until_s = failed_s + SUSPECTED_S
+    until_s = unreached_s + SUSPECTED_S
     if restrictions.cold_per_s and until_s > now:
         if restrictions.cold_until_s < until_s:
             restrictions.cold_until_s = until_s
@@ -255,7 +257,7 @@
         0 if not stated.
     """
     restrictions.cold_per_s = per_s
-    if longest_s and math.isinf(restrictions.cold_until_s):
+    if longest_s and restrictions.cold_until_s == math.inf:
         until_s = restrictions.cold_from_s + longest_s
         restrictions.cold_until_s = until_s
 
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -193,6 +193,9 @@
         something.
     lost_s : float
         Loop time at which a connection last failed or was reset.
+    unreached_s : float
+        Loop time at which a connection attempt last failed while there was no
+        other connection.
     link_observer : LinkObserver
     """
 
@@ -220,6 +223,7 @@
         self.is_reachable = True  # by the last connection attempt
         self.heard_s = -math.inf
         self.lost_s = -math.inf
+        self.unreached_s = -math.inf
         self.link_observer = LinkObserver()
         self.max_idle_s = math.inf
 
@@ -413,6 +417,7 @@
             )
         if self.count > 0:
             return
+        self.unreached_s = self.failed_s
         waiting, self.waiting = self.waiting, collections.deque()
         for call in waiting:
             self.end(call, Answer(Ending.NOT_SENT))
