--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -370,7 +370,8 @@
         if (
             self.is_held
             or self.backlog
-            or self.reader.get_held_bytes() > caller_limits.SMALL_BYTES
+            or self.request_started_s is not None
+            and self.reader.get_held_bytes() > caller_limits.SMALL_BYTES
         ):
             self._update_held()
 
