--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -395,7 +395,8 @@
     """
     now = context.loop.time()
     target = send.target
-    permission.suspect_cold(target.restrictions, target.pool.failed_s, now)
+    unreached_s = target.pool.unreached_s
+    permission.suspect_cold(target.restrictions, unreached_s, now)
     verdict = permission.evaluate(target.restrictions, now)
     send.call.pool = target.pool
     if send.cause == "hedge" and verdict.reason == permission.COLD:
@@ -500,6 +501,10 @@
         context.table.record_load(
             target, stated.running, stated.waiting, stated.slots
         )
+        if context.shedder.in_force:
+            context.shedder.record_load(
+                target.endpoint.service, health.load / health.slots, now
+            )
         if stated.slowness is not None:
             selection.record_slowness(
                 health, stated.slowness, context.table.persistence, now
--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -314,6 +314,37 @@
             return targets
         return [t for t in targets if not t.restrictions.zone_out]
 
+    def find_mean_load(self, services, since_s: float) -> float:
+        """Return the mean load per slot that was stated since a time.
+
+        Negative if no endpoint of the services has stated one.
+        """
+        loads = [
+            min(health.load / health.slots, overload.MAX_OCCUPANCY)
+            for service in services
+            for health in self.list_healths(service)
+            if health.load_s >= since_s
+        ]
+        return sum(loads) / len(loads) if loads else -1.0
+
+    def estimate_wait_ms(self, service: str, work_ms: float) -> float:
+        """Return how long a request would wait at the least loaded endpoint.
+
+        By the loads that endpoints stated; 0 if nothing is known.
+        """
+        now = self.loop.time()
+        return min(
+            (
+                overload.estimate_wait_ms(health, now, work_ms)
+                for health in self.list_healths(service)
+            ),
+            default=0.0,
+        )
+
+    def find_work_ms(self, service: str) -> float:
+        """Return the lowest typical response time of a service, in ms."""
+        return find_best_ms(self.targets_by_service.get(service, {}).values())
+
     def can_hedge(
         self, service: str, excluded, left_ms: float = math.inf
     ) -> bool:
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -16,6 +16,7 @@
 
 from chervilspindle.core import endpoint_checks
 from chervilspindle.core import logs
+from chervilspindle.wire import http_statuses
 from chervilspindle.wire import receive_limits
 
 CONNECT_TIMEOUT_S = 0.5  # several round trips within a region
@@ -193,6 +194,9 @@
         something.
     lost_s : float
         Loop time at which a connection last failed or was reset.
+    unreached_s : float
+        Loop time at which a connection attempt last failed while there was no
+        other connection.
     link_observer : LinkObserver
     """
 
@@ -220,6 +224,7 @@
         self.is_reachable = True  # by the last connection attempt
         self.heard_s = -math.inf
         self.lost_s = -math.inf
+        self.unreached_s = -math.inf
         self.link_observer = LinkObserver()
         self.max_idle_s = math.inf
 
@@ -413,6 +418,7 @@
             )
         if self.count > 0:
             return
+        self.unreached_s = self.failed_s
         waiting, self.waiting = self.waiting, collections.deque()
         for call in waiting:
             self.end(call, Answer(Ending.NOT_SENT))
@@ -574,6 +580,16 @@
         self.in_body = True
         # The parser's status is that of the last head, even a surplus one.
         self.status = self.parser.get_status_code()
+        if not http_statuses.is_valid(self.status):
+            self.is_decodable = False
+            self.pool.on_event("invalid-status")
+            logs.log_decision(
+                "answer-invalid",
+                request_id=self.call.request_id.decode("latin-1"),
+                endpoint_address=f"{self.pool.host}:{self.pool.port}",
+                why=f"status {self.status}",
+            )
+            return
         values = self.value_by_name
         codings = ()
         if b"transfer-encoding" in values:
