Tests share how settings of a process are built; one way to hold back waiting calls

The tests of callers beyond the limits built settings beside the soak's node, line for line; they now state only what differs. An endpoint table held back the calls of evacuated zones and of cold endpoints by the same loop twice. No behaviour and no check changes.

--- a/chervilspindle/routing/endpoints.py
+++ b/chervilspindle/routing/endpoints.py
@@ -161,8 +161,7 @@
 
     def _hold_back_evacuated(self, target):
         if target.restrictions.zone_out:
-            for _ in range(target.pool.hold_back_waiting()):
-                self.on_held_back(permission.ZONE_OUT)
+            self._hold_back_waiting(target, permission.ZONE_OUT)
 
     def has_evacuated(self, service: str) -> bool:
         """Tell whether a service has an endpoint that only its zone closes."""
--- a/chervilspindle/tools/soak.py
+++ b/chervilspindle/tools/soak.py
@@ -89,8 +89,14 @@
     ----------
     checkout : str
         Folder of the build to run; empty for the one of this process.
+    lost : int
+        Control members that may fail at the same time.
+    memory_mb : float
     """
 
+    lost = MEMBERS // 2
+    memory_mb = MEMORY_MB
+
     def __init__(self, folder, name, ip, ports, serves_control):
         self.name = name
         self.ip = ip
@@ -109,9 +115,8 @@
         self.ends = 0  # while `keep_running` looked after it
         self.checkout = ""
 
-    def write_settings(self, seeds, first_start):
-        """Write the settings file as the platform would."""
-        os.makedirs(self.data, exist_ok=True)
+    def build_settings(self, seeds, first_start) -> dict:
+        """Return the settings as the platform would write them."""
         front, ready, control, inner = self.ports
         addresses = {"control": f"{self.ip}:{control}"}
         if not self.serves_control:
@@ -119,7 +124,7 @@
                 "front": f"{self.ip}:{front}",
                 "ready": f"{self.ip}:{ready}",
             }
-        settings = samples.build_settings(
+        return samples.build_settings(
             self.name,
             self.ip,
             addresses,
@@ -127,10 +132,15 @@
             seeds,
             first_start,
             self.data if self.serves_control else None,
-            MEMBERS // 2,
+            self.lost,
             SHUTDOWN_GRACE_S,
-            MEMORY_MB,
+            self.memory_mb,
         )
+
+    def write_settings(self, seeds, first_start):
+        """Write the settings file."""
+        os.makedirs(self.data, exist_ok=True)
+        settings = self.build_settings(seeds, first_start)
         # A process may read the file at any moment.
         with open(self.settings + ".new", "w", encoding="utf-8") as handle:
             json.dump(settings, handle)
--- a/features/hostile_callers_test.py
+++ b/features/hostile_callers_test.py
@@ -187,30 +187,8 @@
 class LimitedNode(soak.Node):
     """A process with settings of these tests and few descriptors."""
 
-    def write_settings(self, seeds, first_start):
-        """Write the settings file as the platform would."""
-        super().write_settings(seeds, first_start)
-        front, ready, control, inner = self.ports
-        addresses = {"control": f"{self.ip}:{control}"}
-        if not self.serves_control:
-            addresses = {
-                "front": f"{self.ip}:{front}",
-                "ready": f"{self.ip}:{ready}",
-            }
-        settings = samples.build_settings(
-            self.name,
-            self.ip,
-            addresses,
-            [inner, inner + 1],
-            seeds,
-            first_start,
-            self.data if self.serves_control else None,
-            0,
-            soak.SHUTDOWN_GRACE_S,
-            MEMORY_MB,
-        )
-        with open(self.settings, "w", encoding="utf-8") as handle:
-            soak.json.dump(settings, handle)
+    lost = 0
+    memory_mb = MEMORY_MB
 
     async def start(self):
         """Start the process."""
