--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,9 @@
-"""All backends of a service are down for a while; then the final fault."""
+"""The leader is gone for good, its successor is in step; two lose disks."""
 
 import asyncio
+import json
 import pathlib
+import shutil
 import signal
 import sys
 
@@ -10,160 +12,122 @@
 
 import world as world_module  # noqa: E402
 
-RATE_PER_S = 30.0
-WORK_S = 0.3
-CALM_S = 8.0
-DOWN_S = 4.5  # `srv_crash` of all backends of a service
-BEFORE_FINAL_S = 6.0  # from the return of the backends
-SYSTEM_DOWN_S = 0.8  # `kill_all`
-RECOVERY_S = 12.0
-MEASURED_S = 12.0
-SERVED_SHARE = 0.25
-
-
-class Load:
-    """Clients that all ask for the same page."""
-
-    def __init__(self, world, rate_per_s=RATE_PER_S):
-        self.world = world
-        self.rate_per_s = rate_per_s
-        self.rows = []  # (time of sending, status)
-        self.number = 0
-
-    async def run(self):
-        """Send until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            while True:
-                self.number += 1
-                group.create_task(self.send(self.number))
-                await asyncio.sleep(1.0 / self.rate_per_s)
-
-    async def send(self, number):
-        """Send one request."""
-        world = self.world
-        entry = world.entries[number % len(world.entries)]
-        sent_s = world.record.now()
-        headers = [
-            (world_module.ATTEMPT, f"a{number}"),
-            (world_module.DEADLINE, "4000"),
-        ]
+SUCCESSOR_S = 8.0  # it runs before the old machine goes, `sync-time-s` is 4
+LOST_AFTER_S = float(sys.argv[1]) if len(sys.argv) > 1 else 1.2
+DOWN_S = 1.0
+SETTLED_S = 16.0  # `sync-time-s` and `recovery-s`
+READ_S = 12.0
+
+
+async def put(world, version):
+    """Send a configuration until a node acknowledges it."""
+    route = world_module.build_route(
+        "r-fetch", "/fetch/", "safe", service="fetch"
+    )
+    document = world_module.build_document(version, [route], ["fetch"])
+    body = json.dumps(document).encode()
+    await world.repeat(
+        f"version {version}",
+        lambda: world.call_control("PUT", "/api/config", body),
+        200,
+    )
+
+
+def find_leader(world):
+    """Return the control process that logged last that it leads."""
+    latest = None
+    for process in world.controls:
+        with open(process.folder / "log", encoding="utf-8") as handle:
+            for line in handle:
+                if '"leadership"' not in line or '"leader"' not in line:
+                    continue
+                row = json.loads(line)
+                if row.get("role") != "leader":
+                    continue
+                if latest is None or row["time"] > latest[0]:
+                    latest = (row["time"], process)
+    if latest is None:
+        raise world_module.CannotRun("no leader was logged")
+    return latest[1]
+
+
+async def lose_disk(process):
+    """Kill a machine, empty its disk and start it again."""
+    process.world.record.write(f"{process.name} loses power and its disk")
+    await process.end()
+    shutil.rmtree(process.data)
+    process.data.mkdir()
+    process.write_settings(False)
+    await asyncio.sleep(DOWN_S)
+    await process.start()
+
+
+async def read_back(world, statuses):
+    """Read the configuration at each node; return versions that came."""
+    versions = set()
+    for process in world.controls:
+        if process.process.returncode is not None:
+            continue
         try:
-            async with asyncio.timeout(4.5):
-                status = await world.call(
-                    entry.ip,
-                    world.front_port,
-                    "GET",
-                    "/fetch/1",
-                    b"",
-                    headers,
+            async with asyncio.timeout(1.5):
+                response = await world.exchange(
+                    process.ip, world.control_port, "GET", "/api/config"
                 )
         except (OSError, EOFError, asyncio.TimeoutError) as error:
             status = type(error).__name__
-        self.rows.append((sent_s, status))
-
-    def count(self, start_s, end_s):
-        """Return how many were sent in a time, by status."""
-        counts = {}
-        for sent_s, status in self.rows:
-            if start_s <= sent_s < end_s:
-                counts[status] = counts.get(status, 0) + 1
-        return counts
-
-
-def compute_share(counts):
-    """Return the share of requests that were served."""
-    return counts.get(200, 0) / max(1, sum(counts.values()))
-
-
-async def crash_backends(world, backends):
-    """Stop backends, and start them anew."""
-    for backend in backends:
-        world.record.write(f"{backend.id} crashes")
-        backend.stop()
-    await asyncio.sleep(DOWN_S)
-    for backend in backends:
-        service, address = backend.service, backend.address
-        new = type(backend)(
-            world, f"{backend.id}-again", service, address, backend.work_s
-        )
-        new.body = backend.body
-        world.backends.append(new)
-        await new.start()
-        world.record.write(f"{new.id} starts")
-
-
-async def kill_all(world):
-    """Kill all processes of the system, and start them again."""
-    processes = (*world.controls, *world.entries)
-    for process in processes:
-        process.send(signal.SIGKILL)
-    for process in processes:
-        await process.end()
-    await asyncio.sleep(SYSTEM_DOWN_S)
-    for process in processes:
-        await process.start()
-
-
-async def play_faults(world, load, trouble, crash):
-    """Let clients send through both faults; return what broke the rule."""
-    record = world.record
-    await asyncio.sleep(3.0)
-    started_s = record.now()
-    sending = asyncio.create_task(load.run())
-    try:
-        await asyncio.sleep(CALM_S)
-        if trouble:
-            await crash()
-        await asyncio.sleep(BEFORE_FINAL_S)
-        final_s = record.now()
-        if trouble:
-            await kill_all(world)
-        back_s = record.now()
-        await asyncio.sleep(RECOVERY_S + MEASURED_S)
-        end_s = record.now()
-        await asyncio.sleep(0.5)
-    finally:
-        sending.cancel()
-    before = load.count(started_s, final_s)
-    after = load.count(back_s + RECOVERY_S, end_s)
-    record.write(f"sent before the final fault, by status: {before}")
-    record.write(f"sent {RECOVERY_S} s after the return: {after}")
-    if compute_share(before) < SERVED_SHARE:
-        raise world_module.CannotRun("too little was served before")
-    if not after:
-        raise world_module.CannotRun("nothing was sent afterwards")
-    if compute_share(after) < SERVED_SHARE:
-        return [f"{compute_share(after):.2f} of the requests are served"]
-    return []
+        else:
+            status = response.status
+            if status == 200:
+                versions.add(json.loads(response.body)["version"])
+        statuses[status] = statuses.get(status, 0) + 1
+    return versions
 
 
 async def case(record, trouble):
     """Return what broke the rule."""
-    world = world_module.World(record, controls=3, entries=2)
-    fetch = [
-        world.add_backend(f"i-{n}", "fetch", work_s=WORK_S) for n in (1, 2, 3)
-    ]
-    for number in (4, 5):
-        world.add_backend(f"i-{number}", "search")
-    routes = [
-        world_module.build_route(
-            f"r-{s}", f"/{s}/", "safe", service=s, **{"timeout-ms": 4004}
-        )
-        for s in ("fetch", "search")
-    ]
+    world = world_module.World(record, controls=5, entries=1)
+    world.add_backend("i-1", "fetch")
+    statuses = {}
+    versions = set()
     try:
-        await world.start(
-            world_module.build_document(1, routes, ["fetch", "search"])
+        route = world_module.build_route(
+            "r-fetch", "/fetch/", "safe", service="fetch"
         )
-        return await play_faults(
-            world,
-            Load(world),
-            trouble,
-            lambda: crash_backends(world, fetch),
+        await world.start(world_module.build_document(1, [route], ["fetch"]))
+        await asyncio.sleep(4.0)
+        old = find_leader(world)
+        successor = world_module.Process(
+            world, "control", "core-6", f"{world.net}.6", old.zone
         )
+        successor.write_settings(False)
+        await successor.start()
+        await asyncio.sleep(SUCCESSOR_S)
+        await put(world, 2)
+        others = [p for p in world.controls if p is not old]
+        world.controls.append(successor)
+        if trouble:
+            record.write(f"{old.name} is gone for good")
+            old.send(signal.SIGKILL)
+            await old.end()
+            await asyncio.sleep(LOST_AFTER_S)
+            await asyncio.gather(*(lose_disk(p) for p in others[:2]))
+        await asyncio.sleep(SETTLED_S)
+        end_s = record.now() + READ_S
+        while record.now() < end_s:
+            versions |= await read_back(world, statuses)
+            await asyncio.sleep(0.3)
+        running = [
+            p.name for p in world.controls if p.process.returncode is None
+        ]
+        record.write(f"running: {', '.join(running)}")
     finally:
         await world.stop()
+    record.write(f"reads by status: {statuses}, versions {versions}")
+    if not versions:
+        return ["the acknowledged configuration doesn't come"]
+    if max(versions) < 2:
+        return [f"version {max(versions)} was read, 2 was acknowledged"]
+    return []
 
 
-if __name__ == "__main__":
-    world_module.play(case, FOLDER)
+world_module.play(case, FOLDER)
