Callers: header lines count by their memory, not by their number

What callers saw: one request of 210 short header lines got 431 in calm, though its bytes were far inside the limit of the configuration. So did one whose lines have no space after the colon, if their bytes were just inside.

Cause: the reader refused the 201st line whatever it held, and the check at the end of the head counted a space in each line that need not be there. A head that was still open counted its start line as well.

Change: no limit of lines. Each is in the budget with its bytes and the 160 of its objects, as before, while the head is open and until the request ends, so a crowd of such heads is given up by memory. The check counts what each line has on the wire at least.

--- a/chervilspindle/wire/request_reader.py
+++ b/chervilspindle/wire/request_reader.py
@@ -10,7 +10,10 @@
 
 from chervilspindle.wire import caller_limits
 
-MAX_HEADERS = 200
+# Of a header line: the colon and the line end; spaces are optional.
+MIN_LINE_OVERHEAD_BYTES = 3
+# Method, version and line ends, which the limit of the head does not count.
+MAX_START_LINE_OVERHEAD_BYTES = 64
 CHUNK_OVERHEAD_RATIO = 16  # framing of chunks with one byte each
 
 
@@ -98,7 +101,7 @@
             return
         limit = self.read_limits().header_bytes
         if self.in_header:
-            if self.header_bytes > limit:
+            if self.header_bytes > limit + MAX_START_LINE_OVERHEAD_BYTES:
                 self.connection.refuse(431, "header is too large")
             return
         if self.body_bytes == body_bytes:
@@ -143,8 +146,6 @@
         self.calls += 1
         if not self.in_header:
             return
-        if len(self.headers) >= MAX_HEADERS:
-            self._refuse(431, "header is too large")
         self.headers.append((name.lower(), value))
         self.line_bytes += len(name) + len(value) + caller_limits.LINE_BYTES
 
@@ -157,7 +158,7 @@
         codings = []
         length = b""
         for name, value in self.headers:
-            size += len(name) + len(value) + 4
+            size += len(name) + len(value) + MIN_LINE_OVERHEAD_BYTES
             if name == b"expect" and value.lower() == b"100-continue":
                 expects = True
             elif name == b"transfer-encoding":
