Large bodies: sends share them, relays count them

What callers saw: with 100 MB, 60 callers whose queries had bodies of 1 MiB took an entry to 151 MB and the relay of their shards to 576 MB; a mixed crowd took it to 157 MB. On a VM the process would have ended for it.

Cause: each send to an endpoint had a copy of the body, and so had each message to a relay; a relay counted nothing of what other entries asked it to send. A request also left the budget with its answer or its caller, though its sends ran on with the body.

Change: a send is its own head and a tail that all sends share, written one after the other. The budget counts copies for relays before the first send (503, not run, if they do not fit), calls at a relay for as long as they run, and sends that outlive their request. A relay without room reports the shards as not sent, so that the entry sends them another way, and does not count as failed.

Why it works: what a query holds no longer grows with its shards, and each process refuses what does not fit before it holds it.

Evidence: features/hostile_callers_test.py failed before (above) and passes: 67 MB direct; 80 MB at the relay and 112 of 600 at the entry; 89 MB mixed; crowd and bounds as they were. chervilspindle/routing/large_bodies_test.py, seven of eight failing before: five runs of it without a failure.

--- a/chervilspindle/routing/contexts.py
+++ b/chervilspindle/routing/contexts.py
@@ -17,6 +17,7 @@
 from chervilspindle.routing import relay_selection
 from chervilspindle.routing import relayed_query
 from chervilspindle.routing import retry_budget
+from chervilspindle.wire import caller_limits
 from chervilspindle.wire import receive_limits
 
 
@@ -52,6 +53,7 @@
     quota_rule: shared_limits.QuotaRule | None = None,
     spread_load: bool = False,
     cold_rule: shared_limits.ColdRule | None = None,
+    caller_budget: caller_limits.CallerBudget | None = None,
 ) -> endpoint_calls.Context:
     """Build the context of an entry.
 
@@ -72,6 +74,8 @@
         Whether endpoints are chosen as `spreading` describes.
     cold_rule : shared_limits.ColdRule or None
         None where endpoints that are cold have no limit.
+    caller_budget : caller_limits.CallerBudget or None
+        Shared by all that is held for callers; None for no limit.
     """
     names = endpoint_calls.encode_header_names(header_names)
     generator = random.Random(seed)
@@ -136,4 +140,5 @@
         reachability,
         drain.Drain(loop),
         quotas,
+        caller_budget or caller_limits.build_unlimited(loop.time),
     )
--- a/chervilspindle/routing/direct_dispatch.py
+++ b/chervilspindle/routing/direct_dispatch.py
@@ -121,6 +121,10 @@
             c.connection is not None for c in self.call_by_service.values()
         )
 
+    def has_calls(self) -> bool:
+        """Tell whether calls to endpoints have not ended."""
+        return bool(self.call_by_service)
+
     def stop(self):
         """Withdraw what is not sent yet; requests in progress run on."""
         self.stopped = True
--- a/chervilspindle/routing/endpoint_calls.py
+++ b/chervilspindle/routing/endpoint_calls.py
@@ -53,6 +53,9 @@
     rb"(?:\s*,([^,]*)(?:,.*)?|[;\s].*)?",
     re.DOTALL,
 )
+# A request up to this size is copied for each send, which takes less time than
+# a second write to its connection.
+MAX_COPIED_BYTES = 4 * 1024
 PERMIT_LIFETIME_S = 0.5  # of a permit that waits for a connection
 # Reasons of outcomes.
 HELD_BACK = endpoint_http.Ending.HELD_BACK.value
@@ -181,6 +184,8 @@
     drain : drain.Drain
     quotas : quota_permits.QuotaClient or None
         None where quotas of client accounts are not in force.
+    caller_budget : caller_limits.CallerBudget or None
+        Shared by all that is held for callers; set by `build_context`.
     """
 
     loop: object
@@ -197,6 +202,7 @@
     reachability: object
     drain: object
     quotas: object = None
+    caller_budget: object = None
 
 
 class IncomingRequest(typing.NamedTuple):
@@ -246,26 +252,36 @@
         The request before and after these headers.
     names : HeaderNames
         As sent.
+
+    Attributes
+    ----------
+    shared_tail : bytes
+        The tail if all sends share it, empty if each has a copy.
     """
 
-    __slots__ = ("head", "tail", "names")
+    __slots__ = ("head", "tail", "names", "shared_tail")
 
     def __init__(self, head: bytes, tail: bytes, names: HeaderNames):
         self.head = head
         self.tail = tail
         self.names = names
+        self.shared_tail = tail if len(tail) > MAX_COPIED_BYTES else b""
 
     def build(self, endpoint_id: str, remaining_ms: float) -> bytes:
-        """Return the request to one endpoint as bytes."""
+        """Return the request to one endpoint up to the shared tail."""
         return b"%s%s: %d\r\n%s: %s%s" % (
             self.head,
             self.names.deadline_ms,
             max(1, int(remaining_ms)),
             self.names.expected_endpoint,
             endpoint_id.encode(),
-            self.tail,
+            b"" if self.shared_tail else self.tail,
         )
 
+    def count_bytes(self) -> int:
+        """Return the memory of the template, in bytes."""
+        return len(self.head) + len(self.tail)
+
 
 def build_request_template(
     incoming: IncomingRequest, names: EncodedHeaderNames
@@ -363,6 +379,7 @@
         on_end,
         reusable,
         max_body_bytes,
+        template.shared_tail,
     )
 
 
--- a/chervilspindle/routing/fanout.py
+++ b/chervilspindle/routing/fanout.py
@@ -22,6 +22,7 @@
 from chervilspindle.routing import permission
 from chervilspindle.routing import request_timing
 from chervilspindle.routing import routed_request
+from chervilspindle.wire import caller_limits
 from chervilspindle.wire import messages
 
 # Capacity that was checked earlier is checked again when the request starts.
@@ -178,6 +179,9 @@
             return
         if self._is_shed(capacity.occupancy, now):
             return
+        if not self._holds_relayed():
+            self.refuse(caller_limits.BUDGET_REASON)
+            return
         self.context.budget.count_requests(services)
         self._send_all()
         if self.done:
@@ -222,6 +226,15 @@
             return True
         return False
 
+    def _holds_relayed(self) -> bool:
+        """Count the copies in messages to relays; false if they don't fit."""
+        relays = self.context.relays.table
+        groups = len(relays.get_groups(self.incoming.route.shards))
+        copied_bytes = groups * self.template.count_bytes()
+        if copied_bytes <= caller_limits.SMALL_BYTES:
+            return True
+        return self.incoming.exchange.try_hold(copied_bytes)
+
     def _send_all(self):
         relays = self.context.relays
         for group in relays.table.get_groups(self.incoming.route.shards):
@@ -339,6 +352,7 @@
             self.record_part_ms(took_ms)
             self._add_part_set(messages.PartSet((service,), stamp, body))
         self._settle_withheld()
+        self.release_sends()
 
     def on_part_set(self, dispatch, part_set, mean_ms):
         """Add a set of parts that a relay reported."""
@@ -384,6 +398,7 @@
                 shard.tried.append(loss.endpoint_id)
             if not self._is_settled(shard) and not self._is_pending(shard):
                 lost.append(shard)
+        self.release_sends()
         if self.done or not lost:
             return
         # Where all endpoints of a shard are held back, a resend would be too.
@@ -767,6 +782,10 @@
             fields["relays"] = self.relay_vm_ids
         return fields
 
+    def has_sends(self) -> bool:
+        """Tell whether this process holds sends that have not ended."""
+        return any(dispatch.has_calls() for dispatch in self.dispatches)
+
     def stop_sends(self):
         """Withdraw what is not sent yet; requests in progress run on."""
         for dispatch in self.dispatches:
--- a/chervilspindle/routing/forwarding.py
+++ b/chervilspindle/routing/forwarding.py
@@ -8,6 +8,7 @@
 from chervilspindle.core import logs
 from chervilspindle.routing import drain
 from chervilspindle.routing import endpoint_calls
+from chervilspindle.wire import caller_limits
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import http_statuses
 from chervilspindle.wire import messages
@@ -89,7 +90,7 @@
             self.on_end(self, answer)
 
 
-class ServedForward:
+class ServedForward(caller_limits.RunningHold):
     """A `messages.ForwardCall` in progress at the entry that sends it."""
 
     def __init__(self, server, link, message):
@@ -136,6 +137,14 @@
         )
         endpoint_calls.submit(send, context)
 
+    def count_bytes(self) -> int:
+        """Return the memory of the request, in bytes."""
+        return len(self.message.head) + len(self.message.tail)
+
+    def report_unsent(self):
+        """Report that it was not sent, as this VM has no room for it."""
+        self._report(endpoint_http.Answer(endpoint_http.Ending.NOT_SENT))
+
     def refuse(self):
         """Tell that the request is not sent from this VM."""
         self.link.send(messages.RelayRefusal(self.message.query_id))
--- a/chervilspindle/routing/process.py
+++ b/chervilspindle/routing/process.py
@@ -310,6 +310,7 @@
             settings.quota_rule,
             settings.spread_load,
             settings.cold_rule,
+            self.capacity.budget,
         )
         self.context = context
         self.entry_peer = peer_messages.EntryPeer(context)
--- a/chervilspindle/routing/relayed_query.py
+++ b/chervilspindle/routing/relayed_query.py
@@ -16,6 +16,7 @@
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import forwarding
 from chervilspindle.routing import part_merging
+from chervilspindle.wire import caller_limits
 from chervilspindle.wire import endpoint_http
 from chervilspindle.wire import messages
 
@@ -57,6 +58,10 @@
         """Return no shards: what the relay has sent is not known."""
         return []
 
+    def has_calls(self) -> bool:
+        """Tell whether this process holds calls; only the relay does."""
+        return False
+
     def stop(self):
         """Ignore further reports; shards in progress are not cancelled."""
         self.client.discard(self)
@@ -296,10 +301,28 @@
         if reachability.is_cut_off or self._is_late(served):
             served.refuse()
             return
+        if not self._holds(served):
+            served.report_unsent()
+            return
         self.served_by_key[link, query_id] = served
         reachability.listeners.add(served)
         served.start()
 
+    def _holds(self, served) -> bool:
+        """Count the memory of a call; false if it does not fit."""
+        held_bytes = served.count_bytes()
+        if held_bytes <= caller_limits.SMALL_BYTES:
+            return True
+        if self.context.caller_budget.try_hold(served, held_bytes):
+            return True
+        logs.log_decision(
+            "relay-refused",
+            request_id=served.get_request_id().decode("latin-1"),
+            why=caller_limits.BUDGET_REASON,
+            bytes=held_bytes,
+        )
+        return False
+
     def _is_late(self, served) -> bool:
         work = served.estimate_work()
         verdict = drain.decide(work, self.context.drain.get_left_s())
@@ -322,6 +345,7 @@
     def discard(self, link, query_id):
         """Forget a call that has ended."""
         served = self.served_by_key.pop((link, query_id), None)
+        self.context.caller_budget.release(served)
         self.context.reachability.listeners.discard(served)
 
 
@@ -348,7 +372,7 @@
         served.cancel()
 
 
-class _ServedCall:
+class _ServedCall(caller_limits.RunningHold):
     """A `RelayCall` in progress at the relay."""
 
     def __init__(self, server, link, call):
@@ -408,12 +432,22 @@
         query_id = self.call.query_id
         if self.link.knows(messages.RelayRefusal):
             self.link.send(messages.RelayRefusal(query_id))
-            return
+        else:
+            self.report_unsent()
+
+    def count_bytes(self) -> int:
+        """Return the memory of the request, in bytes."""
+        return self.dispatch.template.count_bytes()
+
+    def report_unsent(self):
+        """Report that no shard was sent, as this VM has no room for it."""
         losses = tuple(
             messages.Loss(service, "", NOT_SENT, False)
             for service in self.call.services
         )
-        self.link.send(messages.RelayReport(query_id, (), losses, (), 0.0))
+        self.link.send(
+            messages.RelayReport(self.call.query_id, (), losses, (), 0.0)
+        )
 
     def handle_cut_off(self):
         """Report the shards that this VM can't send, or get answers of."""
--- a/chervilspindle/routing/routed_request.py
+++ b/chervilspindle/routing/routed_request.py
@@ -11,6 +11,7 @@
 from chervilspindle.routing import endpoint_calls
 from chervilspindle.routing import request_content
 from chervilspindle.routing import request_timing
+from chervilspindle.wire import caller_limits
 
 # Sends beyond `max_attempts`, possible because refused ones don't count.
 MAX_REFUSED_SENDS = 3
@@ -55,6 +56,7 @@
             incoming, context.names
         )
         self.done = False
+        self.hold = None  # of sends that outlive the answer
         self.timers = []
         self.broken_endpoints = []  # that closed the connection at work
         self.answered = False  # by any endpoint, with a success
@@ -106,6 +108,10 @@
             and self.context.relays.table.has_others()
         )
 
+    def has_sends(self) -> bool:
+        """Tell whether this process holds sends that have not ended."""
+        raise NotImplementedError
+
     def stop_sends(self):
         """Withdraw what is not sent yet; requests in progress run on."""
         raise NotImplementedError
@@ -185,6 +191,7 @@
         """
         self._close()
         self.incoming.exchange.respond(status, headers, body)
+        self._hold_sends()
         fields = {
             "why": reason,
             **self.build_log_fields(),
@@ -193,6 +200,19 @@
         }
         self.on_done(self.incoming, status, fields)
 
+    def _hold_sends(self):
+        """Count the request for as long as its sends outlive the answer."""
+        held_bytes = self.template.count_bytes()
+        if held_bytes > caller_limits.SMALL_BYTES and self.has_sends():
+            self.hold = caller_limits.RunningHold()
+            self.context.caller_budget.hold(self.hold, held_bytes)
+
+    def release_sends(self):
+        """Stop counting a request that was answered, after its last send."""
+        if self.hold is not None and not self.has_sends():
+            self.context.caller_budget.release(self.hold)
+            self.hold = None
+
     def record_broken(self, endpoint_id: str):
         """Record that an endpoint broke off while it had the request."""
         self.broken_endpoints.append(endpoint_id)
@@ -237,6 +257,7 @@
         if self.done:
             return
         self._close()
+        self._hold_sends()
         fields = {
             "why": "caller_left",
             **self.build_log_fields(),
--- a/chervilspindle/routing/single_endpoint.py
+++ b/chervilspindle/routing/single_endpoint.py
@@ -162,6 +162,7 @@
     def _on_call_ended(self, call, answer):
         target, cause = call.context
         self.calls.remove(call)
+        self.release_sends()
         outcome = endpoint_calls.handle_answer(
             target, call, answer, self.context
         )
@@ -304,6 +305,10 @@
             fields["relays"] = self.relay_vm_ids
         return fields
 
+    def has_sends(self) -> bool:
+        """Tell whether this process holds sends that have not ended."""
+        return bool(self.calls)
+
     def stop_sends(self):
         """Withdraw what is not sent yet; requests in progress run on."""
         for call in list(self.calls):
--- a/chervilspindle/wire/caller_limits.py
+++ b/chervilspindle/wire/caller_limits.py
@@ -183,6 +183,14 @@
     return max(MIN_CONNECTIONS, int(descriptors * share))
 
 
+class RunningHold:
+    """What sends of a request hold; it is never given up."""
+
+    def describe_held(self, held_bytes: int, now: float):
+        """Return what the budget has to know of it."""
+        return Held(self, held_bytes, 0.0, True, False)
+
+
 class CallerBudget:
     """Bytes that a process holds for its callers.
 
@@ -224,6 +232,25 @@
         if added > 0 and self.total_bytes > self.limit_bytes:
             self._make_room()
 
+    def try_hold(self, connection, count: int) -> bool:
+        """Set what is held for a connection, unless there is no room.
+
+        Returns
+        -------
+        bool
+            False if it does not fit; what was held before is held on.
+        """
+        before = self.held_by_connection.get(connection, 0)
+        self.hold(connection, count)
+        if self.total_bytes <= self.limit_bytes:
+            return True
+        if before:
+            self.hold(connection, before)
+        else:
+            self.release(connection)
+        self.count_refused(BUDGET_REASON)
+        return False
+
     def release(self, connection):
         """Remove all that is held for a connection."""
         self.total_bytes -= self.held_by_connection.pop(connection, 0)
--- a/chervilspindle/wire/endpoint_http.py
+++ b/chervilspindle/wire/endpoint_http.py
@@ -78,7 +78,7 @@
     Parameters
     ----------
     data : bytes
-        The encoded request.
+        The encoded request, without what `body` holds of it.
     request_id : bytes
         Echoed by the endpoint.
     deadline_s : float
@@ -90,6 +90,8 @@
         may be closing that.
     max_body_bytes : int
         Largest accepted body of the answer.
+    body : bytes
+        Sent after `data`; calls with the same body share it.
 
     Attributes
     ----------
@@ -105,6 +107,7 @@
         "on_end",
         "reusable",
         "max_body_bytes",
+        "body",
         "pool",
         "connection",
         "timer",
@@ -122,6 +125,7 @@
         on_end,
         reusable=True,
         max_body_bytes=receive_limits.MAX_BODY_BYTES,
+        body=b"",
     ):
         self.data = data
         self.request_id = request_id
@@ -129,6 +133,7 @@
         self.on_end: abc.Callable | None = on_end
         self.reusable = reusable
         self.max_body_bytes = max_body_bytes
+        self.body = body
         self.send_by_s = math.inf
         self.pool = None
         self.connection = None
@@ -478,6 +483,8 @@
         self.is_decodable = True
         self.parser = httptools.HttpResponseParser(self)
         self.transport.write(call.data)
+        if call.body:
+            self.transport.write(call.body)
         self.pool.link_observer.record_sent()
 
     def pause_writing(self):
--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -120,6 +120,10 @@
         self.on_abandoned = None
         self.connection.finish(self, status, headers, body)
 
+    def try_hold(self, added_bytes: int) -> bool:
+        """Count more memory until the answer; false if it does not fit."""
+        return self.connection.try_hold_running(added_bytes)
+
 
 def read_round_trip_ms(sock) -> float | None:
     """Return the round trip time that the kernel measured, in ms.
@@ -509,6 +513,21 @@
         if self.reading_paused:
             self._read_on()
 
+    def try_hold_running(self, added_bytes: int) -> bool:
+        """Count more memory of the request in progress, if it fits."""
+        if self not in self.server.connections:
+            return False
+        budget = self.server.budget
+        held_bytes = budget.held_by_connection.get(self, 0)
+        # What is in progress is not given up for its own growth.
+        self.running_bytes += added_bytes
+        fits = budget.try_hold(self, held_bytes + added_bytes)
+        if fits:
+            self.is_held = True
+        else:
+            self.running_bytes -= added_bytes
+        return fits
+
     def describe_held(self, held_bytes: int, now: float):
         """Return what the budget has to know of the connection."""
         since_s = self.request_started_s
