HTTP API: the limits on callers of the data path

What callers saw: a crowd as large as the entry's descriptors, silent or short of the end, shut out every ordinary caller; each chunked body took a temporary file's descriptor as well. 1-byte chunks kept an entry from answering for more than 40 s. Pipelined requests whose answers nobody read took 210 MB of 100, fields of a form 162 MB, trailers 107 MB.

Cause: the interface of the product's own deployments was twisted.web's own channel, without a budget or a bound on connections. That parses a form into its fields whatever the handler needs, and parses chunks without turns.

Change: http_server reads these requests, behind the same reader, budget, turns and limit of connections as those of routed deployments. reactor_server gives it a transport over the plain reactor, which knows what a caller has not read; exchange_request passes a complete request to the Klein application, which is unchanged. Refusals stay problem documents (413 for a head or a body that is too large, as before; 503 overloaded with Retry-After). Settings caller_memory_mb and caller_connections, each with a check, a counter by reason and a gauge; documented. The limit of 500 header lines is gone; the head may have 32 KiB.

Why it works: memory and descriptors of callers have one bound for the process, and silent connections make room.

Changed test: features/http_api_test.py got its connection from build_site, which is gone; the same bytes go through the new connection, and the checks are as they were (413, source, not_run, closed).

--- a/chervilspindle/config/options.py
+++ b/chervilspindle/config/options.py
@@ -130,6 +130,23 @@
         "Memory that the process may use; an eighth of it may hold answers "
         "that endpoints have not finished.",
     ),
+    Option(
+        "caller_memory_mb",
+        float,
+        None,
+        "MB",
+        "Memory for requests that are received, wait or run, and for answers "
+        "that callers do not read; by default a sixth of memory_mb, 16 MiB "
+        "at least, if the process leaves twice as much.",
+    ),
+    Option(
+        "caller_connections",
+        int,
+        None,
+        "connections",
+        "Connections of callers; by default six tenths of the descriptors "
+        "that the process may open.",
+    ),
 )
 
 OPTION_BY_NAME = {option.name: option for option in OPTIONS}
--- a/chervilspindle/config/settings.py
+++ b/chervilspindle/config/settings.py
@@ -8,6 +8,9 @@
 from chervilspindle.config import options
 
 SHARED_KEY_MIN_CHARACTERS = 16
+# Room for one request of the largest size in progress.
+MIN_CALLER_MEMORY_MB = 13.0
+MIN_CALLER_CONNECTIONS = 16
 
 
 class ControlVm(typing.NamedTuple):
@@ -46,6 +49,8 @@
     baselines: tuple[str, ...]
     extra_load_share: float
     memory_mb: float
+    caller_memory_mb: float | None = None
+    caller_connections: int | None = None
 
 
 def load_settings(path: str):
@@ -175,6 +180,17 @@
         yield "extra_load_share", "must be in [0, 0.5]"
     if document.get("memory_mb", 256.0) < 64:
         yield "memory_mb", "must be at least 64"
+    memory_mb = document.get("memory_mb", 256.0)
+    caller_mb = document.get("caller_memory_mb", MIN_CALLER_MEMORY_MB)
+    if not MIN_CALLER_MEMORY_MB <= caller_mb <= memory_mb:
+        yield "caller_memory_mb", (
+            f"must be {MIN_CALLER_MEMORY_MB} to memory_mb"
+        )
+    connections = document.get("caller_connections", MIN_CALLER_CONNECTIONS)
+    if connections < MIN_CALLER_CONNECTIONS:
+        yield "caller_connections", (
+            f"must be at least {MIN_CALLER_CONNECTIONS}"
+        )
 
 
 VALIDATIONS = (
--- a/chervilspindle/config/settings_test.py
+++ b/chervilspindle/config/settings_test.py
@@ -42,6 +42,11 @@
         ({"operators": [{"name": 1}]}, "operators[0].name"),
         ({"baselines": ["magic"]}, "baselines[0]"),
         ({"control_vms": []}, "control_vms"),
+        ({"caller_memory_mb": 12.9}, "caller_memory_mb"),
+        ({"caller_memory_mb": 257}, "caller_memory_mb"),
+        ({"caller_memory_mb": "x"}, "caller_memory_mb"),
+        ({"caller_connections": 15}, "caller_connections"),
+        ({"caller_connections": 2.5}, "caller_connections"),
     ),
 )
 def test_error_is_reported_at_its_position(tmp_path, change, place):
--- a/chervilspindle/core/metrics.py
+++ b/chervilspindle/core/metrics.py
@@ -52,9 +52,14 @@
         )
         self.gauges = aioprometheus.Gauge(
             "chervilspindle_state",
-            "State by name: lease_ms, revision, version, term, leader.",
+            "State by name: lease_ms, revision, version, term, leader,"
+            " caller_bytes.",
             registry=self.registry,
         )
+        self.refused_callers = self._counter(
+            "refused_callers_total",
+            "Connections of callers refused or closed at a limit, by reason.",
+        )
 
     def _counter(self, name, doc):
         return aioprometheus.Counter(
@@ -102,6 +107,10 @@
         """Count a connection that was detected as silent."""
         self.endpoint_events.inc({"event": "silent"})
 
+    def count_refused_caller(self, reason):
+        """Count a connection refused or closed at a limit, by reason."""
+        self.refused_callers.inc({"reason": reason})
+
     def set_state(self, name, value):
         """Set the state gauge called `name`."""
         self.gauges.set({"name": name}, value)
--- a/chervilspindle/serve.py
+++ b/chervilspindle/serve.py
@@ -6,7 +6,6 @@
 import typing
 
 from twisted.internet import defer
-from twisted.internet import endpoints
 
 from chervilspindle.control import leader as leader_module
 from chervilspindle.control import member_poll
@@ -16,11 +15,13 @@
 from chervilspindle.core import metrics as metrics_module
 from chervilspindle.core import timers as timers_module
 from chervilspindle.query import entry as entry_module
+from chervilspindle.routing import caller_capacity
 from chervilspindle.wire import endpoint_client
 from chervilspindle.wire import http_api
 from chervilspindle.wire import messages
 from chervilspindle.wire import nng
 from chervilspindle.wire import peer
+from chervilspindle.wire import reactor_server
 from chervilspindle.wire import reactor_streams
 from chervilspindle.wire import receive_limits
 
@@ -30,6 +31,8 @@
 EXIT_SETTINGS = 2
 EXIT_STORAGE = 3
 
+BACKLOG = 512
+
 CONTROL_CALLS = (
     messages.Heartbeat,
     messages.Leave,
@@ -74,6 +77,10 @@
             self._handle,
             reactor_streams.ReactorStreams(reactor),
         )
+        self.capacity = caller_capacity.build_capacity(
+            settings, reactor.seconds, self.metrics.count_refused_caller
+        )
+        self.http_server = None
         self.ports = []
         self.transport = None
         self.roles = Roles(None, None, None)
@@ -103,9 +110,7 @@
             entry.start()
             port = yield self._listen_http(entry)
             self.ports.append(port)
-        self.timers.subscribe(
-            "control-state", 0.25, self._update_control_metrics
-        )
+        self.timers.subscribe("process-state", 0.25, self._update_metrics)
         LOGGER.info("serving", extra={"roles": list(self.settings.roles)})
 
     @defer.inlineCallbacks
@@ -115,6 +120,8 @@
             yield self.roles.entry.drain()
         for port in self.ports:
             yield defer.maybeDeferred(port.stopListening)
+        if self.http_server is not None:
+            self.http_server.stop()
         if self.roles.node is not None:
             self.roles.node.stop()
         if self.transport is not None:
@@ -181,11 +188,15 @@
         )
 
     def _listen_http(self, entry):
-        host, port = self.settings.http_address.rsplit(":", 1)
-        server = endpoints.TCP4ServerEndpoint(
-            self.reactor, int(port), interface=host, backlog=512
+        self.http_server = http_api.HttpApi(entry).build_server(
+            self.reactor,
+            self.timers,
+            self.capacity.budget,
+            self.capacity.max_connections,
+        )
+        return reactor_server.listen(
+            self.reactor, self.http_server, self.settings.http_address, BACKLOG
         )
-        return server.listen(http_api.HttpApi(entry).build_site())
 
     def _receive_raft(self, data):
         self.roles.node.receive(data)
@@ -204,7 +215,9 @@
             )
         return self.roles.entry.handle(link, message)
 
-    def _update_control_metrics(self):
+    def _update_metrics(self):
+        budget = self.capacity.budget
+        self.metrics.set_state("caller_bytes", budget.total_bytes)
         node = self.roles.node
         if node is None:
             return
--- a/chervilspindle/wire/http_api.py
+++ b/chervilspindle/wire/http_api.py
@@ -3,8 +3,10 @@
 It also serves the health, readiness and metrics paths for the platform.
 """
 
+import functools
 import json
 import logging
+import math
 
 import klein
 import msgspec
@@ -23,11 +25,16 @@
 from chervilspindle.query import coverage
 from chervilspindle.query import entry as entry_module
 from chervilspindle.query import requests
+from chervilspindle.wire import exchange_request
+from chervilspindle.wire import http_server
+from chervilspindle.wire import reactor_server
 
 LOGGER = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
-IDLE_TIMEOUT_S = 120
+MAX_HEADER_BYTES = 32 * 1024
+TIMEOUT_S = 120.0  # of an idle connection, and of a request being sent
+PROBLEM_TYPE = "application/problem+json"
 MAX_HOLDINGS = 1000
 MAX_NAME_CHARACTERS = 200
 MAX_NUMBER = json_limits.MAX_EXACT_INTEGER
@@ -56,55 +63,32 @@
     in_use: int = 0
 
 
-class LimitedRequest(server.Request):
-    """Rejects a body over the limit before it is read completely."""
-
-    refused = False
-
-    def gotLength(self, length):
-        """Check the length stated in the header."""
-        if length is not None and length > MAX_BODY_BYTES:
-            self._refuse()
-        else:
-            super().gotLength(length)
-
-    def handleContentChunk(self, data):
-        """Check the length received so far."""
-        if self.refused:
-            return
-        if self.content.tell() + len(data) > MAX_BODY_BYTES:
-            self._refuse()
-        else:
-            super().handleContentChunk(data)
-
-    def _refuse(self):
-        self.refused = True
-        detail = f"the body is larger than {MAX_BODY_BYTES} bytes"
-        refuse_too_large(self.channel, detail, "body")
-
-
-class LimitedChannel(http.HTTPChannel):
-    """Rejects a request with a header line over the limit."""
+LIMITS = http_server.ServerLimits(
+    MAX_HEADER_BYTES, MAX_BODY_BYTES, TIMEOUT_S * 1000.0, TIMEOUT_S * 1000.0
+)
+KIND_BY_STATUS = {
+    408: errors.ErrorKind.DEADLINE,
+    413: errors.ErrorKind.TOO_LARGE,
+    431: errors.ErrorKind.TOO_LARGE,
+    503: errors.ErrorKind.OVERLOADED,
+}
+SOURCE_BY_STATUS = {413: "body", 431: "header"}
 
-    def lineLengthExceeded(self, line):
-        """Answer 413 and close the connection."""
-        detail = f"a header line is longer than {self.MAX_LENGTH} bytes"
-        refuse_too_large(self, detail, "header")
 
+def build_refusal(status: int, reason: str):
+    """Return status, headers and body of a refusal, as a problem.
 
-def refuse_too_large(channel, detail: str, source: str):
-    """Answer 413 without reading the rest of the request, then close."""
+    Such a request was not read completely, so it has not run.
+    """
+    kind = KIND_BY_STATUS.get(status, errors.ErrorKind.MALFORMED)
     problem = errors.build_problem(
-        errors.ErrorKind.TOO_LARGE, detail, source=source
+        kind, reason, not_run=True, source=SOURCE_BY_STATUS.get(status, "")
     )
+    headers = [(b"Content-Type", PROBLEM_TYPE.encode())]
+    if problem.retry_after_ms:
+        headers.append((b"Retry-After", b"%d" % _round_up_s(problem)))
     body = json.dumps(errors.describe_problem(problem)).encode()
-    head = (
-        "HTTP/1.1 413 Request Entity Too Large\r\n"
-        "Content-Type: application/problem+json\r\n"
-        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-    )
-    channel.transport.write(head.encode() + body)
-    channel.loseConnection()
+    return errors.ANSWER_BY_KIND[kind].status, tuple(headers), body
 
 
 class HttpApi:
@@ -126,16 +110,31 @@
             row.name: row for row in entry.settings.endpoint_tokens
         }
 
-    def build_site(self) -> server.Site:
-        """Return the site to listen with."""
-        site = server.Site(
-            self.app.resource(),
-            requestFactory=LimitedRequest,
-            timeout=IDLE_TIMEOUT_S,
-        )
+    def build_server(
+        self, reactor, timers, budget=None, max_connections=math.inf
+    ) -> http_server.HttpServer:
+        """Return the server to listen with.
+
+        Parameters
+        ----------
+        reactor : IReactorTime
+        timers : TimerService
+        budget : caller_limits.CallerBudget or None
+            Shared by all that the process holds for callers.
+        max_connections : float
+        """
+        site = server.Site(self.app.resource())
         site.displayTracebacks = False
-        site.protocol = LimitedChannel
-        return site
+        return http_server.HttpServer(
+            reactor_server.ReactorLoop(reactor),
+            timers,
+            "http-api",
+            functools.partial(exchange_request.serve, site),
+            lambda: LIMITS,
+            budget,
+            max_connections,
+            build_refusal,
+        )
 
     @app.route("/v1/query", methods=["POST"])
     @defer.inlineCallbacks
@@ -276,15 +275,16 @@
         problem = read_failure(failure)
         answer = errors.ANSWER_BY_KIND[problem.kind]
         if problem.retry_after_ms:
-            seconds = -(-problem.retry_after_ms // 1000)
-            request.setHeader("Retry-After", str(seconds))
+            request.setHeader("Retry-After", str(_round_up_s(problem)))
         if problem.kind is errors.ErrorKind.DRAINING:
-            _close_after_answer(request)
+            # The caller then reconnects to another VM before this one closes
+            # its port.
+            request.setHeader("Connection", "close")
         return _write_json(
             request,
             answer.status,
             errors.describe_problem(problem),
-            "application/problem+json",
+            PROBLEM_TYPE,
         )
 
     def _check_token(self, request, row_by_name):
@@ -454,16 +454,9 @@
     return parsed
 
 
-def _close_after_answer(request):
-    """Close the connection after the answer.
-
-    The caller then reconnects to another VM before this one closes its port.
-    """
-    channel = request.channel
-    request.setHeader("Connection", "close")
-    finished = request.notifyFinish()
-    finished.addCallback(lambda _: channel.loseConnection())
-    finished.addErrback(lambda _: None)
+def _round_up_s(problem) -> int:
+    """Return the delay before a retry in whole seconds."""
+    return -(-problem.retry_after_ms // 1000)
 
 
 def _write_json(request, status, body, content_type="application/json"):
--- a/chervilspindle/wire/http_server.py
+++ b/chervilspindle/wire/http_server.py
@@ -120,6 +120,10 @@
         self.on_abandoned = None
         self.connection.finish(self, status, headers, body)
 
+    def close_after_answer(self):
+        """Close the connection once the answer is sent."""
+        self.connection.keep_alive = False
+
     def try_hold(self, added_bytes: int) -> bool:
         """Count more memory until the answer; false if it does not fit."""
         return self.connection.try_hold_running(added_bytes)
@@ -144,6 +148,12 @@
     return round_trip_us / 1000.0 if round_trip_us else None
 
 
+def build_plain_refusal(status: int, reason: str):
+    """Return status, headers and body of a refusal, as plain text."""
+    headers = (RETRY_AFTER,) if status == 503 else ()
+    return status, headers, reason.encode()
+
+
 class HttpServer:
     """All connections of one listening address.
 
@@ -161,6 +171,9 @@
         Shared by all servers of the process; None for no limit.
     max_connections : float
         Beyond it, connections without a request in progress are closed.
+    build_refusal : callable
+        ``build_refusal(status, reason)`` returns the status, headers and body
+        of the answer to a request that is refused unread.
     """
 
     def __init__(
@@ -172,6 +185,7 @@
         read_limits,
         budget=None,
         max_connections=math.inf,
+        build_refusal=build_plain_refusal,
     ):
         self.loop = loop
         self.timers = timers
@@ -180,6 +194,7 @@
         self.read_limits = read_limits
         self.budget = budget or caller_limits.build_unlimited(loop.time)
         self.max_connections = max_connections
+        self.build_refusal = build_refusal
         self.connections = set()
         self.turns = collections.deque()  # connections with bytes to parse
         self.turn_is_due = False
@@ -195,6 +210,10 @@
         self.server = await self.loop.create_server(
             lambda: ServerConnection(self), host, int(port), backlog=backlog
         )
+        self.start_sweeps()
+
+    def start_sweeps(self):
+        """Close connections from now on that take too long or stay idle."""
         self.timers.subscribe(self.name, SWEEP_S, self.sweep)
 
     def sweep(self):
@@ -563,8 +582,7 @@
         if self.transport.is_closing() or unread:
             self.drop(reason)
         elif self.is_admitting or has_begun or self.exchange is not None:
-            detail = "too much is held for callers"
-            self.refuse(503, detail, (RETRY_AFTER,), reason)
+            self.refuse(503, "too much is held for callers", reason)
         else:
             self.drop(reason)
 
@@ -679,7 +697,7 @@
             )
             exchange.respond(500)
 
-    def refuse(self, status, reason, headers=(), label=""):
+    def refuse(self, status, reason, label=""):
         """Reject an unreadable request, after the answer in progress.
 
         With an answer in progress, the connection closes after that answer;
@@ -708,7 +726,8 @@
             self.running_bytes = 0
             if not has_earlier:
                 # It would be taken for the answer to a queued request.
-                self._write(status, headers, reason.encode(), b"GET", False)
+                answer = self.server.build_refusal(status, reason)
+                self._write(*answer, b"GET", False)
             self.transport.close()
         self._update_held()
 
--- a/features/hostile_http_api_test.py
+++ b/features/hostile_http_api_test.py
@@ -55,6 +55,7 @@
 
 
 QUERY = b'{"services": ["booking-desk-*", "hotel-partner-*"], "query": '
+COMMAND = b'{"service": "waiver-desk", "key": "waiver-desk/0001", "command": '
 CROWD_BY_NAME = {
     "short_lines_open": crowds.Crowd((SHORT_LINES,)),
     "short_lines_complete": crowds.Crowd((SHORT_LINES, b"\r\n")),
@@ -102,6 +103,18 @@
     "queries_of_many_values": crowds.Crowd(
         (build_complete(QUERY + b'{"x": [1', b",[]", b"]}}"),), BODY_CROWD
     ),
+    "commands_of_many_values": crowds.Crowd(
+        (
+            build_complete(
+                COMMAND + b'{"x": [1',
+                b",[]",
+                b"]}}",
+                KNOWN_HEAD.replace(b"query", b"command")
+                + b"Idempotency-Key: many-values\r\n",
+            ),
+        ),
+        BODY_CROWD,
+    ),
     "pipelined_unread": crowds.Crowd(
         (crowds.build_pipelined(BODY_BYTES // 4),), reads=False
     ),
--- a/features/http_api_test.py
+++ b/features/http_api_test.py
@@ -4,12 +4,15 @@
 
 import pytest
 import treq.testing
+from twisted.internet import task
 from twisted.internet import testing
 
 from chervilspindle.config import settings as settings_module
 from chervilspindle.config import tokens
+from chervilspindle.core import timers as timers_module
 from chervilspindle.query import entry as entry_module
 from chervilspindle.wire import http_api
+from chervilspindle.wire import reactor_server
 from features import workload
 from features import world as world_module
 
@@ -236,12 +239,16 @@
 
 def test_header_line_over_the_limit_is_refused(world):
     api = http_api.HttpApi(world.vm_by_name["entry-1"].entry)
-    channel = api.build_site().buildProtocol(None)
+    timers = timers_module.TimerService(task.Clock())
+    server = api.build_server(task.Clock(), timers)
+    channel = reactor_server.Factory(server).buildProtocol(None)
     transport = testing.StringTransport()
     channel.makeConnection(transport)
     channel.dataReceived(
         b"GET /healthz HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 40000
     )
+    while transport.producer is not None:
+        transport.producer.resumeProducing()
     head, _, body = transport.value().partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 413")
     problem = json.loads(body)
