Own deployments: links that have not shown the key are limited

What was seen: 20 connections to the peer port of an entry that sent a frame without end took it to 191 MB of 100.

Cause: only routed processes limited what peers hold before their first verified frame.

Change: the process passes its budget and the number of such links to its network, as routed processes do.

--- a/chervilspindle/serve.py
+++ b/chervilspindle/serve.py
@@ -80,6 +80,9 @@
         self.capacity = caller_capacity.build_capacity(
             settings, reactor.seconds, self.metrics.count_refused_caller
         )
+        self.network.limit_unverified(
+            self.capacity.budget, self.capacity.max_unverified
+        )
         self.http_server = None
         self.ports = []
         self.transport = None
