Budget for callers: no more than the process leaves of its memory

What was seen: an entry of an own deployment has 70 MB before it has callers, a routed one 54. With 100 MB, the least budget of 16 MiB led to 101 to 105 MB.

Cause: the budget was a share of the memory of the VM, whatever the process needs for itself. Resident memory grows by up to twice what is counted.

Change: the budget is at most half of what is left at the start, less 10 MB that a process takes while it begins to serve; 13 MB at least, for one body of 4 MiB in progress. With 152 MB nothing changes (25 MB).

--- a/chervilspindle/routing/caller_capacity.py
+++ b/chervilspindle/routing/caller_capacity.py
@@ -30,7 +30,9 @@
 
 def build_capacity(settings, read_clock, on_refused) -> CallerCapacity:
     """Build the capacity of a process with `process.RoutingSettings`."""
-    limit_bytes = caller_limits.compute_budget_bytes(settings.memory_mb)
+    limit_bytes = caller_limits.compute_budget_bytes(
+        settings.memory_mb, read_resident_mb()
+    )
     if settings.caller_memory_mb is not None:
         limit_bytes = int(settings.caller_memory_mb * 1e6)
     descriptors = read_descriptor_limit()
@@ -45,6 +47,19 @@
     )
 
 
+def read_resident_mb() -> float | None:
+    """Return the resident memory of this process in MB.
+
+    None where the system does not tell it.
+    """
+    try:
+        with open("/proc/self/statm", encoding="ascii") as handle:
+            pages = int(handle.read().split()[1])
+    except OSError:
+        return 0.0
+    return pages * resource.getpagesize() / 1e6
+
+
 def read_descriptor_limit() -> float:
     """Return how many descriptors the process may open."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/chervilspindle/wire/caller_limits.py
+++ b/chervilspindle/wire/caller_limits.py
@@ -26,6 +26,12 @@
 # counted while a crowd sent, since freed buffers leave gaps.
 BUDGET_SHARE = 1.0 / 6.0
 MIN_BUDGET_BYTES = 16 * 1024 * 1024
+# Bytes of resident memory for each that is counted.
+RESIDENT_GROWTH = 2.0
+# Taken after the start beside callers: connections, tables, loaded modules.
+SERVING_MB = 10.0
+# Even with little memory left: a body of 4 MiB in progress.
+LEAST_BUDGET_BYTES = 13 * 1000 * 1000
 # Victims are sought until this share of the budget is in use, so that a crowd
 # does not cause a search for each of its bytes.
 TARGET_SHARE = 0.875
@@ -151,9 +157,26 @@
     return 0 if row.quiet_s < FIRST_REQUEST_S else 2, row.quiet_s
 
 
-def compute_budget_bytes(memory_mb: float) -> int:
-    """Return the budget of a VM for what its callers hold, in bytes."""
-    return max(MIN_BUDGET_BYTES, int(memory_mb * 1e6 * BUDGET_SHARE))
+def compute_budget_bytes(
+    memory_mb: float, resident_mb: float | None = None
+) -> int:
+    """Return the budget of a VM for what its callers hold, in bytes.
+
+    Parameters
+    ----------
+    memory_mb : float
+        Memory of the VM.
+    resident_mb : float or None
+        Memory of the process at its start, if known. The budget is
+        at most half of what is left, as resident memory grows by up to twice
+        what is counted.
+    """
+    wanted = max(MIN_BUDGET_BYTES, int(memory_mb * 1e6 * BUDGET_SHARE))
+    if resident_mb is None:
+        return wanted
+    left_mb = memory_mb - resident_mb - SERVING_MB
+    left = int(left_mb * 1e6 / RESIDENT_GROWTH)
+    return max(LEAST_BUDGET_BYTES, min(wanted, left))
 
 
 def compute_max_connections(descriptors: float) -> float:
--- a/chervilspindle/wire/caller_limits_test.py
+++ b/chervilspindle/wire/caller_limits_test.py
@@ -94,6 +94,11 @@
     assert caller_limits.compute_budget_bytes(16) == (
         caller_limits.MIN_BUDGET_BYTES
     )
+    assert caller_limits.compute_budget_bytes(152, 50.0) == 25_333_333
+    assert caller_limits.compute_budget_bytes(100, 62.0) == 14_000_000
+    assert caller_limits.compute_budget_bytes(64, 62.0) == (
+        caller_limits.LEAST_BUDGET_BYTES
+    )
     assert caller_limits.compute_max_connections(1535) == 921
     assert caller_limits.compute_max_connections(math.inf) == math.inf
     assert caller_limits.compute_max_side(20) == caller_limits.MIN_CONNECTIONS
