Tests: crowds at the readiness and metrics servers, and values at control

Cause: the issue asks for each interface that callers reach. Nothing played the readiness and metrics servers, nor complete calls to control whose bodies expand when they are decoded.

Change: six crowds more in hostile_callers_test.py.

--- a/features/hostile_callers_test.py
+++ b/features/hostile_callers_test.py
@@ -67,6 +67,18 @@
 BYTE_CHUNKS = CHUNKED + crowds.build_chunks(1, 50_000)
 ANNOUNCED = HEAD + b"Content-Length: %d\r\n\r\n"
 CONTROL_HEAD = b"PUT /api/config HTTP/1.1\r\nHost: h\r\n"
+
+
+def build_control_put(path: str, start: bytes) -> bytes:
+    """Return a complete call whose body is a list of very many values."""
+    body = crowds.fill(start, b",[]", CONTROL_BODY_BYTES - 2) + b"]}"
+    return (
+        b"PUT /api/%s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+        % (path.encode(), len(body))
+        + body
+    )
+
+
 CROWD_BY_NAME = {
     "short_lines_open": crowds.Crowd((SHORT_LINES,)),
     "short_lines_complete": crowds.Crowd((SHORT_LINES[:-2], b"\r\n\r\n")),
@@ -124,6 +136,30 @@
         CONTROL_CROWD,
         "control",
     ),
+    "control_configuration_of_many_values": crowds.Crowd(
+        (build_control_put("config", b'{"version": 9, "x": [1'),),
+        CONTROL_CROWD,
+        "control",
+    ),
+    "control_routes_of_many_values": crowds.Crowd(
+        (
+            build_control_put(
+                "config", b'{"version": 9, "services": [], "routes": [{}'
+            ),
+        ),
+        CONTROL_CROWD,
+        "control",
+    ),
+    "control_announcement_of_many_values": crowds.Crowd(
+        (build_control_put("instances/odd-0", b'{"x": [1'),),
+        CONTROL_CROWD,
+        "control",
+    ),
+    "ready_silent": crowds.Crowd((b"",), SILENT_CROWD, "ready"),
+    "metrics_silent": crowds.Crowd((b"",), SILENT_CROWD, "metrics"),
+    "metrics_unread": crowds.Crowd(
+        (crowds.build_pipelined(BODY_BYTES // 16),), 16, "metrics", False
+    ),
     "control_silent": crowds.Crowd((b"",), SILENT_CROWD, "control"),
     "peer_frame_without_end": crowds.Crowd(
         (crowds.fill(NONCE + b"\x03\xff\xff\xff", b"p", 4 * BODY_BYTES),),
@@ -375,9 +411,16 @@
     async def gather(self, crowd):
         """Open the connections of a crowd and send all that they take."""
         node = self.control if crowd.port == "control" else self.entry
-        port = {"front": 0, "control": 2, "peer": 3}[crowd.port]
+        front, ready, control, peer = node.ports
+        port_by_name = {
+            "front": front,
+            "ready": ready,
+            "control": control,
+            "peer": peer,
+            "metrics": peer + 1,
+        }
         connections = await crowds.connect(
-            self.loop, crowd, node.ip, node.ports[port]
+            self.loop, crowd, node.ip, port_by_name[crowd.port]
         )
 
         async def wait():
