--- a/chervilspindle/routing/caller_capacity.py
+++ b/chervilspindle/routing/caller_capacity.py
@@ -56,7 +56,7 @@
         with open("/proc/self/statm", encoding="ascii") as handle:
             pages = int(handle.read().split()[1])
     except OSError:
-        return 0.0
+        return None
     return pages * resource.getpagesize() / 1e6
 
 
--- a/chervilspindle/wire/caller_limits.py
+++ b/chervilspindle/wire/caller_limits.py
@@ -19,8 +19,8 @@
 CONNECTION_BYTES = 8 * 1024
 # Requests up to this size are covered by CONNECTION_BYTES.
 SMALL_BYTES = 4 * 1024
-# A request that runs holds its body, and twice that while it is sent on: in
-# the template of its sends and in the encoded request.
+# A request that runs holds its body, once more in the template of its sends,
+# and once more while a message to a relay is encoded.
 RUNNING_COPIES = 3
 # Of the VM's memory. Resident memory grew by up to twice the bytes that were
 # counted while a crowd sent, since freed buffers leave gaps.
