--- a/chervilspindle/wire/reactor_server.py
+++ b/chervilspindle/wire/reactor_server.py
@@ -30,7 +30,7 @@
         self.reactor = reactor
 
     def time(self) -> float:
-        """Return the monotonic time in seconds."""
+        """Return the time of the reactor in seconds."""
         return self.reactor.seconds()
 
     def call_soon(self, callback, *args):
