Budget for callers: free memory goes back to the system once room was made

Cause: buffers of some MiB that were freed leave gaps in the heap. They stay resident, and the next buffers do not fit into them.

Change: after connections were given up for memory, the budget calls glibc's malloc_trim.

--- a/chervilspindle/routing/caller_capacity.py
+++ b/chervilspindle/routing/caller_capacity.py
@@ -1,5 +1,7 @@
 """How much a process holds for callers, by its settings and its system."""
 
+import ctypes
+import functools
 import math
 import resource
 import typing
@@ -40,13 +42,25 @@
     if settings.caller_connections is not None:
         max_connections = settings.caller_connections
     return CallerCapacity(
-        caller_limits.CallerBudget(limit_bytes, read_clock, on_refused),
+        caller_limits.CallerBudget(
+            limit_bytes, read_clock, on_refused, find_trim()
+        ),
         max_connections,
         caller_limits.compute_max_side(descriptors),
         caller_limits.compute_max_unverified(descriptors),
     )
 
 
+def find_trim():
+    """Return a function that returns free memory to the system.
+
+    Freed buffers leave gaps in the heap, which stay resident. Without glibc
+    the function does nothing.
+    """
+    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+    return functools.partial(trim, 0) if trim is not None else lambda: None
+
+
 def read_resident_mb() -> float | None:
     """Return the resident memory of this process in MB.
 
--- a/chervilspindle/wire/caller_limits.py
+++ b/chervilspindle/wire/caller_limits.py
@@ -225,16 +225,21 @@
         Returns the time in seconds.
     on_refused : callable or None
         ``on_refused(reason)``, called for each connection that is given up.
+    trim : callable
+        Called after room was made; may return free memory to the system.
 
     Attributes
     ----------
     held_by_connection : dict of object to int
     """
 
-    def __init__(self, limit_bytes, read_clock, on_refused=None):
+    def __init__(
+        self, limit_bytes, read_clock, on_refused=None, trim=lambda: None
+    ):
         self.limit_bytes = limit_bytes
         self.read_clock = read_clock
         self.on_refused = on_refused
+        self.trim = trim
         self.total_bytes = 0
         self.held_by_connection = {}
 
@@ -301,6 +306,7 @@
             refused_connections=len(chosen),
             freed_bytes=before - self.total_bytes,
         )
+        self.trim()
 
 
 def build_unlimited(read_clock) -> CallerBudget:
